--- /dev/null
+++ b/libraries/admission/memory_forecast.cc
@@ -0,0 +1,72 @@
+// Sums means and variances of what survives at each horizon.
+#include "libraries/admission/memory_forecast.h"
+
+#include <algorithm>
+#include <array>
+#include <boost/math/distributions/normal.hpp>
+#include <cmath>
+#include <numeric>
+
+namespace balsam::admission {
+namespace {
+
+// Steps ahead at which the memory is forecast.
+constexpr std::array<double, 9> kHorizonTokens = {0,   8,   24,  64,  128,
+                                                  256, 400, 700, 1200};
+
+struct Occupancy {
+  double mean = 0.0;
+  double variance = 0.0;
+};
+
+Occupancy OccupancyOf(const ResidentGeneration& generation, double horizon) {
+  const auto produced = static_cast<double>(generation.produced_tokens);
+  const auto limit = static_cast<double>(generation.max_output_tokens);
+  if (horizon > 0 && produced + horizon > limit) return {};
+  const double alive = generation.lengths->SurvivalAfter(produced, horizon);
+  const double size =
+      static_cast<double>(generation.prompt_tokens) + produced + horizon;
+  return {alive * size, alive * (1.0 - alive) * size * size};
+}
+
+Occupancy TotalAt(std::span<const ResidentGeneration> resident,
+                  double horizon) {
+  return std::transform_reduce(
+      resident.begin(), resident.end(), Occupancy{},
+      [](Occupancy a, const Occupancy& b) {
+        return Occupancy{a.mean + b.mean, a.variance + b.variance};
+      },
+      [horizon](const ResidentGeneration& generation) {
+        return OccupancyOf(generation, horizon);
+      });
+}
+
+}  // namespace
+
+double NormalQuantileAbove(double risk) {
+  return boost::math::quantile(
+      boost::math::complement(boost::math::normal_distribution<>(), risk));
+}
+
+bool FitsAtRisk(std::span<const ResidentGeneration> resident,
+                const MemoryLimits& limits, double overflow_risk) {
+  const double deviations = NormalQuantileAbove(overflow_risk);
+  const auto room =
+      static_cast<double>(limits.capacity_tokens - limits.reserve_tokens);
+  return std::ranges::all_of(kHorizonTokens, [&](double horizon) {
+    const Occupancy total = TotalAt(resident, horizon);
+    return total.mean + deviations * std::sqrt(total.variance) <= room;
+  });
+}
+
+double PeakLoad(std::span<const ResidentGeneration> resident,
+                const MemoryLimits& limits) {
+  const auto peak = std::transform_reduce(
+      kHorizonTokens.begin(), kHorizonTokens.end(), 0.0,
+      [](double a, double b) { return std::max(a, b); },
+      [&](double horizon) { return TotalAt(resident, horizon).mean; });
+  return peak /
+         static_cast<double>(std::max<std::int64_t>(1, limits.capacity_tokens));
+}
+
+}  // namespace balsam::admission
--- /dev/null
+++ b/libraries/base/easylogging.cc
@@ -0,0 +1,4 @@
+// Holds easylogging++'s only storage definition, so that each binary gets one.
+#include <easylogging++.h>
+
+INITIALIZE_EASYLOGGINGPP
--- /dev/null
+++ b/libraries/base/log_event.h
@@ -0,0 +1,45 @@
+// Structured logs: one line of key=value pairs for each event, escaped so that
+// no value can end the line or forge a pair.
+#pragma once
+
+#include <chrono>
+#include <concepts>
+#include <string>
+#include <string_view>
+
+namespace balsam {
+
+// Collects the pairs of one event and writes the line when it goes out of
+// scope.
+class LogEvent {
+ public:
+  enum class Level { kInfo, kWarning, kError };
+
+  explicit LogEvent(std::string_view event, Level level = Level::kInfo);
+  ~LogEvent();
+  LogEvent(const LogEvent&) = delete;
+  LogEvent& operator=(const LogEvent&) = delete;
+
+  LogEvent& With(std::string_view key, std::string_view value);
+
+  template <std::integral Number>
+  LogEvent& With(std::string_view key, Number value) {
+    return With(key, std::string_view(std::to_string(value)));
+  }
+
+  LogEvent& With(std::string_view key, std::chrono::nanoseconds value);
+
+ private:
+  Level level_;
+  std::string line_;
+};
+
+// Returns `value` quoted if it holds anything but plain visible characters;
+// control and non-ASCII bytes appear as \xNN.
+std::string EscapeLogValue(std::string_view value);
+
+// Sets the log's format and sends it to standard error. `process` stands in
+// every line.
+void InitializeLog(std::string_view process);
+
+}  // namespace balsam
--- /dev/null
+++ b/libraries/execution/executor.cc
@@ -0,0 +1,645 @@
+// The state changes of work in a sidecar.
+#include "libraries/execution/executor.h"
+
+#include <algorithm>
+
+namespace balsam::execution {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kRetryAfterRefusal{1000};
+constexpr milliseconds kMinRetryAfter{250};
+constexpr milliseconds kMaxRetryAfter{60000};
+// Weight of the newest interval in the mean of dispatch intervals.
+constexpr double kIntervalWeight = 0.1;
+// An interval longer than this says that nothing waited, not that dispatching
+// is slow.
+constexpr std::chrono::seconds kLongestInterval{10};
+
+}  // namespace
+
+Executor::Executor(ExecutorConfig config, Moment now, AdmissionPolicy policy)
+    : config_(std::move(config)),
+      policy_(policy),
+      authority_(config_.keys, now.wall),
+      suspicions_(config_.suspicion_lifetime) {}
+
+// --- Requests ---
+
+Submission Executor::Submit(Work work, Moment now) {
+  if (!work.ticket.empty()) {
+    if (auto answer = AnswerFromTicket(work)) return *answer;
+  }
+  if (work.key.has_value()) {
+    if (auto answer = AnswerFromKey(work)) return *answer;
+  }
+  std::optional<Outcome> refusal = RefuseByAuthority(work, now);
+  if (!refusal.has_value()) refusal = RefuseByLoad(work, now);
+  if (!refusal.has_value()) return TakeOn(std::move(work), now);
+  const bool tells_not_run =
+      work.key.has_value() && refusal->run_state == RunState::kNotRun;
+  if (tells_not_run) {
+    keys_[{work.workspace, work.key->text}] = {0, work.fingerprint, now.wall,
+                                               now.wall};
+  }
+  return *refusal;
+}
+
+std::optional<Submission> Executor::AnswerFromTicket(const Work& work) {
+  const auto id = generation::GenerationId::Parse(work.ticket);
+  if (!id.has_value() || id->vm != config_.vm ||
+      id->incarnation != config_.incarnation) {
+    return Outcome::Unknown(ResultCode::kTicketExpired,
+                            "ticket \"" + work.ticket +
+                                "\" is of another incarnation of its sidecar");
+  }
+  const auto ticket = tickets_.find(id->counter);
+  if (ticket == tickets_.end() || ticket->second.workspace != work.workspace) {
+    return Outcome::Unknown(
+        ResultCode::kTicketExpired,
+        "ticket \"" + work.ticket + "\" is not held any more");
+  }
+  if (!ticket->second.counter.has_value()) return std::nullopt;
+  const GenerationRecord* record = Get(*ticket->second.counter);
+  if (record == nullptr) {
+    return Outcome::Unknown(
+        ResultCode::kTicketExpired,
+        "the answer to ticket \"" + work.ticket + "\" is not kept any more");
+  }
+  if (record->work.fingerprint != work.fingerprint) {
+    return Outcome::NotRun(
+        ResultCode::kKeyReusedForOtherRequest,
+        "ticket \"" + work.ticket + "\" was used for another request");
+  }
+  return Accepted{record->counter, true};
+}
+
+std::optional<Submission> Executor::AnswerFromKey(const Work& work) {
+  const auto entry = keys_.find({work.workspace, work.key->text});
+  if (entry == keys_.end()) return std::nullopt;
+  KeyEntry& known = entry->second;
+  if (known.fingerprint != work.fingerprint) {
+    return Outcome::NotRun(
+        ResultCode::kKeyReusedForOtherRequest,
+        "key \"" + work.key->text + "\" was used for another request");
+  }
+  known.last_use = std::max(known.last_use, work.received);
+  if (!known.not_run_at.has_value()) {
+    if (Get(known.counter) != nullptr) return Accepted{known.counter, true};
+    return Outcome::Unknown(
+        ResultCode::kKeyHistoryUnknown,
+        "the answer to key \"" + work.key->text + "\" is not kept any more");
+  }
+  // A copy that was under way when "not run" was said must not run after all.
+  if (work.received <= *known.not_run_at + config_.keys.clock_error) {
+    return Outcome::NotRun(
+        ResultCode::kDeadlineInQueue,
+        "key \"" + work.key->text + "\" was answered before as not run",
+        config_.keys.clock_error + kRetryAfterRefusal);
+  }
+  return std::nullopt;
+}
+
+std::optional<Outcome> Executor::RefuseByAuthority(const Work& work,
+                                                   Moment now) {
+  // A ticket binds the call to this incarnation, and work that may be repeated
+  // needs no binding.
+  if (work.idempotent || !work.key.has_value() || !work.ticket.empty()) {
+    return std::nullopt;
+  }
+  const std::string named = "key \"" + work.key->text + "\"";
+  switch (authority_.Judge(*work.key, now.wall)) {
+    case KeyAuthority::Verdict::kMayRun:
+      return std::nullopt;
+    case KeyAuthority::Verdict::kNotHome:
+      return Outcome::Unknown(ResultCode::kStaleVmList,
+                              "sidecar " + config_.vm + " is not the home of " +
+                                  named + " under VM list revision " +
+                                  std::to_string(authority_.list_revision()));
+    case KeyAuthority::Verdict::kHistoryUnknown:
+      return Outcome::Unknown(ResultCode::kKeyHistoryUnknown,
+                              named + " may have run before sidecar " +
+                                  config_.vm + " became its home");
+    case KeyAuthority::Verdict::kSealed:
+      return Outcome::Unknown(ResultCode::kDraining,
+                              "sidecar " + config_.vm + " takes no keys");
+    case KeyAuthority::Verdict::kOutsideLifetime:
+      return Outcome::Unknown(
+          ResultCode::kKeyHistoryUnknown,
+          named + " was made too long ago, or in the future");
+  }
+  return std::nullopt;
+}
+
+std::optional<Outcome> Executor::RefuseByLoad(const Work& work, Moment now) {
+  if (draining_) {
+    return Outcome::NotRun(ResultCode::kDraining,
+                           "sidecar " + config_.vm + " is draining",
+                           kRetryAfterRefusal);
+  }
+  const WallTime expiry =
+      work.received + work.queue_deadline + config_.keys.clock_error;
+  if (now.wall > expiry) {
+    return Outcome::NotRun(ResultCode::kDeadlineInQueue,
+                           "the request reached sidecar " + config_.vm +
+                               " after its queue deadline",
+                           kRetryAfterRefusal);
+  }
+  suspicions_.Learn(work.fingerprint, work.suspicion, now.boot);
+  if (suspicions_.VerdictOn(work.fingerprint, now.boot) ==
+      SuspicionTable::Verdict::kQuarantined) {
+    return Outcome::NotRun(ResultCode::kQuarantined,
+                           "the request crashed each backend server that ran "
+                           "it",
+                           config_.suspicion_lifetime);
+  }
+  const std::int64_t waiting =
+      static_cast<std::int64_t>(queue_.WaitingOf(work.workspace));
+  const milliseconds wait = ExpectedWait(queue_.size());
+  const milliseconds retry_after =
+      std::clamp(wait, kMinRetryAfter, kMaxRetryAfter);
+  if (waiting >= work.queue_limit) {
+    return Outcome::NotRun(ResultCode::kQueueFull,
+                           "workspace " + work.workspace + " has " +
+                               std::to_string(waiting) + " requests waiting",
+                           retry_after);
+  }
+  if (wait > work.queue_deadline) {
+    return Outcome::NotRun(ResultCode::kQueueFull,
+                           "the wait at sidecar " + config_.vm +
+                               " would exceed the queue deadline",
+                           retry_after);
+  }
+  return std::nullopt;
+}
+
+Accepted Executor::TakeOn(Work work, Moment now) {
+  const Counter counter = next_counter_++;
+  if (work.key.has_value()) {
+    keys_[{work.workspace, work.key->text}] = {counter, work.fingerprint,
+                                               std::nullopt, now.wall};
+  }
+  if (const auto id = generation::GenerationId::Parse(work.ticket)) {
+    tickets_.at(id->counter).counter = counter;
+  }
+  GenerationRecord& record = records_[counter];
+  record.counter = counter;
+  record.queued_at = now.boot;
+  record.queue_deadline = now.boot + work.queue_deadline;
+  if (work.kind == WorkKind::kGeneration) record.lengths = &LengthsOf(work);
+  queue_.Push(work.workspace, work.weight, work.priority, counter);
+  record.work = std::move(work);
+  active_.insert(counter);
+  return {counter, false};
+}
+
+std::string Executor::IssueTicket(const std::string& workspace, Moment now) {
+  const Counter counter = next_counter_++;
+  tickets_[counter] = {workspace, std::nullopt, now.wall};
+  return IdOf(counter).ToText();
+}
+
+void Executor::Cancel(Counter counter, Moment now) {
+  GenerationRecord* record = Get(counter);
+  if (record == nullptr || record->IsDone()) return;
+  if (record->phase == Phase::kQueued) {
+    FinishNotRun(*record,
+                 Outcome::NotRun(ResultCode::kCancelledByCaller,
+                                 "the caller left before the request ran"),
+                 now);
+    return;
+  }
+  if (record->work.kind == WorkKind::kCall) return;
+  cancellations_.push_back(counter);
+  Finish(*record,
+         Outcome::Ran(ResultCode::kCancelledByCaller, "the caller left"), now);
+}
+
+const GenerationRecord* Executor::Find(const generation::GenerationId& id,
+                                       const std::string& workspace) const {
+  if (id.vm != config_.vm || id.incarnation != config_.incarnation) {
+    return nullptr;
+  }
+  const GenerationRecord* record = Find(id.counter);
+  const bool own = record != nullptr && record->work.workspace == workspace;
+  return own ? record : nullptr;
+}
+
+const GenerationRecord* Executor::Find(Counter counter) const {
+  const auto found = records_.find(counter);
+  return found == records_.end() ? nullptr : &found->second;
+}
+
+GenerationRecord* Executor::Get(Counter counter) {
+  const auto found = records_.find(counter);
+  return found == records_.end() ? nullptr : &found->second;
+}
+
+void Executor::AttachReader(Counter counter) {
+  GenerationRecord* record = Get(counter);
+  if (record == nullptr) return;
+  ++record->readers;
+  record->abandon_at.reset();
+}
+
+void Executor::DetachReader(Counter counter, Moment now) {
+  GenerationRecord* record = Get(counter);
+  if (record == nullptr || record->readers == 0) return;
+  if (--record->readers > 0) return;
+  record->abandon_at = now.boot + config_.reader_grace;
+}
+
+void Executor::OnReaderLeft(Counter counter, Moment now) {
+  GenerationRecord* record = Get(counter);
+  if (record == nullptr || record->readers > 0) return;
+  record->abandon_at = now.boot + config_.leave_grace;
+}
+
+generation::GenerationId Executor::IdOf(Counter counter) const {
+  return {config_.vm, config_.incarnation, counter};
+}
+
+// --- Towards the backend server ---
+
+std::vector<Counter> Executor::TakeDispatches(Moment now) {
+  ExpireQueue(now);
+  std::vector<Counter> dispatches;
+  const auto fits = [&](admission::WorkNumber counter) {
+    return FitsNow(*Get(counter), now);
+  };
+  while (const auto counter = queue_.TakeFirst(fits)) {
+    GenerationRecord& record = *Get(*counter);
+    record.phase = Phase::kRunning;
+    record.started_at = now.boot;
+    if (record.work.kind == WorkKind::kGeneration) {
+      ++running_generations_;
+      resident_tokens_ += record.work.prompt_tokens;
+      queue_.Charge(record.work.workspace,
+                    static_cast<double>(record.work.prompt_tokens));
+    } else {
+      ++running_calls_;
+    }
+    if (last_dispatch_.has_value() && queue_.size() > 0) {
+      const std::chrono::duration<double> interval =
+          std::min<BootClock::duration>(now.boot - *last_dispatch_,
+                                        kLongestInterval);
+      dispatch_interval_ += (interval - dispatch_interval_) * kIntervalWeight;
+    }
+    last_dispatch_ = now.boot;
+    dispatches.push_back(*counter);
+  }
+  return dispatches;
+}
+
+bool Executor::FitsNow(const GenerationRecord& record, Moment now) const {
+  if (record.work.kind == WorkKind::kCall) {
+    return running_calls_ < static_cast<std::size_t>(config_.max_running_calls);
+  }
+  if (running_generations_ >=
+      static_cast<std::size_t>(config_.max_running_generations)) {
+    return false;
+  }
+  const auto is_suspect = [&](std::uint64_t fingerprint) {
+    return suspicions_.CrashesOf(fingerprint, now.boot) > 0;
+  };
+  if (is_suspect(record.work.fingerprint)) {
+    const bool suspect_runs =
+        std::ranges::any_of(active_, [&](Counter counter) {
+          const GenerationRecord* other = Find(counter);
+          return other->HoldsMemory() && is_suspect(other->work.fingerprint);
+        });
+    if (suspect_runs) return false;
+  }
+  // An idle engine takes anything, or a prompt larger than the forecast allows
+  // would wait for ever.
+  if (running_generations_ == 0) return true;
+  if (policy_ == AdmissionPolicy::kResidentOnly) {
+    return resident_tokens_ + record.work.prompt_tokens <=
+           config_.memory.capacity_tokens;
+  }
+  auto resident = Resident();
+  resident.push_back({record.work.prompt_tokens, 0,
+                      record.work.max_output_tokens, record.lengths});
+  return admission::FitsAtRisk(resident, config_.memory,
+                               record.work.overflow_risk);
+}
+
+std::vector<admission::ResidentGeneration> Executor::Resident() const {
+  std::vector<admission::ResidentGeneration> resident;
+  resident.reserve(running_generations_ + 1);
+  std::ranges::for_each(active_, [&](Counter counter) {
+    const GenerationRecord* record = Find(counter);
+    if (!record->HoldsMemory()) return;
+    resident.push_back({record->work.prompt_tokens,
+                        static_cast<std::int64_t>(record->log.end()),
+                        record->work.max_output_tokens, record->lengths});
+  });
+  return resident;
+}
+
+std::vector<std::pair<Counter, std::uint64_t>> Executor::TakeResumes(
+    Moment now) {
+  std::vector<std::pair<Counter, std::uint64_t>> resumes;
+  std::ranges::for_each(active_, [&](Counter counter) {
+    GenerationRecord* record = Get(counter);
+    const bool due =
+        record->phase == Phase::kBroken && record->resume_at <= now.boot;
+    if (!due) return;
+    record->phase = Phase::kRunning;
+    resumes.emplace_back(counter, record->log.end());
+  });
+  return resumes;
+}
+
+std::vector<Counter> Executor::TakeCancellations() {
+  return std::exchange(cancellations_, {});
+}
+
+// --- From the backend server ---
+
+void Executor::OnTokens(Counter counter, std::uint64_t first,
+                        std::span<const std::string> tokens, Moment now) {
+  GenerationRecord* record = Get(counter);
+  if (record == nullptr || record->IsDone()) return;
+  const std::uint64_t before = record->log.end();
+  if (!record->log.Append(first, tokens)) {
+    OnStreamBroken(counter, "the stream skipped tokens", now);
+    return;
+  }
+  const auto grown = static_cast<std::int64_t>(record->log.end() - before);
+  if (grown == 0) return;
+  record->resume_attempts = 0;
+  resident_tokens_ += grown;
+  queue_.Charge(record->work.workspace, static_cast<double>(grown));
+  record->lengths->OnGrowth(static_cast<std::int64_t>(before),
+                            static_cast<std::int64_t>(record->log.end()));
+  changed_.push_back(counter);
+}
+
+void Executor::OnCompleted(Counter counter, Outcome outcome, Moment now) {
+  GenerationRecord* record = Get(counter);
+  if (record == nullptr || record->IsDone()) return;
+  suspicions_.OnCompleted(record->work.fingerprint);
+  const bool natural_end = record->lengths != nullptr &&
+                           outcome.code == ResultCode::kOk &&
+                           static_cast<std::int64_t>(record->log.end()) <
+                               record->work.max_output_tokens;
+  if (natural_end) {
+    record->lengths->OnEnd(static_cast<std::int64_t>(record->log.end()));
+  }
+  Finish(*record, std::move(outcome), now);
+}
+
+void Executor::OnNotSent(Counter counter, std::string reason, Moment now) {
+  GenerationRecord* record = Get(counter);
+  if (record == nullptr || record->IsDone()) return;
+  FinishNotRun(*record,
+               Outcome::NotRun(ResultCode::kNoBackendServer, std::move(reason),
+                               kRetryAfterRefusal),
+               now);
+}
+
+void Executor::OnStreamBroken(Counter counter, std::string reason, Moment now) {
+  GenerationRecord* record = Get(counter);
+  if (record == nullptr || record->phase != Phase::kRunning) return;
+  if (record->work.kind == WorkKind::kCall) {
+    const ResultCode code = ResultCode::kBackendServerLost;
+    Finish(*record, Outcome::Unknown(code, std::move(reason)), now);
+    return;
+  }
+  if (++record->resume_attempts > config_.max_resume_attempts) {
+    Finish(*record,
+           Outcome::Unknown(ResultCode::kBackendServerLost, std::move(reason)),
+           now);
+    return;
+  }
+  record->phase = Phase::kBroken;
+  record->resume_at = now.boot + config_.resume_delay;
+}
+
+void Executor::OnResumeFailed(Counter counter, Moment now) {
+  GenerationRecord* record = Get(counter);
+  if (record == nullptr || record->IsDone()) return;
+  // All streams of a backend server break together, so those that are broken,
+  // or were and are being resumed, were running when it crashed.
+  std::vector<Counter> crashed;
+  std::vector<std::uint64_t> fingerprints;
+  std::ranges::for_each(active_, [&](Counter other) {
+    const GenerationRecord* candidate = Get(other);
+    const bool broken =
+        candidate->phase == Phase::kBroken ||
+        (candidate->phase == Phase::kRunning && candidate->resume_attempts > 0);
+    if (!broken) return;
+    crashed.push_back(other);
+    fingerprints.push_back(candidate->work.fingerprint);
+  });
+  suspicions_.OnCrash(fingerprints, now.boot);
+  std::ranges::for_each(crashed, [&](Counter other) {
+    Finish(*Get(other),
+           Outcome::Unknown(
+               ResultCode::kBackendServerLost,
+               "the backend server beside sidecar " + config_.vm + " crashed"),
+           now);
+  });
+}
+
+// --- Time and membership ---
+
+void Executor::Tick(Moment now) {
+  ExpireQueue(now);
+  ExpireRunning(now);
+  DropOldRecords(now);
+  suspicions_.DropExpired(now.boot);
+}
+
+void Executor::ExpireQueue(Moment now) {
+  std::vector<Counter> expired;
+  std::ranges::copy_if(active_, std::back_inserter(expired),
+                       [&](Counter counter) {
+                         const GenerationRecord* record = Find(counter);
+                         return record->phase == Phase::kQueued &&
+                                record->queue_deadline <= now.boot;
+                       });
+  std::ranges::for_each(expired, [&](Counter counter) {
+    const milliseconds wait = ExpectedWait(queue_.size());
+    FinishNotRun(
+        *Get(counter),
+        Outcome::NotRun(ResultCode::kDeadlineInQueue,
+                        "the queue deadline passed at sidecar " + config_.vm,
+                        std::clamp(wait, kMinRetryAfter, kMaxRetryAfter)),
+        now);
+  });
+}
+
+void Executor::ExpireRunning(Moment now) {
+  const std::vector<Counter> active(active_.begin(), active_.end());
+  std::ranges::for_each(active, [&](Counter counter) {
+    GenerationRecord& record = *Get(counter);
+    if (record.abandon_at.has_value() && *record.abandon_at <= now.boot) {
+      Cancel(counter, now);
+      return;
+    }
+    if (record.phase == Phase::kQueued) return;
+    if (record.started_at + record.work.run_deadline > now.boot) return;
+    const std::string detail = "the run deadline passed";
+    cancellations_.push_back(counter);
+    Finish(record,
+           record.work.kind == WorkKind::kCall
+               ? Outcome::Unknown(ResultCode::kDeadlineWhileRunning, detail)
+               : Outcome::Ran(ResultCode::kDeadlineWhileRunning, detail),
+           now);
+  });
+}
+
+void Executor::BeginDrain(Moment now) {
+  if (draining_) return;
+  draining_ = true;
+  authority_.Seal();
+  const std::vector<Counter> active(active_.begin(), active_.end());
+  std::ranges::for_each(active, [&](Counter counter) {
+    GenerationRecord& record = *Get(counter);
+    if (record.phase != Phase::kQueued) return;
+    FinishNotRun(record,
+                 Outcome::NotRun(ResultCode::kDraining,
+                                 "sidecar " + config_.vm + " is draining",
+                                 kMinRetryAfter),
+                 now);
+  });
+}
+
+std::size_t Executor::AbandonAll(Moment now) {
+  const std::vector<Counter> active(active_.begin(), active_.end());
+  std::ranges::for_each(active, [&](Counter counter) {
+    cancellations_.push_back(counter);
+    Finish(*Get(counter),
+           Outcome::Unknown(
+               ResultCode::kStopDeadline,
+               "sidecar " + config_.vm + " reached its stop deadline"),
+           now);
+  });
+  return active.size();
+}
+
+bool Executor::IsIdle() const { return active_.empty(); }
+
+std::vector<Counter> Executor::TakeChanged() {
+  auto changed = std::exchange(changed_, {});
+  std::ranges::sort(changed);
+  const auto repeats = std::ranges::unique(changed);
+  changed.erase(repeats.begin(), repeats.end());
+  return changed;
+}
+
+LoadReport Executor::Load(Moment now) const {
+  LoadReport report;
+  report.capacity_tokens = config_.memory.capacity_tokens;
+  report.resident_tokens = resident_tokens_;
+  report.running =
+      static_cast<std::int64_t>(running_generations_ + running_calls_);
+  report.queued = static_cast<std::int64_t>(queue_.size());
+  report.expected_wait = ExpectedWait(queue_.size());
+  report.draining = draining_;
+  report.list_revision = authority_.list_revision();
+  auto resident = Resident();
+  std::ranges::for_each(active_, [&](Counter counter) {
+    const GenerationRecord* record = Find(counter);
+    const bool waits = record->phase == Phase::kQueued &&
+                       record->work.kind == WorkKind::kGeneration &&
+                       record->queue_deadline > now.boot;
+    if (!waits) return;
+    resident.push_back({record->work.prompt_tokens, 0,
+                        record->work.max_output_tokens, record->lengths});
+  });
+  report.peak_load = admission::PeakLoad(resident, config_.memory);
+  return report;
+}
+
+// --- Private helpers ---
+
+void Executor::Finish(GenerationRecord& record, Outcome outcome, Moment now) {
+  if (record.HoldsMemory()) {
+    --running_generations_;
+    resident_tokens_ -=
+        record.work.prompt_tokens + static_cast<std::int64_t>(record.log.end());
+  } else if (record.phase == Phase::kRunning) {
+    --running_calls_;
+  } else if (record.phase == Phase::kQueued) {
+    queue_.Remove(record.work.workspace, record.counter);
+  }
+  outcome.total_tokens = record.log.end();
+  record.phase = Phase::kDone;
+  record.outcome = std::move(outcome);
+  record.done_at = now.boot;
+  retained_bytes_ += record.log.bytes() + record.outcome->body.size();
+  // The request itself is needed no more; only its identity is.
+  record.work.body = {};
+  active_.erase(record.counter);
+  changed_.push_back(record.counter);
+}
+
+void Executor::FinishNotRun(GenerationRecord& record, Outcome outcome,
+                            Moment now) {
+  if (record.work.key.has_value()) {
+    KeyEntry& entry = keys_[{record.work.workspace, record.work.key->text}];
+    entry.not_run_at = now.wall;
+  }
+  if (const auto id = generation::GenerationId::Parse(record.work.ticket)) {
+    const auto ticket = tickets_.find(id->counter);
+    if (ticket != tickets_.end()) ticket->second.counter.reset();
+  }
+  Finish(record, std::move(outcome), now);
+}
+
+bool Executor::MayDrop(const GenerationRecord& record, Moment now) const {
+  const bool bound = record.work.key.has_value() || !record.work.ticket.empty();
+  const milliseconds keep =
+      bound ? config_.keys.key_lifetime + 2 * config_.keys.clock_error
+            : config_.reader_grace;
+  return record.done_at + keep <= now.boot;
+}
+
+void Executor::DropOldRecords(Moment now) {
+  std::erase_if(records_, [&](const auto& entry) {
+    const GenerationRecord& record = entry.second;
+    if (!record.IsDone() || record.readers > 0) return false;
+    const bool crowded =
+        retained_bytes_ > config_.max_retained_bytes && record.work.idempotent;
+    if (!crowded && !MayDrop(record, now)) return false;
+    retained_bytes_ -= record.log.bytes() + record.outcome->body.size();
+    return true;
+  });
+  const milliseconds keep =
+      config_.keys.key_lifetime + 2 * config_.keys.clock_error;
+  std::erase_if(keys_, [&](const auto& entry) {
+    return entry.second.last_use + keep <= now.wall &&
+           !records_.contains(entry.second.counter);
+  });
+  std::erase_if(tickets_, [&](const auto& entry) {
+    const Ticket& ticket = entry.second;
+    return ticket.issued + keep <= now.wall &&
+           (!ticket.counter.has_value() || !records_.contains(*ticket.counter));
+  });
+}
+
+admission::LengthModel& Executor::LengthsOf(const Work& work) {
+  const std::string shared = work.template_name + '\n' + work.model;
+  const std::string own = shared + '\n' + work.workspace;
+  const auto known = lengths_.find(own);
+  if (known != lengths_.end()) return known->second;
+  admission::LengthModel& model = lengths_[own];
+  // A workspace's first generations are expected to be like the others' of
+  // the same template.
+  const auto parent = std::ranges::find_if(lengths_, [&](const auto& entry) {
+    return &entry.second != &model && entry.first.starts_with(shared + '\n');
+  });
+  if (parent != lengths_.end()) model.InheritFrom(parent->second);
+  return model;
+}
+
+milliseconds Executor::ExpectedWait(std::size_t ahead) const {
+  return std::chrono::duration_cast<milliseconds>(dispatch_interval_ *
+                                                  static_cast<double>(ahead));
+}
+
+}  // namespace balsam::execution
--- /dev/null
+++ b/libraries/http/signal_watcher.cc
@@ -0,0 +1,46 @@
+// A pipe carries the signal out of the handler, which may do little else.
+#include "libraries/http/signal_watcher.h"
+
+#include <unistd.h>
+
+#include <csignal>
+
+namespace balsam::http {
+namespace {
+
+int write_end = -1;
+
+void OnSignal(int) {
+  const char byte = 1;
+  // A full pipe already holds the news.
+  [[maybe_unused]] const auto written = write(write_end, &byte, 1);
+}
+
+}  // namespace
+
+SignalWatcher::SignalWatcher(QObject* parent) : QObject(parent) {
+  int ends[2] = {-1, -1};
+  if (pipe(ends) != 0) return;
+  read_end_ = ends[0];
+  write_end = ends[1];
+  notifier_ =
+      std::make_unique<QSocketNotifier>(read_end_, QSocketNotifier::Read);
+  connect(notifier_.get(), &QSocketNotifier::activated, this, [this] {
+    char byte = 0;
+    [[maybe_unused]] const auto count = read(read_end_, &byte, 1);
+    if (on_stop) on_stop();
+  });
+  std::signal(SIGTERM, OnSignal);
+  std::signal(SIGINT, OnSignal);
+  std::signal(SIGPIPE, SIG_IGN);
+}
+
+SignalWatcher::~SignalWatcher() {
+  std::signal(SIGTERM, SIG_DFL);
+  std::signal(SIGINT, SIG_DFL);
+  notifier_.reset();
+  close(read_end_);
+  close(write_end);
+}
+
+}  // namespace balsam::http
--- /dev/null
+++ b/libraries/membership/vm_list.h
@@ -0,0 +1,61 @@
+// The platform's list of VMs: who exists, where, and who is leaving. The list
+// lags, so it is combined elsewhere with what peers say first-hand.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "libraries/base/error.h"
+
+namespace balsam::membership {
+
+enum class VmRole { kEntry, kBackend };
+enum class VmState { kLive, kLeaving };
+
+struct Vm {
+  std::string id;
+  std::string data_center;
+  std::string address;
+  std::uint16_t peer_port = 0;
+  VmRole role = VmRole::kEntry;
+  VmState state = VmState::kLive;
+  // The service whose backend server runs here; empty on an entry VM.
+  std::string service;
+
+  bool operator==(const Vm&) const = default;
+};
+
+// One revision of the list. Ids are unique; the order is that of the ids.
+class VmList {
+ public:
+  VmList() = default;
+
+  // Reads `{"vms": [...]}`. Fails with kInvalidVmList, naming the key and its
+  // position.
+  static Result<VmList> Parse(std::uint64_t revision, std::string_view text);
+  // Builds a list from parts, for embedders that have their own source.
+  static VmList Of(std::uint64_t revision, std::vector<Vm> vms);
+
+  std::uint64_t revision() const { return revision_; }
+  const std::vector<Vm>& vms() const { return vms_; }
+  // The text that `Parse` read, for passing on to peers; empty after `Of`.
+  const std::string& text() const { return text_; }
+
+  // Null if no VM has this id.
+  const Vm* Find(std::string_view id) const;
+
+  // Ids of the backend server VMs of `service`, live ones only or all.
+  std::vector<std::string> BackendVmsOf(std::string_view service,
+                                        bool live_only) const;
+  std::vector<std::string> EntryVms() const;
+
+ private:
+  std::uint64_t revision_ = 0;
+  std::vector<Vm> vms_;
+  std::string text_;
+};
+
+}  // namespace balsam::membership
--- /dev/null
+++ b/libraries/platform/value_watcher.cc
@@ -0,0 +1,112 @@
+// Long-polling by Qt network access, with back-off.
+#include "libraries/platform/value_watcher.h"
+
+#include <QNetworkReply>
+#include <QNetworkRequest>
+#include <QUrlQuery>
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "libraries/base/log_event.h"
+
+namespace balsam::platform {
+namespace {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+// A watch that is answered later than this after its own limit is cut off.
+constexpr milliseconds kAnswerTime{2000};
+constexpr int kHttpOk = 200;
+constexpr int kHttpNoContent = 204;
+
+}  // namespace
+
+ValueWatcher::ValueWatcher(std::string name, WatcherSettings settings,
+                           QObject* parent)
+    : QObject(parent),
+      name_(std::move(name)),
+      settings_(std::move(settings)),
+      backoff_(settings_.min_backoff),
+      random_(std::random_device{}()) {
+  manager_.setAutoDeleteReplies(true);
+  retry_timer_.setSingleShot(true);
+  connect(&retry_timer_, &QTimer::timeout, this, [this] {
+    if (watching_) Call(settings_.watch_time);
+  });
+}
+
+void ValueWatcher::SetWatching(bool watching) {
+  if (watching_ == watching) return;
+  watching_ = watching;
+  if (watching_ && !reply_ && !retry_timer_.isActive()) {
+    Call(settings_.watch_time);
+  }
+}
+
+void ValueWatcher::ReadOnce() {
+  if (!reply_) Call(milliseconds(0));
+}
+
+void ValueWatcher::SetKnownRevision(std::uint64_t revision) {
+  known_revision_ = std::max(known_revision_, revision);
+}
+
+void ValueWatcher::Call(milliseconds wait) {
+  QUrl url = settings_.base_url.resolved(
+      QUrl("/v1/values/" + QString::fromStdString(name_)));
+  QUrlQuery query;
+  query.addQueryItem("after", QString::number(known_revision_));
+  query.addQueryItem("wait_ms", QString::number(wait.count()));
+  url.setQuery(query);
+  QNetworkRequest request(url);
+  request.setTransferTimeout(static_cast<int>((wait + kAnswerTime).count()));
+  ++calls_;
+  reply_ = manager_.get(request);
+  connect(reply_, &QNetworkReply::finished, this,
+          [this, reply = reply_.data()] { OnReply(reply); });
+}
+
+void ValueWatcher::OnReply(QNetworkReply* reply) {
+  reply_ = nullptr;
+  const int status =
+      reply->attribute(QNetworkRequest::HttpStatusCodeAttribute).toInt();
+  const QByteArray body = reply->readAll();
+  const json answer = json::parse(body.begin(), body.end(), nullptr,
+                                  /*allow_exceptions=*/false);
+  const bool has_value =
+      status == kHttpOk && answer.is_object() && answer.contains("revision") &&
+      answer["revision"].is_number_unsigned() && answer.contains("value") &&
+      answer["value"].is_string();
+  if (!has_value && status != kHttpNoContent) {
+    if (std::exchange(available_, false) && on_unavailable) {
+      on_unavailable(name_ + ": " + reply->errorString().toStdString());
+    }
+    Retry();
+    return;
+  }
+  available_ = true;
+  backoff_ = settings_.min_backoff;
+  if (has_value && on_value) {
+    const auto revision = answer["revision"].get<std::uint64_t>();
+    // A watch from a revision that was read but not accepted must not return
+    // it at once for ever.
+    SetKnownRevision(revision);
+    on_value(revision, answer["value"].get<std::string>());
+  }
+  if (on_answer) on_answer();
+  if (!watching_ || reply_) return;
+  // A service that answers a watch at once, with old news, is not polled in a
+  // tight loop.
+  retry_timer_.start(settings_.min_backoff);
+}
+
+void ValueWatcher::Retry() {
+  std::uniform_int_distribution<std::int64_t> jitter(backoff_.count() / 2,
+                                                     backoff_.count());
+  if (watching_) retry_timer_.start(milliseconds(jitter(random_)));
+  backoff_ = std::min(backoff_ * 2, settings_.max_backoff);
+}
+
+}  // namespace balsam::platform
--- /dev/null
+++ b/libraries/settings/json_document.cc
@@ -0,0 +1,227 @@
+// Parsing is nlohmann's. Its SAX events carry no positions, so a counting
+// iterator tells how far the lexer has read when each key is reported.
+#include "libraries/settings/json_document.h"
+
+#include <algorithm>
+#include <iterator>
+#include <set>
+#include <utility>
+
+namespace balsam::settings {
+namespace {
+
+using nlohmann::json;
+
+// The deepest nesting that is accepted; deeper texts would exhaust the stack
+// when the document is copied or freed.
+constexpr std::size_t kMaxDepth = 32;
+
+// An input iterator over characters that publishes its offset.
+class CountingIterator {
+ public:
+  using iterator_category = std::input_iterator_tag;
+  using value_type = char;
+  using difference_type = std::ptrdiff_t;
+  using pointer = const char*;
+  using reference = const char&;
+
+  CountingIterator(const char* at, std::size_t* offset)
+      : at_(at), offset_(offset) {}
+  reference operator*() const { return *at_; }
+  CountingIterator& operator++() {
+    ++at_;
+    ++*offset_;
+    return *this;
+  }
+  CountingIterator operator++(int) {
+    CountingIterator old = *this;
+    ++*this;
+    return old;
+  }
+  bool operator==(const CountingIterator& other) const {
+    return at_ == other.at_;
+  }
+  bool operator!=(const CountingIterator& other) const {
+    return at_ != other.at_;
+  }
+
+ private:
+  const char* at_;
+  std::size_t* offset_;
+};
+
+Position PositionAt(std::string_view text, std::size_t offset) {
+  const std::string_view before = text.substr(0, std::min(offset, text.size()));
+  const auto line = std::ranges::count(before, '\n') + 1;
+  const auto start = before.rfind('\n');
+  const auto column =
+      before.size() - (start == std::string_view::npos ? 0 : start + 1) + 1;
+  return {static_cast<int>(line), static_cast<int>(column)};
+}
+
+}  // namespace
+
+// Receives the parser's events: checks them and records each key's position.
+class PositionRecorder : public nlohmann::json_sax<json> {
+ public:
+  PositionRecorder(JsonDocument& document, std::string_view text,
+                   const std::size_t& offset, std::vector<Problem>& problems)
+      : document_(document),
+        text_(text),
+        offset_(offset),
+        problems_(problems) {}
+
+  bool null() override { return Element(); }
+  bool boolean(bool) override { return Element(); }
+  bool number_integer(number_integer_t) override { return Element(); }
+  bool number_unsigned(number_unsigned_t) override { return Element(); }
+  bool number_float(number_float_t, const string_t&) override {
+    return Element();
+  }
+  bool string(string_t&) override { return Element(); }
+  bool binary(binary_t&) override { return Element(); }
+
+  bool start_object(std::size_t) override {
+    Element();
+    return Enter(false);
+  }
+  bool end_object() override { return Leave(); }
+  bool start_array(std::size_t) override {
+    Element();
+    return Enter(true);
+  }
+  bool end_array() override { return Leave(); }
+
+  bool key(string_t& name) override {
+    Level& level = levels_.back();
+    level.token = EscapePointerToken(name);
+    const Position position = PositionAt(text_, KeyStart());
+    if (!level.keys.insert(name).second) {
+      problems_.push_back({document_.source_, position, name, "duplicate key"});
+    }
+    document_.positions_.emplace(Pointer(), position);
+    return true;
+  }
+
+  bool parse_error(std::size_t at, const std::string&,
+                   const nlohmann::detail::exception& error) override {
+    std::string reason = error.what();
+    // The library's own prefix repeats the position in other words.
+    const auto colon = reason.find(": ");
+    if (colon != std::string::npos) reason = reason.substr(colon + 2);
+    problems_.push_back({document_.source_,
+                         PositionAt(text_, at == 0 ? 0 : at - 1), "", reason});
+    return false;
+  }
+
+ private:
+  struct Level {
+    bool is_array;
+    std::size_t next_index = 0;
+    std::string token;
+    std::set<std::string> keys;
+  };
+
+  bool Element() {
+    if (!levels_.empty() && levels_.back().is_array) {
+      Level& level = levels_.back();
+      level.token = std::to_string(level.next_index++);
+      const std::size_t last = offset_ == 0 ? 0 : offset_ - 1;
+      document_.positions_.emplace(Pointer(), PositionAt(text_, last));
+    }
+    return true;
+  }
+
+  bool Enter(bool is_array) {
+    if (levels_.size() >= kMaxDepth) {
+      problems_.push_back({document_.source_, PositionAt(text_, offset_), "",
+                           "nested deeper than 32 levels"});
+      return false;
+    }
+    levels_.push_back({is_array, 0, "", {}});
+    return true;
+  }
+
+  bool Leave() {
+    levels_.pop_back();
+    return true;
+  }
+
+  std::string Pointer() const {
+    std::string pointer;
+    std::ranges::for_each(levels_, [&pointer](const Level& level) {
+      pointer += '/' + level.token;
+    });
+    return pointer;
+  }
+
+  // The lexer has just read the key's closing quote; the opening one is the
+  // nearest unescaped quote before it.
+  std::size_t KeyStart() const {
+    std::size_t at = std::min(offset_, text_.size());
+    at = at == 0 ? 0 : text_.rfind('"', at - 1);
+    if (at == std::string_view::npos || at == 0) return 0;
+    do {
+      at = text_.rfind('"', at - 1);
+    } while (at != std::string_view::npos && at > 0 && text_[at - 1] == '\\');
+    return at == std::string_view::npos ? 0 : at;
+  }
+
+  JsonDocument& document_;
+  std::string_view text_;
+  const std::size_t& offset_;
+  std::vector<Problem>& problems_;
+  std::vector<Level> levels_;
+};
+
+std::string EscapePointerToken(std::string_view token) {
+  std::string out;
+  std::ranges::for_each(token, [&out](char c) {
+    out += c == '~' ? "~0" : c == '/' ? "~1" : std::string(1, c);
+  });
+  return out;
+}
+
+std::string Problem::ToLine() const {
+  std::string line = source + ':' + std::to_string(position.line) + ':' +
+                     std::to_string(position.column) + ": ";
+  if (!key.empty()) line += '"' + key + "\": ";
+  return line + reason;
+}
+
+JsonDocument JsonDocument::Parse(std::string source, std::string_view text,
+                                 std::vector<Problem>& problems) {
+  JsonDocument document;
+  document.source_ = std::move(source);
+  if (text.find_first_not_of(" \t\r\n") == std::string_view::npos) {
+    problems.push_back({document.source_, {}, "", "the file is empty"});
+    return document;
+  }
+  if (text.find('\0') != std::string_view::npos) {
+    problems.push_back({document.source_, PositionAt(text, text.find('\0')), "",
+                        "the file is binary, not JSON"});
+    return document;
+  }
+  std::size_t offset = 0;
+  PositionRecorder recorder(document, text, offset, problems);
+  const CountingIterator begin(text.data(), &offset);
+  const CountingIterator end(text.data() + text.size(), &offset);
+  const bool parsed =
+      json::sax_parse(begin, end, &recorder, json::input_format_t::json,
+                      /*strict=*/true, /*ignore_comments=*/true);
+  if (!parsed || !problems.empty()) return document;
+  document.root_ = json::parse(text, nullptr, /*allow_exceptions=*/false,
+                               /*ignore_comments=*/true);
+  return document;
+}
+
+Position JsonDocument::PositionOf(std::string pointer) const {
+  while (!pointer.empty()) {
+    const auto found = positions_.find(pointer);
+    if (found != positions_.end()) return found->second;
+    pointer.resize(pointer.rfind('/'));
+  }
+  return {};
+}
+
+}  // namespace balsam::settings
--- /dev/null
+++ b/libraries/telemetry/request_metrics.cc
@@ -0,0 +1,102 @@
+// Metrics by prometheus-cpp.
+#include "libraries/telemetry/request_metrics.h"
+
+#include <prometheus/text_serializer.h>
+
+namespace balsam::telemetry {
+namespace {
+
+constexpr std::size_t kMaxLabelSets = 4000;
+
+const prometheus::Histogram::BucketBoundaries kSecondsBuckets = {
+    0.005, 0.02, 0.056, 0.1, 0.25, 0.72, 2, 8, 30};
+const prometheus::Histogram::BucketBoundaries kCountBuckets = {0, 1, 2, 4, 8};
+
+template <typename Builder>
+auto& Register(Builder builder, prometheus::Registry& registry,
+               const std::string& process, const std::string& name,
+               const std::string& help) {
+  return builder.Name("balsam_" + name)
+      .Help(help)
+      .Labels({{"process", process}})
+      .Register(registry);
+}
+
+}  // namespace
+
+RequestMetrics::RequestMetrics(const std::string& process)
+    : process_(process),
+      first_token_(Register(prometheus::BuildHistogram(), registry_, process,
+                            "first_token_seconds",
+                            "Time from a request to its first token")),
+      between_tokens_(Register(prometheus::BuildHistogram(), registry_, process,
+                               "between_tokens_seconds",
+                               "Time between two tokens of a generation")),
+      stall_(Register(prometheus::BuildHistogram(), registry_, process,
+                      "stall_seconds",
+                      "Time beyond 250 ms between two tokens, a generation")),
+      queueing_(Register(prometheus::BuildHistogram(), registry_, process,
+                         "queueing_seconds",
+                         "Time from taking work on to its dispatch")),
+      preemptions_(Register(prometheus::BuildHistogram(), registry_, process,
+                            "preemptions", "Preemptions of one generation")),
+      tokens_(Register(prometheus::BuildCounter(), registry_, process,
+                       "tokens_total", "Tokens relayed")),
+      outcome_(Register(prometheus::BuildCounter(), registry_, process,
+                        "outcomes_total", "Requests by result code")) {}
+
+RequestInstruments& RequestMetrics::For(const std::string& workspace,
+                                        const std::string& service_class) {
+  const std::lock_guard lock(mutex_);
+  Labels labels{workspace, service_class};
+  const auto known = instruments_.find(labels);
+  if (known != instruments_.end()) return known->second;
+  if (instruments_.size() >= kMaxLabelSets) labels = {"other", "other"};
+  const prometheus::Labels named = {{"workspace", labels.first},
+                                    {"class", labels.second}};
+  RequestInstruments& row = instruments_[labels];
+  if (row.first_token != nullptr) return row;
+  row.first_token = &first_token_.Add(named, kSecondsBuckets);
+  row.between_tokens = &between_tokens_.Add(named, kSecondsBuckets);
+  row.stall = &stall_.Add(named, kSecondsBuckets);
+  row.queueing = &queueing_.Add(named, kSecondsBuckets);
+  row.preemptions = &preemptions_.Add(named, kCountBuckets);
+  row.tokens = &tokens_.Add(named);
+  return row;
+}
+
+void RequestMetrics::CountOutcome(const std::string& workspace,
+                                  ResultCode code) {
+  const std::lock_guard lock(mutex_);
+  std::pair key(workspace, static_cast<int>(code));
+  if (outcomes_.size() >= kMaxLabelSets && !outcomes_.contains(key)) {
+    key.first = "other";
+  }
+  prometheus::Counter*& counter = outcomes_[key];
+  if (counter == nullptr) {
+    counter = &outcome_.Add({{"workspace", key.first},
+                             {"code", std::to_string(key.second)},
+                             {"name", std::string(NameOf(code))}});
+  }
+  counter->Increment();
+}
+
+void RequestMetrics::SetGauge(const std::string& name, double value) {
+  const std::lock_guard lock(mutex_);
+  Register(prometheus::BuildGauge(), registry_, process_, name, name)
+      .Add({})
+      .Set(value);
+}
+
+void RequestMetrics::CountEvent(const std::string& name) {
+  const std::lock_guard lock(mutex_);
+  Register(prometheus::BuildCounter(), registry_, process_, name, name)
+      .Add({})
+      .Increment();
+}
+
+std::string RequestMetrics::Serialize() const {
+  return prometheus::TextSerializer().Serialize(registry_.Collect());
+}
+
+}  // namespace balsam::telemetry
--- /dev/null
+++ b/services/entry/caller_session.h
@@ -0,0 +1,72 @@
+// One caller's request in an entry: carries out the relay's steps on the
+// caller's connection and the sidecars' links.
+#pragma once
+
+#include <QObject>
+#include <QTimer>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "libraries/relay/relay.h"
+#include "services/entry/response_writer.h"
+#include "services/entry/sidecar_pool.h"
+
+namespace balsam::entry {
+
+class CallerSession : public QObject {
+  Q_OBJECT
+
+ public:
+  CallerSession(CallerRequest request, relay::Relay relay,
+                std::unique_ptr<ResponseWriter> writer, SharedState& shared,
+                SidecarPool& pool, QObject* parent = nullptr);
+  ~CallerSession() override;
+
+  void Start();
+  // Called often; drives deadlines and keep-alives.
+  void Tick(BootTime now);
+  bool finished() const { return finished_; }
+
+  // Called once, when the session can be deleted.
+  std::function<void()> on_finished;
+
+ private:
+  void Carry(const relay::Steps& steps);
+  void DoPlace(const relay::Place& step);
+  void DoResume(const relay::Resume& step);
+  void SendResume(const relay::Resume& step);
+  void DoDeliver(const relay::Deliver& step);
+  void DoConclude(const Outcome& outcome);
+  void Send(const std::string& vm, const char* path,
+            const peer::Message& message);
+  void OnMessage(const std::string& vm, const peer::Message& message);
+  void OnStreamEnd(peer::StreamEnd end);
+  void DropStream();
+  void CheckReader(BootTime now);
+  void ObserveTokens(BootTime now);
+  void Finish();
+
+  CallerRequest request_;
+  relay::Relay relay_;
+  std::unique_ptr<ResponseWriter> writer_;
+  SharedState& shared_;
+  SidecarPool& pool_;
+  telemetry::RequestInstruments& instruments_;
+
+  std::string vm_;
+  peer::PeerLink* link_ = nullptr;
+  peer::LinkStream stream_ = 0;
+  bool got_finished_ = false;
+  bool finished_ = false;
+  bool paused_ = false;
+  QTimer resume_timer_;
+  BootTime started_;
+  BootTime last_write_;
+  std::optional<BootTime> last_token_;
+  std::optional<BootTime> paused_since_;
+  std::chrono::nanoseconds stall_{0};
+};
+
+}  // namespace balsam::entry
--- /dev/null
+++ b/services/entry/entry_node.h
@@ -0,0 +1,55 @@
+// An entry process: the state follower and operators' port on the main thread,
+// and the accepting threads.
+#pragma once
+
+#include <QObject>
+#include <QThread>
+#include <QTimer>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <vector>
+
+#include "libraries/http/operator_server.h"
+#include "services/entry/entry_worker.h"
+#include "services/entry/shared_state.h"
+#include "services/entry/state_follower.h"
+
+namespace balsam::entry {
+
+class EntryNode : public QObject {
+  Q_OBJECT
+
+ public:
+  explicit EntryNode(EntrySettings settings, QObject* parent = nullptr);
+  ~EntryNode() override;
+
+  // Fails with kInvalidSettings if an address cannot be listened on. Callers
+  // are served once the state follower is ready.
+  Result<void> Start();
+  // Takes nothing new, lets open requests finish, then calls `on_stopped`.
+  void BeginStop();
+
+  std::function<void()> on_stopped;
+
+ private:
+  struct Accepting {
+    std::unique_ptr<QThread> thread;
+    std::unique_ptr<EntryWorker> worker;
+  };
+
+  void StartWorkers();
+  void CheckStopped();
+  nlohmann::json Status() const;
+  nlohmann::json Explain(const std::string& model) const;
+
+  SharedState shared_;
+  StateFollower follower_;
+  http::OperatorServer operators_;
+  std::vector<Accepting> accepting_;
+  std::atomic<std::uint16_t> caller_port_{0};
+  QTimer stop_timer_;
+  std::optional<BootTime> stop_deadline_;
+};
+
+}  // namespace balsam::entry
--- /dev/null
+++ b/services/entry/entry_worker.cc
@@ -0,0 +1,345 @@
+// HTTP towards callers.
+#include "services/entry/entry_worker.h"
+
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <QHostAddress>
+#include <QTcpServer>
+#include <algorithm>
+#include <cerrno>
+#include <cstring>
+#include <utility>
+
+#include "libraries/base/log_event.h"
+#include "libraries/http/operator_server.h"
+
+namespace balsam::entry {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kTickInterval{50};
+constexpr int kListenBacklog = 1024;
+constexpr std::string_view kGenerationsPrefix = "/v1/generations/";
+constexpr std::string_view kServicesPrefix = "/services/";
+constexpr milliseconds kRetryAfterDrain{1000};
+
+std::string MethodName(QHttpServerRequest::Method method) {
+  using Method = QHttpServerRequest::Method;
+  switch (method) {
+    case Method::Get:
+      return "GET";
+    case Method::Put:
+      return "PUT";
+    case Method::Delete:
+      return "DELETE";
+    case Method::Post:
+      return "POST";
+    case Method::Patch:
+      return "PATCH";
+    case Method::Head:
+      return "HEAD";
+    default:
+      return "OTHER";
+  }
+}
+
+CallerInput InputFrom(const QHttpServerRequest& request) {
+  CallerInput input;
+  input.method = MethodName(request.method());
+  input.path = request.url().path(QUrl::FullyEncoded).toStdString();
+  if (request.url().hasQuery()) {
+    input.path += '?' + request.url().query(QUrl::FullyEncoded).toStdString();
+  }
+  input.content_type = http::HeaderOf(request, "content-type");
+  input.bearer = http::BearerOf(request);
+  input.idempotency_key = http::HeaderOf(request, "idempotency-key");
+  input.ticket = http::HeaderOf(request, "balsam-ticket");
+  input.template_name = http::HeaderOf(request, "balsam-template");
+  input.last_event_id = http::HeaderOf(request, "last-event-id");
+  input.body = request.body().toStdString();
+  return input;
+}
+
+Result<int> ListeningSocket(const QHostAddress& address, std::uint16_t port) {
+  const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  const int on = 1;
+  sockaddr_in name{};
+  name.sin_family = AF_INET;
+  name.sin_port = htons(port);
+  name.sin_addr.s_addr = htonl(address.toIPv4Address());
+  const bool listening =
+      descriptor >= 0 &&
+      setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on)) == 0 &&
+      setsockopt(descriptor, SOL_SOCKET, SO_REUSEPORT, &on, sizeof(on)) == 0 &&
+      bind(descriptor, reinterpret_cast<const sockaddr*>(&name),
+           sizeof(name)) == 0 &&
+      listen(descriptor, kListenBacklog) == 0;
+  if (listening) return descriptor;
+  const std::string reason = std::strerror(errno);
+  if (descriptor >= 0) close(descriptor);
+  return Fail(ResultCode::kInvalidSettings,
+              "cannot listen for callers on " +
+                  address.toString().toStdString() + ":" +
+                  std::to_string(port) + ": " + reason);
+}
+
+}  // namespace
+
+EntryWorker::EntryWorker(SharedState& shared, std::uint64_t seed)
+    : shared_(shared), pool_(shared, seed, this) {}
+
+Result<std::uint16_t> EntryWorker::Start(std::uint16_t port) {
+  const QHostAddress address(
+      QString::fromStdString(shared_.settings.callers.address));
+  BOOST_LEAF_AUTO(descriptor, ListeningSocket(address, port));
+  listener_ = new QTcpServer();
+  listener_->setSocketDescriptor(descriptor);
+  server_ = std::make_unique<QHttpServer>();
+  server_->setMissingHandler([this](const QHttpServerRequest& request,
+                                    QHttpServerResponder&& responder) {
+    Handle(request, std::move(responder));
+  });
+  server_->bind(listener_);
+  tick_timer_ = new QTimer(this);
+  connect(tick_timer_, &QTimer::timeout, this, [this] {
+    const BootTime now = BootClock::now();
+    std::ranges::for_each(
+        sessions_, [now](const auto& entry) { entry.second->Tick(now); });
+    pool_.DropUnlisted();
+  });
+  tick_timer_->start(kTickInterval);
+  return listener_->serverPort();
+}
+
+void EntryWorker::StopListening() {
+  if (listener_ != nullptr) listener_->close();
+}
+
+Result<CallerRequest> EntryWorker::Parse(const CallerInput& input) const {
+  const auto set = shared_.templates.InForce();
+  const Moment now = Moment::Now();
+  if (input.body.size() >
+      static_cast<std::size_t>(shared_.settings.max_body_bytes)) {
+    return Fail(ResultCode::kBodyTooLarge,
+                "the body is larger than " +
+                    std::to_string(shared_.settings.max_body_bytes) + " bytes");
+  }
+  if (input.path.starts_with(kServicesPrefix)) {
+    return ParseServiceCall(input, *set, now);
+  }
+  if (input.method == "POST" && input.path == "/v1/completions") {
+    return ParseCompletion(input, AnswerForm::kCompletion, *set, now);
+  }
+  if (input.method == "POST" && input.path == "/v1/chat/completions") {
+    return ParseCompletion(input, AnswerForm::kChat, *set, now);
+  }
+  return Fail(ResultCode::kUnknownService, "\"" + input.method + ' ' +
+                                               input.path.substr(0, 64) +
+                                               "\" does not exist");
+}
+
+void EntryWorker::Handle(const QHttpServerRequest& request,
+                         QHttpServerResponder&& responder) {
+  const CallerInput input = InputFrom(request);
+  if (shared_.draining.load(std::memory_order_acquire)) {
+    ResponseWriter writer(std::move(responder), AnswerForm::kCall, false, "");
+    writer.Finish(
+        std::nullopt,
+        Outcome::NotRun(ResultCode::kDraining,
+                        "entry " + shared_.settings.vm.id + " is draining",
+                        kRetryAfterDrain),
+        "");
+    return;
+  }
+  if (input.method == "GET" && input.path == "/v1/models") {
+    HandleModels(request, std::move(responder));
+    return;
+  }
+  if (input.method == "GET" && input.path.starts_with(kGenerationsPrefix)) {
+    HandleResume(input, std::move(responder));
+    return;
+  }
+  if (input.method == "POST" && input.path.starts_with("/v1/tickets/")) {
+    HandleTicket(input, std::move(responder));
+    return;
+  }
+  std::optional<Error> failed;
+  std::optional<CallerRequest> parsed = TryOr(
+      [&]() -> Result<std::optional<CallerRequest>> {
+        BOOST_LEAF_AUTO(caller_request, Parse(input));
+        return std::optional(std::move(caller_request));
+      },
+      [&failed](const Error& error) -> std::optional<CallerRequest> {
+        failed = error;
+        return std::nullopt;
+      });
+  if (!parsed.has_value()) {
+    Refuse(std::move(responder), *failed);
+    return;
+  }
+  relay::RelayConfig config;
+  const execution::Work& work = parsed->work;
+  config.idempotent = work.idempotent;
+  config.whole = work.whole || !parsed->stream;
+  config.bound =
+      !work.ticket.empty() || (work.key.has_value() && !work.idempotent);
+  config.resume_window = shared_.settings.resume_window;
+  config.deadline = BootClock::now() + work.queue_deadline + work.run_deadline;
+  StartSession(std::move(*parsed), relay::Relay::ForRequest(config),
+               std::move(responder));
+}
+
+void EntryWorker::HandleModels(const QHttpServerRequest& request,
+                               QHttpServerResponder&& responder) {
+  const auto set = shared_.templates.InForce();
+  const std::string bearer = http::BearerOf(request);
+  Outcome outcome;
+  std::optional<Error> failed;
+  TryOr(
+      [&]() -> Result<bool> {
+        BOOST_LEAF_CHECK(Authenticate(bearer, *set));
+        return true;
+      },
+      [&failed](const Error& error) {
+        failed = error;
+        return false;
+      });
+  if (failed.has_value()) {
+    Refuse(std::move(responder), *failed);
+    return;
+  }
+  nlohmann::json models = nlohmann::json::array();
+  std::ranges::for_each(set->models(), [&models](const auto& model) {
+    models.push_back(
+        {{"id", model.first}, {"object", "model"}, {"owned_by", model.second}});
+  });
+  outcome.run_state = RunState::kRan;
+  outcome.http_status = 200;
+  outcome.content_type = "application/json";
+  outcome.body = nlohmann::json{{"object", "list"}, {"data", models}}.dump();
+  ResponseWriter writer(std::move(responder), AnswerForm::kCall, false, "");
+  writer.Finish(std::nullopt, outcome, "");
+}
+
+void EntryWorker::HandleResume(const CallerInput& input,
+                               QHttpServerResponder&& responder) {
+  const auto set = shared_.templates.InForce();
+  const std::string text = input.path.substr(kGenerationsPrefix.size());
+  const std::string last =
+      input.last_event_id.empty() ? text + ":0" : input.last_event_id;
+  const auto from = generation::EventId::Parse(last);
+  std::optional<Error> failed;
+  const templates::Workspace* workspace =
+      TryOr([&] { return Authenticate(input.bearer, *set); },
+            [&failed](const Error& error) -> const templates::Workspace* {
+              failed = error;
+              return nullptr;
+            });
+  if (!failed.has_value() &&
+      (!from.has_value() || from->generation.ToText() != text)) {
+    failed = Error{ResultCode::kInvalidEventId,
+                   "Last-Event-ID does not name generation \"" +
+                       text.substr(0, 128) + "\""};
+  }
+  if (failed.has_value()) {
+    Refuse(std::move(responder), *failed);
+    return;
+  }
+  CallerRequest request;
+  request.work.request_id = text;
+  request.work.workspace = workspace->name;
+  request.work.service_class = "resume";
+  request.stream = true;
+  relay::RelayConfig config;
+  config.resume_window = shared_.settings.resume_window;
+  config.deadline = BootClock::now() + std::chrono::hours(1);
+  StartSession(std::move(request), relay::Relay::ForResume(config, *from),
+               std::move(responder));
+}
+
+void EntryWorker::HandleTicket(const CallerInput& input,
+                               QHttpServerResponder&& responder) {
+  const auto set = shared_.templates.InForce();
+  const std::string service = input.path.substr(sizeof("/v1/tickets/") - 1);
+  std::optional<Error> failed;
+  const templates::Workspace* workspace =
+      TryOr([&] { return Authenticate(input.bearer, *set); },
+            [&failed](const Error& error) -> const templates::Workspace* {
+              failed = error;
+              return nullptr;
+            });
+  if (!failed.has_value() && !set->HasService(service)) {
+    failed = Error{ResultCode::kUnknownService,
+                   "service \"" + service.substr(0, 64) + "\" does not exist"};
+  }
+  if (failed.has_value()) {
+    Refuse(std::move(responder), *failed);
+    return;
+  }
+  CallerRequest request;
+  request.service = service;
+  request.work.kind = execution::WorkKind::kCall;
+  request.work.fingerprint =
+      static_cast<std::uint64_t>(BootClock::now().time_since_epoch().count());
+  const auto choice = pool_.Choose(request, {});
+  auto writer = std::make_shared<ResponseWriter>(std::move(responder),
+                                                 AnswerForm::kCall, false, "");
+  if (const auto* outcome = std::get_if<Outcome>(&choice)) {
+    writer->Finish(std::nullopt, *outcome, "");
+    return;
+  }
+  peer::PeerLink::Handlers handlers;
+  handlers.on_message = [writer](const peer::Message& message) {
+    const auto* reply = std::get_if<peer::TicketReply>(&message);
+    if (reply == nullptr) return;
+    Outcome outcome;
+    outcome.run_state = RunState::kRan;
+    outcome.http_status = 200;
+    outcome.content_type = "application/json";
+    outcome.body = nlohmann::json{{"ticket", reply->ticket}}.dump();
+    writer->Finish(std::nullopt, outcome, "");
+  };
+  handlers.on_end = [writer](peer::StreamEnd) {
+    // Finishing twice does nothing.
+    writer->Finish(
+        std::nullopt,
+        Outcome::NotRun(ResultCode::kNoBackendServer,
+                        "no sidecar issued a ticket", milliseconds(1000)),
+        "");
+  };
+  pool_.LinkTo(std::get<std::string>(choice))
+      ->Open(peer::kTicketPath, peer::TicketRequest{workspace->name},
+             std::move(handlers));
+}
+
+void EntryWorker::StartSession(CallerRequest request, relay::Relay relay,
+                               QHttpServerResponder&& responder) {
+  auto writer = std::make_unique<ResponseWriter>(
+      std::move(responder), request.form, request.stream, request.work.model);
+  const std::uint64_t number = next_session_++;
+  auto session = std::make_unique<CallerSession>(
+      std::move(request), std::move(relay), std::move(writer), shared_, pool_);
+  CallerSession* started = session.get();
+  sessions_.emplace(number, std::move(session));
+  started->on_finished = [this, number] {
+    // The session is still on the stack, so it goes with the event loop.
+    QMetaObject::invokeMethod(
+        this, [this, number] { sessions_.erase(number); },
+        Qt::QueuedConnection);
+  };
+  started->Start();
+}
+
+void EntryWorker::Refuse(QHttpServerResponder&& responder, const Error& error) {
+  shared_.metrics.CountOutcome("unknown", error.code);
+  LogEvent("refused")
+      .With("code", static_cast<int>(error.code))
+      .With("reason", error.detail);
+  ResponseWriter writer(std::move(responder), AnswerForm::kCall, false, "");
+  writer.Finish(std::nullopt, Outcome::NotRun(error.code, error.detail), "");
+}
+
+}  // namespace balsam::entry
--- /dev/null
+++ b/services/entry/entry_worker.h
@@ -0,0 +1,52 @@
+// One accepting thread of an entry: its own listening socket, HTTP server,
+// links to sidecars and sessions. Lives on its thread after `Start`.
+#pragma once
+
+#include <QHttpServer>
+#include <QObject>
+#include <QTimer>
+#include <map>
+#include <memory>
+
+#include "services/entry/caller_session.h"
+
+class QTcpServer;
+
+namespace balsam::entry {
+
+class EntryWorker : public QObject {
+  Q_OBJECT
+
+ public:
+  EntryWorker(SharedState& shared, std::uint64_t seed);
+
+  // Listens on the callers' address; several workers share one. Fails with
+  // kInvalidSettings. To be called on the worker's thread.
+  Result<std::uint16_t> Start(std::uint16_t port);
+  // Takes no new connections; open requests go on.
+  void StopListening();
+  std::uint64_t peer_bytes() const { return pool_.bytes(); }
+
+ private:
+  void Handle(const QHttpServerRequest& request,
+              QHttpServerResponder&& responder);
+  void HandleModels(const QHttpServerRequest& request,
+                    QHttpServerResponder&& responder);
+  void HandleResume(const CallerInput& input, QHttpServerResponder&& responder);
+  void HandleTicket(const CallerInput& input, QHttpServerResponder&& responder);
+  void StartSession(CallerRequest request, relay::Relay relay,
+                    QHttpServerResponder&& responder);
+  Result<CallerRequest> Parse(const CallerInput& input) const;
+  void Refuse(QHttpServerResponder&& responder, const Error& error);
+
+  SharedState& shared_;
+  SidecarPool pool_;
+  std::unique_ptr<QHttpServer> server_;
+  // Owned by `server_`.
+  QTcpServer* listener_ = nullptr;
+  std::map<std::uint64_t, std::unique_ptr<CallerSession>> sessions_;
+  std::uint64_t next_session_ = 1;
+  QTimer* tick_timer_ = nullptr;
+};
+
+}  // namespace balsam::entry
--- /dev/null
+++ b/services/entry/main.cc
@@ -0,0 +1,11 @@
+// balsam-entry: the process that callers reach.
+#include "libraries/http/daemon_main.h"
+#include "services/entry/entry_node.h"
+
+int main(int argc, char** argv) {
+  using balsam::entry::EntryNode;
+  using balsam::entry::EntrySettings;
+  return balsam::http::RunDaemon<EntrySettings, EntryNode>(
+      "balsam-entry", "Takes callers' requests and relays their answers", argc,
+      argv);
+}
--- /dev/null
+++ b/services/entry/state_follower.cc
@@ -0,0 +1,285 @@
+// Watching, gossip and the gate at the start.
+#include "services/entry/state_follower.h"
+
+#include <QHostAddress>
+#include <algorithm>
+#include <utility>
+
+#include "libraries/base/log_event.h"
+#include "libraries/membership/rendezvous.h"
+
+namespace balsam::entry {
+namespace {
+
+using std::chrono::milliseconds;
+
+// Watchers for each data centre.
+constexpr std::size_t kWatchers = 2;
+// An entry that hears of no watcher for this long watches by itself.
+constexpr milliseconds kWatcherPatience{3000};
+// The start waits this long for other entries to say what they have.
+constexpr milliseconds kStartPatience{2000};
+
+platform::WatcherSettings WatcherFrom(const EntrySettings& settings) {
+  platform::WatcherSettings watcher;
+  watcher.base_url = QUrl(QString::fromStdString(settings.platform_url));
+  return watcher;
+}
+
+}  // namespace
+
+StateFollower::StateFollower(SharedState& shared, QObject* parent)
+    : QObject(parent),
+      shared_(shared),
+      server_(QByteArray::fromStdString(shared.settings.peer_key), {}),
+      template_watcher_("templates", WatcherFrom(shared.settings)),
+      list_watcher_("vms", WatcherFrom(shared.settings)),
+      started_(BootClock::now()),
+      heard_watcher_(started_),
+      random_(std::random_device{}()) {
+  template_watcher_.on_value = [this](std::uint64_t revision,
+                                      const std::string& text) {
+    OfferTemplates(revision, text, "platform");
+  };
+  list_watcher_.on_value = [this](std::uint64_t revision,
+                                  const std::string& text) {
+    OfferList(revision, text, "platform");
+  };
+  const auto warn = [](const std::string& reason) {
+    LogEvent("platform_unavailable", LogEvent::Level::kWarning)
+        .With("reason", reason);
+  };
+  template_watcher_.on_unavailable = warn;
+  list_watcher_.on_unavailable = warn;
+  server_.on_request = [this](peer::ServerStream stream,
+                              const peer::Message& message) {
+    OnRequest(stream, message);
+  };
+  connect(&timer_, &QTimer::timeout, this, &StateFollower::Tick);
+}
+
+Result<void> StateFollower::Start() {
+  BOOST_LEAF_CHECK(server_.Listen(
+      QHostAddress(QString::fromStdString(shared_.settings.peers.address)),
+      shared_.settings.peers.port));
+  list_watcher_.SetWatching(true);
+  template_watcher_.SetWatching(true);
+  std::ranges::for_each(
+      shared_.settings.seeds, [this](const settings::Listener& seed) {
+        const peer::PeerAddress address{
+            QHostAddress(QString::fromStdString(seed.address)), seed.port};
+        AskAddress("seed " + seed.address + ":" + std::to_string(seed.port),
+                   address);
+      });
+  timer_.start(shared_.settings.gossip_interval);
+  return {};
+}
+
+std::uint64_t StateFollower::platform_calls() const {
+  return template_watcher_.calls() + list_watcher_.calls();
+}
+
+std::uint64_t StateFollower::peer_bytes() const {
+  std::uint64_t sum = server_.bytes();
+  std::ranges::for_each(
+      links_, [&sum](const auto& entry) { sum += entry.second->bytes(); });
+  return sum;
+}
+
+std::vector<std::string> StateFollower::OtherEntries(
+    bool same_data_center) const {
+  const auto list = shared_.vms.Read();
+  const settings::VmIdentity& self = shared_.settings.vm;
+  auto entries = list->EntryVms();
+  std::erase_if(entries, [&](const std::string& vm) {
+    const bool same = list->Find(vm)->data_center == self.data_center;
+    return vm == self.id || (same_data_center && !same);
+  });
+  return entries;
+}
+
+std::vector<std::string> StateFollower::Watchers() const {
+  const settings::VmIdentity& self = shared_.settings.vm;
+  auto entries = OtherEntries(/*same_data_center=*/true);
+  entries.push_back(self.id);
+  auto watchers = membership::RendezvousOrder(self.data_center, entries);
+  watchers.resize(std::min(watchers.size(), kWatchers));
+  return watchers;
+}
+
+void StateFollower::UpdateRole() {
+  const auto watchers = Watchers();
+  const bool is_watcher =
+      std::ranges::find(watchers, shared_.settings.vm.id) != watchers.end();
+  const bool alone = BootClock::now() - heard_watcher_ > kWatcherPatience;
+  const bool watch = is_watcher || alone || shared_.vms.Read()->revision() == 0;
+  list_watcher_.SetWatching(watch);
+  template_watcher_.SetWatching(watch);
+}
+
+void StateFollower::Tick() {
+  UpdateRole();
+  CheckReady();
+  const auto entries = OtherEntries(/*same_data_center=*/false);
+  if (entries.empty()) return;
+  const auto pick = [this](const std::vector<std::string>& from) {
+    std::uniform_int_distribution<std::size_t> any(0, from.size() - 1);
+    return from[any(random_)];
+  };
+  auto watchers = Watchers();
+  std::erase(watchers, shared_.settings.vm.id);
+  if (!watchers.empty()) Ask(pick(watchers));
+  Ask(pick(entries));
+}
+
+peer::GossipRequest StateFollower::Knowledge() const {
+  peer::GossipRequest request;
+  request.vm = shared_.settings.vm.id;
+  request.template_revision = shared_.templates.InForce()->revision();
+  request.list_revision = shared_.vms.Read()->revision();
+  return request;
+}
+
+void StateFollower::Ask(const std::string& vm) {
+  const auto list = shared_.vms.Read();
+  const membership::Vm* row = list->Find(vm);
+  if (row == nullptr) return;
+  AskAddress(
+      vm, {QHostAddress(QString::fromStdString(row->address)), row->peer_port});
+}
+
+void StateFollower::AskAddress(const std::string& name,
+                               const peer::PeerAddress& address) {
+  auto& link = links_[name];
+  if (link == nullptr || link->address() != address) {
+    link = std::make_unique<peer::PeerLink>(
+        address, QByteArray::fromStdString(shared_.settings.peer_key),
+        peer::ConnectionLimits{});
+  }
+  peer::PeerLink::Handlers handlers;
+  handlers.on_message = [this, name](const peer::Message& message) {
+    const auto* reply = std::get_if<peer::GossipReply>(&message);
+    if (reply == nullptr) return;
+    const auto watchers = Watchers();
+    if (std::ranges::find(watchers, name) != watchers.end()) {
+      heard_watcher_ = BootClock::now();
+    }
+    OfferList(reply->list_revision, reply->list_text, name);
+    OfferTemplates(reply->template_revision, reply->template_text, name);
+  };
+  handlers.on_end = [this, name](peer::StreamEnd) {
+    awaited_.erase(name);
+    CheckReady();
+  };
+  link->Open(peer::kGossipPath, Knowledge(), std::move(handlers));
+}
+
+void StateFollower::OnRequest(peer::ServerStream stream,
+                              const peer::Message& message) {
+  const auto* request = std::get_if<peer::GossipRequest>(&message);
+  if (request == nullptr) {
+    stream.Refuse();
+    return;
+  }
+  OfferList(request->list_revision, request->list_text, request->vm);
+  OfferTemplates(request->template_revision, request->template_text,
+                 request->vm);
+  const auto set = shared_.templates.InForce();
+  const auto list = shared_.vms.Read();
+  peer::GossipReply reply;
+  reply.template_revision = set->revision();
+  reply.list_revision = list->revision();
+  if (set->revision() > request->template_revision) {
+    reply.template_text = set->text();
+  }
+  if (list->revision() > request->list_revision) {
+    reply.list_text = list->text();
+  }
+  stream.Send(reply, true);
+  // The asker knows more: learn it now rather than at the next turn.
+  const bool behind = request->template_revision > set->revision() ||
+                      request->list_revision > list->revision();
+  if (behind && !request->vm.empty()) Ask(request->vm);
+}
+
+void StateFollower::Announce() {
+  // A revision number is enough: who lacks the content asks for it.
+  std::ranges::for_each(OtherEntries(/*same_data_center=*/true),
+                        [this](const std::string& vm) { Ask(vm); });
+}
+
+void StateFollower::OfferTemplates(std::uint64_t revision,
+                                   const std::string& text,
+                                   const std::string& source) {
+  if (text.empty()) return;
+  templates::TemplateSet::Problems problems;
+  switch (shared_.templates.Offer(revision, text, problems)) {
+    case templates::OfferVerdict::kNotNewer:
+      return;
+    case templates::OfferVerdict::kRejected:
+      LogEvent("templates_rejected", LogEvent::Level::kWarning)
+          .With("revision", revision)
+          .With("source", source)
+          .With("problems", problems.size())
+          .With("first", problems.front().ToLine());
+      shared_.metrics.CountEvent("templates_rejected_total");
+      return;
+    case templates::OfferVerdict::kAccepted:
+      LogEvent("templates_in_force")
+          .With("revision", revision)
+          .With("source", source);
+      template_watcher_.SetKnownRevision(revision);
+      if (watching()) Announce();
+      CheckReady();
+      return;
+  }
+}
+
+void StateFollower::OfferList(std::uint64_t revision, const std::string& text,
+                              const std::string& source) {
+  if (text.empty() || revision <= shared_.vms.Read()->revision()) return;
+  auto list = TryOr(
+      [&]() -> Result<std::shared_ptr<const membership::VmList>> {
+        BOOST_LEAF_AUTO(parsed, membership::VmList::Parse(revision, text));
+        return std::make_shared<const membership::VmList>(std::move(parsed));
+      },
+      [&](const Error& error) -> std::shared_ptr<const membership::VmList> {
+        LogEvent("vm_list_rejected", LogEvent::Level::kWarning)
+            .With("revision", revision)
+            .With("source", source)
+            .With("reason", error.detail);
+        return nullptr;
+      });
+  if (list == nullptr) return;
+  std::set<std::string> listed;
+  std::ranges::transform(list->vms(), std::inserter(listed, listed.end()),
+                         &membership::Vm::id);
+  shared_.vms.Publish(std::move(list));
+  shared_.board.Retain(listed);
+  list_watcher_.SetKnownRevision(revision);
+  LogEvent("vm_list").With("revision", revision).With("source", source);
+  UpdateRole();
+  AskEverybodyOnce();
+  if (watching()) Announce();
+}
+
+void StateFollower::AskEverybodyOnce() {
+  if (std::exchange(asked_everybody_, true)) return;
+  const auto entries = OtherEntries(/*same_data_center=*/false);
+  awaited_.insert(entries.begin(), entries.end());
+  std::ranges::for_each(entries, [this](const std::string& vm) { Ask(vm); });
+}
+
+void StateFollower::CheckReady() {
+  if (ready_ || shared_.templates.InForce()->revision() == 0) return;
+  const bool patient = BootClock::now() - started_ < kStartPatience;
+  if (!asked_everybody_ || (!awaited_.empty() && patient)) return;
+  ready_ = true;
+  LogEvent("ready")
+      .With("templates", shared_.templates.InForce()->revision())
+      .With("vm_list", shared_.vms.Read()->revision())
+      .With("unreachable", awaited_.size());
+  if (on_ready) on_ready();
+}
+
+}  // namespace balsam::entry
--- /dev/null
+++ b/services/entry/state_follower.h
@@ -0,0 +1,79 @@
+// Keeps an entry's templates and VM list up to date. A few entries of each
+// data centre, by rendezvous rank, watch the platform; all others learn from
+// them, and everybody asks someone at random, so that what one part of the
+// fleet knows reaches every part that can be reached. Only higher revisions
+// are adopted, so no step goes back.
+#pragma once
+
+#include <QObject>
+#include <QTimer>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+
+#include "libraries/peer/peer_link.h"
+#include "libraries/peer/peer_server.h"
+#include "libraries/platform/value_watcher.h"
+#include "services/entry/shared_state.h"
+
+namespace balsam::entry {
+
+class StateFollower : public QObject {
+  Q_OBJECT
+
+ public:
+  explicit StateFollower(SharedState& shared, QObject* parent = nullptr);
+
+  // Fails with kInvalidSettings if the peer address cannot be listened on.
+  Result<void> Start();
+
+  // True once the state can be relied on: templates are there, and every other
+  // entry has said what it has or could not be reached.
+  bool ready() const { return ready_; }
+  bool watching() const { return template_watcher_.watching(); }
+  std::uint64_t platform_calls() const;
+  std::uint64_t peer_bytes() const;
+  std::uint16_t peer_port() const { return server_.port(); }
+
+  std::function<void()> on_ready;
+
+ private:
+  void Tick();
+  void UpdateRole();
+  void OfferTemplates(std::uint64_t revision, const std::string& text,
+                      const std::string& source);
+  void OfferList(std::uint64_t revision, const std::string& text,
+                 const std::string& source);
+  void OnRequest(peer::ServerStream stream, const peer::Message& message);
+  // Asks one entry what it knows.
+  void Ask(const std::string& vm);
+  void AskAddress(const std::string& name, const peer::PeerAddress& address);
+  // Tells all entries of this data centre, and one of each other, at once.
+  void Announce();
+  void AskEverybodyOnce();
+  void CheckReady();
+  std::vector<std::string> OtherEntries(bool same_data_center) const;
+  std::vector<std::string> Watchers() const;
+  peer::GossipRequest Knowledge() const;
+
+  SharedState& shared_;
+  peer::PeerServer server_;
+  platform::ValueWatcher template_watcher_;
+  platform::ValueWatcher list_watcher_;
+  std::map<std::string, std::unique_ptr<peer::PeerLink>> links_;
+  // Entries asked at the start that have not answered yet.
+  std::set<std::string> awaited_;
+  bool asked_everybody_ = false;
+  bool ready_ = false;
+  BootTime started_;
+  // When a watcher last answered; others take its place when none does.
+  BootTime heard_watcher_;
+  QTimer timer_;
+  std::minstd_rand random_;
+};
+
+}  // namespace balsam::entry
--- /dev/null
+++ b/services/sidecar/main.cc
@@ -0,0 +1,11 @@
+// balsam-sidecar: the process beside one backend server.
+#include "libraries/http/daemon_main.h"
+#include "services/sidecar/sidecar_node.h"
+
+int main(int argc, char** argv) {
+  using balsam::sidecar::SidecarNode;
+  using balsam::sidecar::SidecarSettings;
+  return balsam::http::RunDaemon<SidecarSettings, SidecarNode>(
+      "balsam-sidecar", "Runs beside one backend server and is its only client",
+      argc, argv);
+}
--- /dev/null
+++ b/services/sidecar/sidecar_node.cc
@@ -0,0 +1,466 @@
+// The sidecar's adapters.
+#include "services/sidecar/sidecar_node.h"
+
+#include <QHostAddress>
+#include <algorithm>
+#include <random>
+#include <utility>
+
+#include "libraries/base/log_event.h"
+
+namespace balsam::sidecar {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kTickInterval{50};
+constexpr milliseconds kLingerTime{200};
+// A sidecar that heard of no list for this long reads the platform itself.
+constexpr milliseconds kListPatience{30000};
+constexpr qsizetype kMaxQueuedBytes = 64 << 10;
+constexpr std::size_t kMaxTokensPerMessage = 512;
+
+// Later processes get higher numbers, also on one VM; the low bits keep two of
+// the same millisecond apart.
+std::uint64_t NewIncarnation() {
+  constexpr int kRandomBits = 12;
+  const auto since = Moment::Now().wall.time_since_epoch().count();
+  const auto low = std::random_device{}() & ((1U << kRandomBits) - 1);
+  return (static_cast<std::uint64_t>(since) << kRandomBits) | low;
+}
+
+execution::ExecutorConfig ConfigFrom(const SidecarSettings& settings) {
+  execution::ExecutorConfig config;
+  config.vm = settings.vm.id;
+  config.service = settings.service;
+  config.incarnation = NewIncarnation();
+  config.memory = {settings.capacity_tokens, settings.reserve_tokens};
+  config.max_running_generations = settings.max_running;
+  config.max_running_calls = settings.max_running;
+  config.reader_grace = settings.reader_grace;
+  config.suspicion_lifetime = settings.suspicion_lifetime;
+  config.keys = {settings.vm.id,       settings.service,
+                 config.incarnation,   settings.key_lifetime,
+                 settings.clock_error, settings.removed_vm_grace};
+  return config;
+}
+
+platform::WatcherSettings WatcherFrom(const SidecarSettings& settings) {
+  platform::WatcherSettings watcher;
+  watcher.base_url = QUrl(QString::fromStdString(settings.platform_url));
+  return watcher;
+}
+
+}  // namespace
+
+SidecarNode::SidecarNode(SidecarSettings settings, QObject* parent)
+    : QObject(parent),
+      settings_(std::move(settings)),
+      executor_(ConfigFrom(settings_), Moment::Now(),
+                settings_.forecast_admission
+                    ? execution::AdmissionPolicy::kForecast
+                    : execution::AdmissionPolicy::kResidentOnly),
+      backend_({QUrl(QString::fromStdString(settings_.backend_url)),
+                settings_.backend_silence_limit}),
+      server_(QByteArray::fromStdString(settings_.peer_key), {}),
+      operators_(settings_.operator_key),
+      list_watcher_("vms", WatcherFrom(settings_)),
+      metrics_("sidecar"),
+      last_tick_(BootClock::now()),
+      last_heard_(BootClock::now()) {
+  backend_.on_tokens = [this](execution::Counter counter, std::uint64_t first,
+                              const std::vector<std::string>& tokens) {
+    const Moment now = Moment::Now();
+    executor_.OnTokens(counter, first, tokens, now);
+    const auto timer = timers_.find(counter);
+    if (timer != timers_.end()) timer->second.OnTokens(tokens.size(), now.boot);
+    Pump();
+  };
+  backend_.on_completed = [this](execution::Counter counter, Outcome outcome) {
+    executor_.OnCompleted(counter, std::move(outcome), Moment::Now());
+    Pump();
+  };
+  backend_.on_not_sent = [this](execution::Counter counter,
+                                const std::string& reason) {
+    executor_.OnNotSent(counter, reason, Moment::Now());
+    Pump();
+  };
+  backend_.on_broken = [this](execution::Counter counter,
+                              const std::string& reason) {
+    executor_.OnStreamBroken(counter, reason, Moment::Now());
+    Pump();
+  };
+  backend_.on_resume_failed = [this](execution::Counter counter) {
+    executor_.OnResumeFailed(counter, Moment::Now());
+    Pump();
+  };
+  backend_.on_preempted = [this](execution::Counter counter) {
+    ++preemptions_;
+    const auto timer = timers_.find(counter);
+    if (timer != timers_.end()) timer->second.OnPreempted();
+  };
+  server_.on_request = [this](peer::ServerStream stream,
+                              const peer::Message& message) {
+    OnRequest(stream, message);
+  };
+  server_.on_end = [this](peer::ServerStream stream, bool dropped_by_peer) {
+    const auto reader = readers_.find(stream);
+    if (reader == readers_.end()) return;
+    const execution::Counter counter = reader->second.counter;
+    OnStreamGone(stream);
+    if (dropped_by_peer) executor_.OnReaderLeft(counter, Moment::Now());
+  };
+  server_.on_drained = [this](peer::ServerStream stream) {
+    const auto reader = readers_.find(stream);
+    if (reader != readers_.end() && !Feed(stream, reader->second)) {
+      OnStreamGone(stream);
+    }
+  };
+  list_watcher_.on_value = [this](std::uint64_t revision,
+                                  const std::string& text) {
+    AdoptList(revision, text);
+  };
+  operators_.is_ready = [this] { return !executor_.draining(); };
+  operators_.metrics = [this] { return metrics_.Serialize(); };
+  operators_.status = [this] { return Status(); };
+  operators_.explain = [](const std::string&) {
+    return nlohmann::json{{"error", "ask an entry"}};
+  };
+  operators_.drain = [this] { BeginStop(); };
+  connect(&tick_timer_, &QTimer::timeout, this, &SidecarNode::Tick);
+}
+
+Result<void> SidecarNode::Start() {
+  BOOST_LEAF_CHECK(server_.Listen(
+      QHostAddress(QString::fromStdString(settings_.peers.address)),
+      settings_.peers.port));
+  BOOST_LEAF_CHECK(operators_.Listen(settings_.operators));
+  list_watcher_.ReadOnce();
+  tick_timer_.start(kTickInterval);
+  LogEvent("started")
+      .With("vm", settings_.vm.id)
+      .With("peer_port", peer_port())
+      .With("operator_port", operator_port());
+  return {};
+}
+
+// --- Requests of peers ---
+
+void SidecarNode::OnRequest(peer::ServerStream stream,
+                            const peer::Message& message) {
+  last_heard_ = BootClock::now();
+  if (const auto* execute = std::get_if<peer::ExecuteRequest>(&message)) {
+    OnExecute(stream, *execute);
+  } else if (const auto* resume = std::get_if<peer::ResumeRequest>(&message)) {
+    OnResume(stream, *resume);
+  } else if (const auto* ticket = std::get_if<peer::TicketRequest>(&message)) {
+    if (executor_.draining()) {
+      stream.Refuse();
+      return;
+    }
+    stream.Send(peer::TicketReply{executor_.IssueTicket(ticket->workspace,
+                                                        Moment::Now())},
+                true);
+  } else if (const auto* ask = std::get_if<peer::ConfirmRequest>(&message)) {
+    OnConfirm(stream, *ask);
+  } else if (const auto* gossip = std::get_if<peer::GossipRequest>(&message)) {
+    OnGossip(stream, *gossip);
+  } else {
+    stream.Refuse();
+  }
+}
+
+void SidecarNode::OnExecute(peer::ServerStream stream,
+                            const peer::ExecuteRequest& request) {
+  const Moment now = Moment::Now();
+  const execution::Work& work = request.work;
+  const execution::Submission submission = executor_.Submit(work, now);
+  if (const auto* outcome = std::get_if<Outcome>(&submission)) {
+    LogEvent("refused")
+        .With("request", work.request_id)
+        .With("workspace", work.workspace)
+        .With("code", static_cast<int>(outcome->code))
+        .With("reason", outcome->detail);
+    SendFinished(stream, "", *outcome, work.fingerprint);
+    return;
+  }
+  const auto& accepted = std::get<execution::Accepted>(submission);
+  if (!accepted.joined) {
+    timers_.emplace(
+        accepted.counter,
+        TokenTimer(metrics_.For(work.workspace, work.service_class), now.boot));
+  }
+  AddReader(stream, accepted.counter, 0);
+  Pump();
+}
+
+void SidecarNode::OnResume(peer::ServerStream stream,
+                           const peer::ResumeRequest& request) {
+  const auto id = generation::GenerationId::Parse(request.generation);
+  const execution::GenerationRecord* record =
+      id.has_value() ? executor_.Find(*id, request.workspace) : nullptr;
+  if (record == nullptr) {
+    SendFinished(
+        stream, request.generation,
+        Outcome::Unknown(ResultCode::kGenerationNotFound,
+                         "sidecar " + settings_.vm.id +
+                             " does not hold generation " + request.generation),
+        0);
+    return;
+  }
+  AddReader(stream, record->counter, request.next);
+}
+
+void SidecarNode::OnConfirm(peer::ServerStream stream,
+                            const peer::ConfirmRequest& request) {
+  AdoptList(request.list_revision, request.list_text);
+  peer::ConfirmReply reply;
+  reply.confirmation = executor_.authority().Confirm(
+      request.vm, request.incarnation, Moment::Now().wall);
+  if (list_.revision() > request.list_revision) reply.list_text = list_.text();
+  stream.Send(reply, true);
+}
+
+void SidecarNode::OnGossip(peer::ServerStream stream,
+                           const peer::GossipRequest& request) {
+  AdoptList(request.list_revision, request.list_text);
+  peer::GossipReply reply;
+  reply.list_revision = list_.revision();
+  if (list_.revision() > request.list_revision) reply.list_text = list_.text();
+  stream.Send(reply, true);
+}
+
+void SidecarNode::OnStreamGone(const peer::ServerStream& stream) {
+  const auto reader = readers_.find(stream);
+  if (reader == readers_.end()) return;
+  const execution::Counter counter = reader->second.counter;
+  readers_.erase(reader);
+  executor_.DetachReader(counter, Moment::Now());
+  const auto streams = streams_of_.find(counter);
+  if (streams == streams_of_.end()) return;
+  streams->second.erase(stream);
+  if (streams->second.empty()) streams_of_.erase(streams);
+}
+
+void SidecarNode::AddReader(peer::ServerStream stream,
+                            execution::Counter counter, std::uint64_t next) {
+  executor_.AttachReader(counter);
+  readers_[stream] = {counter, next};
+  streams_of_[counter].insert(stream);
+  stream.Send(peer::AcceptedReply{executor_.IdOf(counter).ToText(),
+                                  executor_.Load(Moment::Now())},
+              false);
+  if (!Feed(stream, readers_[stream])) OnStreamGone(stream);
+}
+
+bool SidecarNode::Feed(peer::ServerStream stream, Reader& reader) {
+  const execution::GenerationRecord* record = executor_.Find(reader.counter);
+  if (record == nullptr) return false;
+  const std::string id = executor_.IdOf(reader.counter).ToText();
+  const std::uint64_t end = record->ReadableEnd();
+  while (reader.next < end && stream.QueuedBytes() < kMaxQueuedBytes) {
+    const auto limit =
+        std::min<std::uint64_t>(end - reader.next, kMaxTokensPerMessage);
+    const auto tokens = record->log.From(reader.next, limit);
+    stream.Send(
+        peer::TokensReply{id, reader.next, {tokens.begin(), tokens.end()}},
+        false);
+    reader.next += tokens.size();
+  }
+  if (reader.next < end || !record->IsDone()) return true;
+  SendFinished(stream, id, *record->outcome, record->work.fingerprint);
+  return false;
+}
+
+void SidecarNode::SendFinished(peer::ServerStream stream,
+                               const std::string& generation,
+                               const Outcome& outcome,
+                               std::uint64_t fingerprint) {
+  const Moment now = Moment::Now();
+  stream.Send(peer::FinishedReply{generation, outcome,
+                                  executor_.suspicions().CrashesOf(fingerprint,
+                                                                   now.boot),
+                                  executor_.Load(now)},
+              true);
+}
+
+// --- Carrying out decisions ---
+
+void SidecarNode::Pump() {
+  const Moment now = Moment::Now();
+  std::ranges::for_each(executor_.TakeDispatches(now),
+                        [this](execution::Counter c) { Dispatch(c); });
+  std::ranges::for_each(executor_.TakeResumes(now), [this](const auto& resume) {
+    const auto& [counter, first] = resume;
+    backend_.ResumeGeneration(counter, executor_.IdOf(counter).ToText(), first);
+  });
+  std::ranges::for_each(
+      executor_.TakeCancellations(), [this](execution::Counter counter) {
+        backend_.CancelGeneration(counter, executor_.IdOf(counter).ToText());
+      });
+  std::ranges::for_each(executor_.TakeChanged(),
+                        [this](execution::Counter c) { OnChanged(c); });
+  FinishStopIfIdle();
+}
+
+void SidecarNode::Dispatch(execution::Counter counter) {
+  const execution::GenerationRecord* record = executor_.Find(counter);
+  const std::string stream = executor_.IdOf(counter).ToText();
+  const auto timer = timers_.find(counter);
+  if (timer != timers_.end()) timer->second.OnDispatched(record->started_at);
+  if (record->work.kind == execution::WorkKind::kCall) {
+    backend_.StartCall(counter, stream, record->work);
+  } else {
+    backend_.StartGeneration(counter, stream, record->work);
+  }
+}
+
+void SidecarNode::OnChanged(execution::Counter counter) {
+  const execution::GenerationRecord* record = executor_.Find(counter);
+  if (record == nullptr) return;
+  if (record->IsDone()) {
+    const auto timer = timers_.find(counter);
+    if (timer != timers_.end()) {
+      timer->second.OnEnd();
+      timers_.erase(timer);
+      metrics_.CountOutcome(record->work.workspace, record->outcome->code);
+      LogEvent("finished")
+          .With("request", record->work.request_id)
+          .With("workspace", record->work.workspace)
+          .With("generation", executor_.IdOf(counter).ToText())
+          .With("code", static_cast<int>(record->outcome->code))
+          .With("run_state", NameOf(record->outcome->run_state))
+          .With("tokens", record->outcome->total_tokens)
+          .With("reason", record->outcome->detail);
+    }
+  }
+  const auto streams = streams_of_.find(counter);
+  if (streams == streams_of_.end()) return;
+  const auto current = streams->second;
+  std::ranges::for_each(current, [this](const peer::ServerStream& stream) {
+    const auto reader = readers_.find(stream);
+    if (reader != readers_.end() && !Feed(stream, reader->second)) {
+      OnStreamGone(stream);
+    }
+  });
+}
+
+void SidecarNode::Tick() {
+  const Moment now = Moment::Now();
+  if (now.boot - last_tick_ > settings_.pause_limit + kTickInterval) {
+    LogEvent("woke_late", LogEvent::Level::kWarning)
+        .With("pause", now.boot - last_tick_);
+    executor_.OnPause(now);
+    asked_.clear();
+  }
+  last_tick_ = now.boot;
+  executor_.Tick(now);
+  if (now.boot - last_heard_ > kListPatience || list_.revision() == 0) {
+    if (now.boot - last_heard_ > kListPatience) last_heard_ = now.boot;
+    list_watcher_.ReadOnce();
+  }
+  AskForConfirmations();
+  if (stop_deadline_.has_value() && *stop_deadline_ <= now.boot) {
+    stop_deadline_.reset();
+    const std::size_t left = executor_.AbandonAll(now);
+    LogEvent("stop_deadline", LogEvent::Level::kWarning).With("left", left);
+  }
+  Pump();
+}
+
+void SidecarNode::AdoptList(std::uint64_t revision, const std::string& text) {
+  if (revision <= list_.revision() || text.empty()) return;
+  TryOr(
+      [&]() -> Result<bool> {
+        BOOST_LEAF_AUTO(list, membership::VmList::Parse(revision, text));
+        list_ = std::move(list);
+        executor_.authority().AdoptList(list_, Moment::Now().wall);
+        asked_.clear();
+        LogEvent("vm_list").With("revision", revision);
+        return true;
+      },
+      [&](const Error& error) {
+        LogEvent("vm_list_rejected", LogEvent::Level::kWarning)
+            .With("revision", revision)
+            .With("reason", error.detail);
+        return false;
+      });
+  // The platform says by the list that this VM is leaving.
+  const membership::Vm* self = list_.Find(settings_.vm.id);
+  if (self != nullptr && self->state == membership::VmState::kLeaving) {
+    BeginStop();
+  }
+}
+
+void SidecarNode::AskForConfirmations() {
+  const auto peers = executor_.authority().UnconfirmedPeers();
+  std::ranges::for_each(peers, [this](const std::string& vm) {
+    if (asked_.contains(vm)) return;
+    const membership::Vm* row = list_.Find(vm);
+    if (row == nullptr) return;
+    const peer::PeerAddress address{
+        QHostAddress(QString::fromStdString(row->address)), row->peer_port};
+    auto& link = sidecar_links_[vm];
+    if (link == nullptr || link->address() != address) {
+      link = std::make_unique<peer::PeerLink>(
+          address, QByteArray::fromStdString(settings_.peer_key),
+          peer::ConnectionLimits{});
+    }
+    asked_.insert(vm);
+    peer::PeerLink::Handlers handlers;
+    handlers.on_message = [this](const peer::Message& message) {
+      const auto* reply = std::get_if<peer::ConfirmReply>(&message);
+      if (reply == nullptr) return;
+      AdoptList(reply->confirmation.list_revision, reply->list_text);
+      executor_.authority().OnConfirmation(reply->confirmation,
+                                           Moment::Now().wall);
+    };
+    handlers.on_end = [this, vm](peer::StreamEnd) { asked_.erase(vm); };
+    const execution::Executor& executor = executor_;
+    link->Open(peer::kConfirmPath,
+               peer::ConfirmRequest{settings_.vm.id, executor.incarnation(),
+                                    list_.revision(), list_.text()},
+               std::move(handlers));
+  });
+}
+
+// --- Stopping ---
+
+void SidecarNode::BeginStop() {
+  if (executor_.draining()) return;
+  LogEvent("draining").With("vm", settings_.vm.id);
+  // Peers may still connect to collect what runs or ran here; new work is
+  // refused by the executor.
+  executor_.BeginDrain(Moment::Now());
+  stop_deadline_ = BootClock::now() + settings_.stop_deadline;
+  Pump();
+}
+
+void SidecarNode::FinishStopIfIdle() {
+  const bool done =
+      executor_.draining() && executor_.IsIdle() && readers_.empty();
+  if (!done || !on_stopped) return;
+  // What is written last must leave before the process does.
+  server_.BeginShutdown();
+  QTimer::singleShot(kLingerTime, this, std::exchange(on_stopped, nullptr));
+}
+
+nlohmann::json SidecarNode::Status() const {
+  const execution::LoadReport load = executor_.Load(Moment::Now());
+  return {{"process", "sidecar"},
+          {"vm", settings_.vm.id},
+          {"data_center", settings_.vm.data_center},
+          {"service", settings_.service},
+          {"list_revision", list_.revision()},
+          {"running", load.running},
+          {"queued", load.queued},
+          {"resident_tokens", load.resident_tokens},
+          {"capacity_tokens", load.capacity_tokens},
+          {"peak_load", load.peak_load},
+          {"preemptions", preemptions_},
+          {"peer_bytes", server_.bytes()},
+          {"platform_calls", list_watcher_.calls()},
+          {"draining", load.draining}};
+}
+
+}  // namespace balsam::sidecar
--- /dev/null
+++ b/services/sidecar/sidecar_node.h
@@ -0,0 +1,99 @@
+// Connects the executor to the world: peers on one side, the backend server on
+// the other, the platform's list, timers and metrics. It holds no rules of its
+// own.
+#pragma once
+
+#include <QObject>
+#include <QTimer>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+
+#include "libraries/backend/backend_client.h"
+#include "libraries/execution/executor.h"
+#include "libraries/http/operator_server.h"
+#include "libraries/membership/vm_list.h"
+#include "libraries/peer/peer_link.h"
+#include "libraries/peer/peer_server.h"
+#include "libraries/platform/value_watcher.h"
+#include "libraries/telemetry/request_metrics.h"
+#include "services/sidecar/sidecar_settings.h"
+#include "services/sidecar/token_timer.h"
+
+namespace balsam::sidecar {
+
+class SidecarNode : public QObject {
+  Q_OBJECT
+
+ public:
+  explicit SidecarNode(SidecarSettings settings, QObject* parent = nullptr);
+
+  // Fails with kInvalidSettings if an address cannot be listened on.
+  Result<void> Start();
+  // Takes nothing new, lets what runs finish, then calls `on_stopped`.
+  void BeginStop();
+
+  std::uint16_t peer_port() const { return server_.port(); }
+  std::uint16_t operator_port() const { return operators_.port(); }
+
+  std::function<void()> on_stopped;
+
+ private:
+  // One peer that reads a generation's tokens.
+  struct Reader {
+    execution::Counter counter = 0;
+    std::uint64_t next = 0;
+  };
+
+  void OnRequest(peer::ServerStream stream, const peer::Message& message);
+  void OnExecute(peer::ServerStream stream,
+                 const peer::ExecuteRequest& request);
+  void OnResume(peer::ServerStream stream, const peer::ResumeRequest& request);
+  void OnConfirm(peer::ServerStream stream,
+                 const peer::ConfirmRequest& request);
+  void OnGossip(peer::ServerStream stream, const peer::GossipRequest& request);
+  void OnStreamGone(const peer::ServerStream& stream);
+
+  void AddReader(peer::ServerStream stream, execution::Counter counter,
+                 std::uint64_t next);
+  // Sends what the reader may have; false once it has everything.
+  bool Feed(peer::ServerStream stream, Reader& reader);
+  void SendFinished(peer::ServerStream stream, const std::string& generation,
+                    const Outcome& outcome, std::uint64_t fingerprint);
+
+  // Carries out what the executor decided since the last time.
+  void Pump();
+  void Dispatch(execution::Counter counter);
+  void OnChanged(execution::Counter counter);
+  void Tick();
+  void AdoptList(std::uint64_t revision, const std::string& text);
+  void AskForConfirmations();
+  void FinishStopIfIdle();
+  nlohmann::json Status() const;
+
+  SidecarSettings settings_;
+  execution::Executor executor_;
+  backend::BackendClient backend_;
+  peer::PeerServer server_;
+  http::OperatorServer operators_;
+  platform::ValueWatcher list_watcher_;
+  telemetry::RequestMetrics metrics_;
+  membership::VmList list_;
+
+  std::map<peer::ServerStream, Reader> readers_;
+  std::map<execution::Counter, std::set<peer::ServerStream>> streams_of_;
+  std::map<execution::Counter, TokenTimer> timers_;
+  std::map<std::string, std::unique_ptr<peer::PeerLink>> sidecar_links_;
+  std::set<std::string> asked_;
+
+  QTimer tick_timer_;
+  BootTime last_tick_;
+  BootTime last_heard_;
+  bool pump_scheduled_ = false;
+  std::optional<BootTime> stop_deadline_;
+  std::uint64_t preemptions_ = 0;
+};
+
+}  // namespace balsam::sidecar
--- /dev/null
+++ b/utilities/standin/main.cc
@@ -0,0 +1,128 @@
+// balsam-standin: small stand-ins of the systems around balsampaddle, for the
+// demonstration and for tests.
+#include <QCoreApplication>
+#include <QHostAddress>
+#include <QTcpServer>
+#include <cxxopts.hpp>
+#include <fstream>
+#include <iostream>
+#include <iterator>
+#include <memory>
+#include <vector>
+
+#include "utilities/standin/engine_server.h"
+#include "utilities/standin/platform_server.h"
+#include "utilities/standin/service_server.h"
+
+namespace {
+
+using balsam::standin::EngineServer;
+using balsam::standin::EngineServerOptions;
+using balsam::standin::PlatformServer;
+using balsam::standin::ServiceServer;
+
+constexpr int kExitBadUsage = 2;
+
+std::string ReadFile(const std::string& path) {
+  std::ifstream file(path);
+  return {std::istreambuf_iterator<char>(file), {}};
+}
+
+EngineServerOptions EngineOptionsFrom(const cxxopts::ParseResult& parsed) {
+  EngineServerOptions options;
+  options.parameters.memory_tokens = parsed["memory-tokens"].as<std::int64_t>();
+  options.parameters.max_batch = parsed["max-batch"].as<std::int64_t>();
+  options.parameters.step_base =
+      std::chrono::microseconds(parsed["step-us"].as<std::int64_t>());
+  options.time_scale = parsed["time-scale"].as<double>();
+  options.seed = parsed["seed"].as<std::uint64_t>();
+  options.median_output_tokens = parsed["median-output"].as<double>();
+  return options;
+}
+
+int Announce(std::uint16_t port) {
+  if (port == 0) {
+    std::cerr << "balsam-standin: cannot listen\n";
+    return 1;
+  }
+  std::cout << "port=" << port << std::endl;
+  return QCoreApplication::exec();
+}
+
+// Prints free ports, found by holding all of them at once.
+int PrintFreePorts(int count) {
+  std::vector<std::unique_ptr<QTcpServer>> listeners;
+  for (int i = 0; i < count; ++i) {
+    listeners.push_back(std::make_unique<QTcpServer>());
+    if (!listeners.back()->listen(QHostAddress::LocalHost)) return 1;
+    std::cout << listeners.back()->serverPort() << '\n';
+  }
+  return 0;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  cxxopts::Options options("balsam-standin",
+                           "Stands in for an engine, a plain service or the "
+                           "platform");
+  options.add_options()("role", "engine, service, platform or ports",
+                        cxxopts::value<std::string>())(
+      "port", "Port on 127.0.0.1; 0 takes a free one",
+      cxxopts::value<std::uint16_t>()->default_value("0"))(
+      "count", "ports: how many free ports to print",
+      cxxopts::value<int>()->default_value("1"))(
+      "templates", "platform: file of the first templates",
+      cxxopts::value<std::string>()->default_value(""))(
+      "vms", "platform: file of the first VM list",
+      cxxopts::value<std::string>()->default_value(""))(
+      "memory-tokens", "engine: key-value memory",
+      cxxopts::value<std::int64_t>()->default_value("40000"))(
+      "max-batch", "engine: most generations at once",
+      cxxopts::value<std::int64_t>()->default_value("128"))(
+      "step-us", "engine: base time of a step, in microseconds",
+      cxxopts::value<std::int64_t>()->default_value("8000"))(
+      "time-scale", "engine: virtual seconds for each real one",
+      cxxopts::value<double>()->default_value("1"))(
+      "median-output", "engine: median of output lengths, in tokens",
+      cxxopts::value<double>()->default_value("60"))(
+      "seed", "engine: seed of the lengths",
+      cxxopts::value<std::uint64_t>()->default_value("1"))("help",
+                                                           "Print this help");
+  options.parse_positional("role");
+  options.positional_help("ROLE");
+  try {
+    const auto parsed = options.parse(argc, argv);
+    if (parsed.count("help") > 0) {
+      std::cout << options.help() << '\n';
+      return 0;
+    }
+    QCoreApplication application(argc, argv);
+    const auto role = parsed["role"].as<std::string>();
+    const auto port = parsed["port"].as<std::uint16_t>();
+    if (role == "engine") {
+      EngineServer engine(EngineOptionsFrom(parsed));
+      return Announce(engine.Start(port));
+    }
+    if (role == "service") {
+      ServiceServer service;
+      return Announce(service.Start(port));
+    }
+    if (role == "ports") return PrintFreePorts(parsed["count"].as<int>());
+    if (role == "platform") {
+      PlatformServer platform;
+      const auto templates = parsed["templates"].as<std::string>();
+      const auto vms = parsed["vms"].as<std::string>();
+      if (!templates.empty()) {
+        platform.Publish("templates", ReadFile(templates));
+      }
+      if (!vms.empty()) platform.Publish("vms", ReadFile(vms));
+      return Announce(platform.Start(port));
+    }
+    std::cerr << "balsam-standin: role \"" << role << "\" does not exist\n";
+    return kExitBadUsage;
+  } catch (const std::exception& error) {
+    std::cerr << "balsam-standin: " << error.what() << '\n';
+    return kExitBadUsage;
+  }
+}
