Test tokens-once, at-most-once and not-run on real processes

Cause: the decisions were proved without I/O; the adapters were not. A dead sidecar held a whole answer up for 5.2 s, the full resume window, although its port refused connections. Change: eight refusals in a row end the search; a peer that is cut off does not refuse and keeps the window. After a home was listed as leaving, 4 of 10 new keys were answered 'unknown': the leaving sidecar exited without a word, and the others heard of the list only with their next request. Ruled out: waiting for the platform to drop the VM. Change: a leaving sidecar drains but stays, a draining one announces its seal to its service, and the watching entries push the list to the homes of keys.

--- a/libraries/peer/messages.cc
+++ b/libraries/peer/messages.cc
@@ -278,6 +278,7 @@
   fields(2, message.incarnation);
   fields(3, message.list_revision);
   fields(4, message.list_text);
+  fields(5, message.sealed);
 }
 
 template <typename Fields>
--- a/libraries/peer/messages.h
+++ b/libraries/peer/messages.h
@@ -52,6 +52,8 @@
   std::uint64_t incarnation = 0;
   std::uint64_t list_revision = 0;
   std::string list_text;
+  // The asker takes no keys any more.
+  bool sealed = false;
 };
 
 struct ConfirmReply {
--- a/libraries/relay/relay.cc
+++ b/libraries/relay/relay.cc
@@ -82,6 +82,7 @@
     return steps;
   }
   broken_since_.reset();
+  refused_resumes_ = 0;
   const auto known = std::min<std::uint64_t>(expected - first, tokens.size());
   const auto fresh = tokens.subspan(known);
   if (fresh.empty()) return {};
@@ -143,7 +144,11 @@
                      : Outcome::Unknown(ResultCode::kSidecarLost,
                                         "the connection to the sidecar broke");
   lost.retry_after = kRetryAfterLoss;
-  if (generation_.has_value()) return TryResume(std::move(lost), now);
+  if (generation_.has_value()) {
+    const bool refused = end == AttemptEnd::kNotProcessed;
+    refused_resumes_ = refused ? refused_resumes_ + 1 : 0;
+    return TryResume(std::move(lost), now);
+  }
   if (end == AttemptEnd::kBroken) {
     may_have_run_ = true;
     if (MayRerun() || config_.bound) return TryElsewhere(std::move(lost), now);
@@ -190,12 +195,15 @@
   generation_.reset();
   held_.clear();
   broken_since_.reset();
+  refused_resumes_ = 0;
   return {Place{excluded_, true, suspicion_}};
 }
 
 Steps Relay::TryResume(Outcome otherwise, BootTime now) {
   if (!broken_since_.has_value()) broken_since_ = now;
-  if (now < *broken_since_ + config_.resume_window) {
+  const bool seeks = now < *broken_since_ + config_.resume_window &&
+                     refused_resumes_ < config_.max_refused_resumes;
+  if (seeks) {
     const bool first = now == *broken_since_;
     return {Resume{*generation_, delivered_ + held_.size(),
                    first ? now : now + config_.resume_interval}};
--- a/libraries/relay/relay.h
+++ b/libraries/relay/relay.h
@@ -32,6 +32,9 @@
   // How long the holder of a generation is sought after its connection broke.
   std::chrono::milliseconds resume_window{5000};
   std::chrono::milliseconds resume_interval{100};
+  // Refused connections in a row after which the holder is taken for dead. A
+  // peer that is cut off does not refuse, so it keeps the whole window.
+  int max_refused_resumes = 8;
 };
 
 // Find a backend server and send the request there.
@@ -130,6 +133,7 @@
   // Tokens of a generation that is delivered whole, from `delivered_` on.
   std::vector<std::string> held_;
   std::optional<BootTime> broken_since_;
+  int refused_resumes_ = 0;
   std::uint64_t stray_tokens_ = 0;
 };
 
--- a/libraries/templates/template_set.cc
+++ b/libraries/templates/template_set.cc
@@ -194,6 +194,17 @@
   return services_.contains(service);
 }
 
+std::vector<std::string> TemplateSet::ServicesWithKeys() const {
+  std::vector<std::string> names;
+  std::ranges::for_each(services_, [&names](const auto& service) {
+    const bool with_keys = std::ranges::any_of(
+        service.second,
+        [](const auto& method) { return !method.second.idempotent; });
+    if (with_keys) names.push_back(service.first);
+  });
+  return names;
+}
+
 const ServiceMethod* TemplateSet::FindMethod(std::string_view service,
                                              std::string_view method) const {
   const auto found = services_.find(service);
--- a/libraries/templates/template_set.h
+++ b/libraries/templates/template_set.h
@@ -85,6 +85,8 @@
   // The service that runs `model`, or null.
   const std::string* ServiceOfModel(std::string_view model) const;
   bool HasService(std::string_view service) const;
+  // Services with a method that must not be repeated.
+  std::vector<std::string> ServicesWithKeys() const;
   // Null if the service has no such method.
   const ServiceMethod* FindMethod(std::string_view service,
                                   std::string_view method) const;
--- a/services/entry/state_follower.cc
+++ b/services/entry/state_follower.cc
@@ -148,14 +148,19 @@
       vm, {QHostAddress(QString::fromStdString(row->address)), row->peer_port});
 }
 
-void StateFollower::AskAddress(const std::string& name,
-                               const peer::PeerAddress& address) {
+peer::PeerLink& StateFollower::LinkTo(const std::string& name,
+                                      const peer::PeerAddress& address) {
   auto& link = links_[name];
   if (link == nullptr || link->address() != address) {
     link = std::make_unique<peer::PeerLink>(
         address, QByteArray::fromStdString(shared_.settings.peer_key),
         peer::ConnectionLimits{});
   }
+  return *link;
+}
+
+void StateFollower::AskAddress(const std::string& name,
+                               const peer::PeerAddress& address) {
   peer::PeerLink::Handlers handlers;
   handlers.on_message = [this, name](const peer::Message& message) {
     const auto* reply = std::get_if<peer::GossipReply>(&message);
@@ -171,7 +176,8 @@
     awaited_.erase(name);
     CheckReady();
   };
-  link->Open(peer::kGossipPath, Knowledge(), std::move(handlers));
+  LinkTo(name, address)
+      .Open(peer::kGossipPath, Knowledge(), std::move(handlers));
 }
 
 void StateFollower::OnRequest(const peer::ServerStream& stream,
@@ -208,6 +214,23 @@
                         [this](const std::string& vm) { Ask(vm); });
 }
 
+void StateFollower::PushListToSidecars() {
+  const auto list = shared_.vms.Read();
+  const auto with_keys = shared_.templates.InForce()->ServicesWithKeys();
+  peer::GossipRequest gossip = Knowledge();
+  gossip.list_text = list->text();
+  std::ranges::for_each(list->vms(), [&](const membership::Vm& vm) {
+    const bool needs_list =
+        vm.role == membership::VmRole::kBackend &&
+        (vm.state == membership::VmState::kLeaving ||
+         std::ranges::find(with_keys, vm.service) != with_keys.end());
+    if (!needs_list) return;
+    const peer::PeerAddress address{
+        QHostAddress(QString::fromStdString(vm.address)), vm.peer_port};
+    LinkTo(vm.id, address).Open(peer::kGossipPath, gossip, {});
+  });
+}
+
 void StateFollower::OfferTemplates(std::uint64_t revision,
                                    const std::string& text,
                                    const std::string& source) {
@@ -260,7 +283,14 @@
   LogEvent("vm_list").With("revision", revision).With("source", source);
   UpdateRole();
   AskEverybodyOnce();
-  if (watching()) Announce();
+  if (watching()) {
+    Announce();
+    PushListToSidecars();
+  }
+  // Links to VMs that left are of no more use.
+  std::erase_if(links_, [&](const auto& link) {
+    return !listed.contains(link.first) && link.second->open_streams() == 0;
+  });
 }
 
 void StateFollower::AskEverybodyOnce() {
--- a/services/entry/state_follower.h
+++ b/services/entry/state_follower.h
@@ -53,8 +53,13 @@
   // Asks one entry what it knows.
   void Ask(const std::string& vm);
   void AskAddress(const std::string& name, const peer::PeerAddress& address);
+  peer::PeerLink& LinkTo(const std::string& name,
+                         const peer::PeerAddress& address);
   // Tells all entries of this data centre, and one of each other, at once.
   void Announce();
+  // Tells the sidecars that need the list: those that are homes of keys, and
+  // those whose VM is leaving.
+  void PushListToSidecars();
   void AskEverybodyOnce();
   void CheckReady();
   std::vector<std::string> OtherEntries(bool same_data_center) const;
--- a/services/sidecar/sidecar_node.cc
+++ b/services/sidecar/sidecar_node.cc
@@ -15,6 +15,8 @@
 
 constexpr milliseconds kTickInterval{50};
 constexpr milliseconds kLingerTime{200};
+// How long a stop waits for peers of the service to hear of the seal.
+constexpr milliseconds kSealPatience{1000};
 // A sidecar that heard of no list for this long reads the platform itself.
 constexpr milliseconds kListPatience{30000};
 constexpr qsizetype kMaxQueuedBytes = 64 << 10;
@@ -215,6 +217,11 @@
 void SidecarNode::OnConfirm(const peer::ServerStream& stream,
                             const peer::ConfirmRequest& request) {
   AdoptList(request.list_revision, request.list_text);
+  if (request.sealed) {
+    executor_.authority().OnConfirmation(
+        {request.vm, request.incarnation, request.list_revision, true, false},
+        Moment::Now().wall);
+  }
   peer::ConfirmReply reply;
   reply.confirmation = executor_.authority().Confirm(
       request.vm, request.incarnation, Moment::Now().wall);
@@ -384,60 +391,89 @@
             .With("reason", error.detail);
         return false;
       });
-  // The platform says by the list that this VM is leaving.
+  // The platform says by the list that this VM is leaving; it ends the process
+  // when it wants to.
   const membership::Vm* self = list_.Find(settings_.vm.id);
   if (self != nullptr && self->state == membership::VmState::kLeaving) {
-    BeginStop();
+    BeginDrain();
   }
 }
 
 void SidecarNode::AskForConfirmations() {
   const auto peers = executor_.authority().UnconfirmedPeers();
   std::ranges::for_each(peers, [this](const std::string& vm) {
-    if (asked_.contains(vm)) return;
-    const membership::Vm* row = list_.Find(vm);
-    if (row == nullptr) return;
-    const peer::PeerAddress address{
-        QHostAddress(QString::fromStdString(row->address)), row->peer_port};
-    auto& link = sidecar_links_[vm];
-    if (link == nullptr || link->address() != address) {
-      link = std::make_unique<peer::PeerLink>(
-          address, QByteArray::fromStdString(settings_.peer_key),
-          peer::ConnectionLimits{});
-    }
-    asked_.insert(vm);
-    peer::PeerLink::Handlers handlers;
-    handlers.on_message = [this](const peer::Message& message) {
-      const auto* reply = std::get_if<peer::ConfirmReply>(&message);
-      if (reply == nullptr) return;
-      AdoptList(reply->confirmation.list_revision, reply->list_text);
-      executor_.authority().OnConfirmation(reply->confirmation,
-                                           Moment::Now().wall);
-    };
-    handlers.on_end = [this, vm](peer::StreamEnd) { asked_.erase(vm); };
-    const execution::Executor& executor = executor_;
-    link->Open(peer::kConfirmPath,
-               peer::ConfirmRequest{settings_.vm.id, executor.incarnation(),
-                                    list_.revision(), list_.text()},
-               std::move(handlers));
+    if (!asked_.insert(vm).second) return;
+    Confirm(vm, [this, vm] { asked_.erase(vm); });
   });
 }
 
+void SidecarNode::Confirm(const std::string& vm, std::function<void()> on_end) {
+  const membership::Vm* row = list_.Find(vm);
+  if (row == nullptr) {
+    on_end();
+    return;
+  }
+  const peer::PeerAddress address{
+      QHostAddress(QString::fromStdString(row->address)), row->peer_port};
+  auto& link = sidecar_links_[vm];
+  if (link == nullptr || link->address() != address) {
+    link = std::make_unique<peer::PeerLink>(
+        address, QByteArray::fromStdString(settings_.peer_key),
+        peer::ConnectionLimits{});
+  }
+  peer::PeerLink::Handlers handlers;
+  handlers.on_message = [this](const peer::Message& message) {
+    const auto* reply = std::get_if<peer::ConfirmReply>(&message);
+    if (reply == nullptr) return;
+    AdoptList(reply->confirmation.list_revision, reply->list_text);
+    executor_.authority().OnConfirmation(reply->confirmation,
+                                         Moment::Now().wall);
+  };
+  handlers.on_end = [on_end = std::move(on_end)](peer::StreamEnd) { on_end(); };
+  link->Open(peer::kConfirmPath,
+             peer::ConfirmRequest{settings_.vm.id, executor_.incarnation(),
+                                  list_.revision(), list_.text(),
+                                  executor_.authority().sealed()},
+             std::move(handlers));
+}
+
 // --- Stopping ---
 
-void SidecarNode::BeginStop() {
+void SidecarNode::BeginDrain() {
   if (executor_.draining()) return;
   LogEvent("draining").With("vm", settings_.vm.id);
   // Peers may still connect to collect what runs or ran here; new work is
   // refused by the executor.
   executor_.BeginDrain(Moment::Now());
-  stop_deadline_ = BootClock::now() + settings_.stop_deadline;
+  AnnounceSeal();
   Pump();
 }
 
+void SidecarNode::AnnounceSeal() {
+  seal_deadline_ = BootClock::now() + kSealPatience;
+  auto peers = list_.BackendVmsOf(settings_.service, /*live_only=*/false);
+  std::erase(peers, settings_.vm.id);
+  seal_unheard_.insert(peers.begin(), peers.end());
+  std::ranges::for_each(peers, [this](const std::string& vm) {
+    Confirm(vm, [this, vm] {
+      seal_unheard_.erase(vm);
+      FinishStopIfIdle();
+    });
+  });
+}
+
+void SidecarNode::BeginStop() {
+  if (std::exchange(stopping_, true)) return;
+  stop_deadline_ = BootClock::now() + settings_.stop_deadline;
+  BeginDrain();
+  FinishStopIfIdle();
+}
+
 void SidecarNode::FinishStopIfIdle() {
+  const bool announced =
+      seal_unheard_.empty() || BootClock::now() >= seal_deadline_;
   const bool done =
-      executor_.draining() && executor_.IsIdle() && readers_.empty();
+      stopping_ && announced && executor_.IsIdle() && readers_.empty();
   if (!done || !on_stopped) return;
   // What is written last must leave before the process does.
   server_.BeginShutdown();
--- a/services/sidecar/sidecar_node.h
+++ b/services/sidecar/sidecar_node.h
@@ -34,6 +34,8 @@
   Result<void> Start();
   // Takes nothing new, lets what runs finish, then calls `on_stopped`.
   void BeginStop();
+  // Takes nothing new, but stays to answer for what it ran.
+  void BeginDrain();
 
   std::uint16_t peer_port() const { return server_.port(); }
   std::uint16_t operator_port() const { return operators_.port(); }
@@ -74,6 +76,9 @@
   void Tick();
   void AdoptList(std::uint64_t revision, const std::string& text);
   void AskForConfirmations();
+  // Sends one peer of the service what this sidecar has adopted.
+  void Confirm(const std::string& vm, std::function<void()> on_end);
+  void AnnounceSeal();
   void FinishStopIfIdle();
   nlohmann::json Status() const;
 
@@ -95,7 +100,11 @@
   QTimer tick_timer_;
   BootTime last_heard_;
   bool pump_scheduled_ = false;
+  bool stopping_ = false;
   std::optional<BootTime> stop_deadline_;
+  // Peers that have not heard of the seal, and how long they are waited for.
+  std::set<std::string> seal_unheard_;
+  BootTime seal_deadline_;
   std::uint64_t preemptions_ = 0;
 };
 
--- a/tests/libraries/relay/relay_test.cc
+++ b/tests/libraries/relay/relay_test.cc
@@ -316,6 +316,21 @@
             ResultCode::kGenerationNotFound);
 }
 
+TEST(RelayTokensOnceTest, AHolderThatRefusesIsGivenUpEarly) {
+  Relay relay = Placed(Config());
+  relay.OnAccepted(Id("a"));
+  relay.OnTokens(Id("a"), 0, Tokens(0, 1), kStart);
+  Steps steps = relay.OnAttemptEnd(AttemptEnd::kBroken, kStart);
+  BootTime now = kStart;
+  for (int i = 0; i < Config().max_refused_resumes; ++i) {
+    ASSERT_NE(Find<Resume>(steps), nullptr);
+    now = Find<Resume>(steps)->when + milliseconds(1);
+    steps = relay.OnAttemptEnd(AttemptEnd::kNotProcessed, now);
+  }
+  EXPECT_EQ(Find<Conclude>(steps)->outcome.code, ResultCode::kGenerationLost);
+  EXPECT_LT(now, kStart + Config().resume_window);
+}
+
 TEST(RelayTokensOnceTest, ResumingStopsAfterItsWindow) {
   Relay relay = Placed(Config());
   relay.OnAccepted(Id("a"));
@@ -326,7 +341,7 @@
   while (Find<Resume>(steps) != nullptr && resumes < 1000) {
     ++resumes;
     now = Find<Resume>(steps)->when + milliseconds(1);
-    steps = relay.OnAttemptEnd(AttemptEnd::kNotProcessed, now);
+    steps = relay.OnAttemptEnd(AttemptEnd::kBroken, now);
   }
   ASSERT_NE(Find<Conclude>(steps), nullptr);
   EXPECT_EQ(Find<Conclude>(steps)->outcome.code, ResultCode::kGenerationLost);
--- /dev/null
+++ b/tests/processes/main.cc
@@ -0,0 +1,10 @@
+// Runs the tests of real processes on one event loop.
+#include <gtest/gtest.h>
+
+#include <QCoreApplication>
+
+int main(int argc, char** argv) {
+  QCoreApplication application(argc, argv);
+  testing::InitGoogleTest(&argc, argv);
+  return RUN_ALL_TESTS();
+}
