--- a/libraries/peer/http2_connection.cc
+++ b/libraries/peer/http2_connection.cc
@@ -384,7 +384,20 @@
   const bool finished = state_ == State::kOpen &&
                         nghttp2_session_want_read(session_) == 0 &&
                         nghttp2_session_want_write(session_) == 0;
-  if (finished) Close("session finished");
+  if (finished) CloseWhenWritten();
+}
+
+void Http2Connection::CloseWhenWritten() {
+  QTcpSocket* socket = socket_;
+  if (socket != nullptr) {
+    // The socket outlives this connection until its buffer is empty.
+    socket->disconnect(this);
+    socket->setParent(nullptr);
+    connect(socket, &QTcpSocket::disconnected, socket, &QObject::deleteLater);
+    socket->disconnectFromHost();
+    socket_ = nullptr;
+  }
+  Close("session finished");
 }
 
 void Http2Connection::CheckSilence() {
--- a/libraries/peer/http2_connection.h
+++ b/libraries/peer/http2_connection.h
@@ -85,6 +85,8 @@
   void BeginShutdown();
   // Closes at once; every open stream ends as it stands.
   void Close(const QString& reason);
+  // Closes once what was written has left.
+  void CloseWhenWritten();
 
   // Payload bytes since the connection opened, for the cost of control.
   std::uint64_t bytes_received() const { return bytes_received_; }
--- a/libraries/placement/placement.cc
+++ b/libraries/placement/placement.cc
@@ -69,6 +69,15 @@
              : first;
 }
 
+std::vector<std::string> ForecastHomes(std::uint64_t fingerprint,
+                                       std::vector<std::string> vms) {
+  std::ranges::sort(vms, std::greater<>(), [fingerprint](const auto& vm) {
+    return membership::StableHash(vm, fingerprint);
+  });
+  vms.resize(std::min(vms.size(), kForecastChoices));
+  return vms;
+}
+
 std::size_t Forecast::Choose(const PlacementQuery& query,
                              std::span<const Candidate> candidates) {
   std::vector<std::size_t> order(candidates.size());
--- a/libraries/placement/placement.h
+++ b/libraries/placement/placement.h
@@ -92,6 +92,11 @@
 std::size_t Choose(AnyPolicy& policy, const PlacementQuery& query,
                    std::span<const Candidate> candidates);
 
+// The VMs among which the forecast policy chooses when all of `vms` can take
+// the request.
+std::vector<std::string> ForecastHomes(std::uint64_t fingerprint,
+                                       std::vector<std::string> vms);
+
 // The load that the forecast policy expects at the candidate, the query's own
 // tokens included, as a share of capacity.
 double ForecastLoad(const PlacementQuery& query, const Candidate& candidate);
--- a/services/entry/caller_session.cc
+++ b/services/entry/caller_session.cc
@@ -117,6 +117,8 @@
     Carry(relay_.OnNoPlace(std::move(spent), now));
     return;
   }
+  request_.work.suspicion =
+      std::max(step.suspicion, shared_.CrashesOf(request_.work.fingerprint));
   auto choice = pool_.Choose(request_, step.excluded);
   if (auto* outcome = std::get_if<Outcome>(&choice)) {
     Carry(relay_.OnNoPlace(std::move(*outcome), now));
@@ -124,8 +126,6 @@
   }
   const std::string vm = std::get<std::string>(choice);
   relay_.OnPlaced(vm);
-  request_.work.suspicion =
-      std::max(step.suspicion, shared_.CrashesOf(request_.work.fingerprint));
   request_.work.list_revision = shared_.vms.Read()->revision();
   shared_.board.OnSent(vm, request_.work.prompt_tokens);
   Send(vm, peer::kExecutePath, peer::ExecuteRequest{request_.work});
