--- a/libraries/admission/memory_forecast.cc
+++ b/libraries/admission/memory_forecast.cc
@@ -23,7 +23,10 @@
   const auto produced = static_cast<double>(generation.produced_tokens);
   const auto limit = static_cast<double>(generation.max_output_tokens);
   if (horizon > 0 && produced + horizon > limit) return {};
-  const double alive = generation.lengths->SurvivalAfter(produced, horizon);
+  const double alive =
+      generation.lengths == nullptr
+          ? 1.0
+          : generation.lengths->SurvivalAfter(produced, horizon);
   const double size =
       static_cast<double>(generation.prompt_tokens) + produced + horizon;
   return {alive * size, alive * (1.0 - alive) * size * size};
--- a/libraries/admission/memory_forecast.h
+++ b/libraries/admission/memory_forecast.h
@@ -16,7 +16,7 @@
   std::int64_t prompt_tokens = 0;
   std::int64_t produced_tokens = 0;
   std::int64_t max_output_tokens = 0;
-  // Outlives the forecast; never null.
+  // Outlives the forecast. Null if the length is known: `max_output_tokens`.
   const LengthModel* lengths = nullptr;
 };
 
--- a/libraries/execution/executor.cc
+++ b/libraries/execution/executor.cc
@@ -327,26 +327,32 @@
   // An idle engine takes anything, or a prompt larger than the forecast allows
   // would wait for ever.
   if (running_generations_ == 0) return true;
+  if (policy_ == AdmissionPolicy::kImmediate) return true;
   if (policy_ == AdmissionPolicy::kResidentOnly) {
     return resident_tokens_ + record.work.prompt_tokens <=
            config_.memory.capacity_tokens;
   }
   auto resident = Resident();
-  resident.push_back({record.work.prompt_tokens, 0,
-                      record.work.max_output_tokens, record.lengths});
+  resident.push_back(ResidentOf(record));
   return admission::FitsAtRisk(resident, config_.memory,
                                record.work.overflow_risk);
 }
 
+admission::ResidentGeneration Executor::ResidentOf(
+    const GenerationRecord& record) const {
+  const bool known = policy_ == AdmissionPolicy::kKnownLengths;
+  return {record.work.prompt_tokens,
+          static_cast<std::int64_t>(record.log.end()),
+          record.work.max_output_tokens, known ? nullptr : record.lengths};
+}
+
 std::vector<admission::ResidentGeneration> Executor::Resident() const {
   std::vector<admission::ResidentGeneration> resident;
   resident.reserve(running_generations_ + 1);
   std::ranges::for_each(active_, [&](Counter counter) {
     const GenerationRecord* record = Find(counter);
     if (!record->HoldsMemory()) return;
-    resident.push_back({record->work.prompt_tokens,
-                        static_cast<std::int64_t>(record->log.end()),
-                        record->work.max_output_tokens, record->lengths});
+    resident.push_back(ResidentOf(*record));
   });
   return resident;
 }
@@ -562,8 +568,7 @@
                        record->work.kind == WorkKind::kGeneration &&
                        record->queue_deadline > now.boot;
     if (!waits) return;
-    resident.push_back({record->work.prompt_tokens, 0,
-                        record->work.max_output_tokens, record->lengths});
+    resident.push_back(ResidentOf(*record));
   });
   report.peak_load = admission::PeakLoad(resident, config_.memory);
   return report;
--- a/libraries/execution/executor.h
+++ b/libraries/execution/executor.h
@@ -80,8 +80,13 @@
 enum class AdmissionPolicy {
   // By the forecast of memory.
   kForecast,
-  // While the tokens that are resident now fit: the baseline.
+  // By the forecast, with `max_output_tokens` taken for the length: a bound for
+  // experiments in which lengths are known.
+  kKnownLengths,
+  // While the tokens that are resident now fit.
   kResidentOnly,
+  // At once; the engine's own queue orders the work.
+  kImmediate,
 };
 
 class Executor {
@@ -183,6 +188,8 @@
   admission::LengthModel& LengthsOf(const Work& work);
   std::chrono::milliseconds ExpectedWait(std::size_t ahead) const;
   std::vector<admission::ResidentGeneration> Resident() const;
+  admission::ResidentGeneration ResidentOf(
+      const GenerationRecord& record) const;
 
   ExecutorConfig config_;
   AdmissionPolicy policy_;
--- a/libraries/placement/load_board.cc
+++ b/libraries/placement/load_board.cc
@@ -4,11 +4,22 @@
 #include <algorithm>
 
 namespace balsam::placement {
+namespace {
+
+constexpr std::chrono::milliseconds kReportLag{2000};
+
+}  // namespace
 
 void LoadBoard::OnReport(const std::string& vm,
                          const execution::LoadReport& report) {
   const std::lock_guard lock(mutex_);
   Candidate& row = rows_[vm];
+  const BootTime now = BootClock::now();
+  BootTime& lagged_at = lagged_at_[vm];
+  if (now - lagged_at >= kReportLag) {
+    row.lagged_report = report;
+    lagged_at = now;
+  }
   row.report = report;
   row.sent_requests = 0;
   row.sent_tokens = 0;
--- a/libraries/placement/load_board.h
+++ b/libraries/placement/load_board.h
@@ -28,6 +28,7 @@
  private:
   mutable std::mutex mutex_;
   std::map<std::string, Candidate> rows_;
+  std::map<std::string, BootTime> lagged_at_;
 };
 
 }  // namespace balsam::placement
--- a/libraries/placement/placement.cc
+++ b/libraries/placement/placement.cc
@@ -22,8 +22,8 @@
 static_assert(PlacementPolicy<Forecast>);
 
 double ReportedLoad(const Candidate& candidate) {
-  if (!candidate.report.has_value()) return 0.0;
-  const auto& report = *candidate.report;
+  if (!candidate.lagged_report.has_value()) return 0.0;
+  const auto& report = *candidate.lagged_report;
   return static_cast<double>(report.resident_tokens) /
              static_cast<double>(
                  std::max<std::int64_t>(1, report.capacity_tokens)) +
--- a/libraries/placement/placement.h
+++ b/libraries/placement/placement.h
@@ -22,6 +22,8 @@
   std::string vm;
   // The newest report that arrived; absent before the first.
   std::optional<execution::LoadReport> report;
+  // An earlier report, as a platform would publish it.
+  std::optional<execution::LoadReport> lagged_report;
   // Requests and tokens that this entry sent there since that report.
   std::int64_t sent_requests = 0;
   std::int64_t sent_tokens = 0;
@@ -57,7 +59,7 @@
                      std::span<const Candidate> candidates);
 };
 
-// The less loaded of two random candidates by their last reports.
+// The less loaded of two random candidates by reports that lag.
 class TwoChoices {
  public:
   explicit TwoChoices(std::uint64_t seed) : random_(seed) {}
--- a/services/sidecar/sidecar_node.cc
+++ b/services/sidecar/sidecar_node.cc
@@ -59,10 +59,7 @@
 SidecarNode::SidecarNode(SidecarSettings settings, QObject* parent)
     : QObject(parent),
       settings_(std::move(settings)),
-      executor_(ConfigFrom(settings_), Moment::Now(),
-                settings_.forecast_admission
-                    ? execution::AdmissionPolicy::kForecast
-                    : execution::AdmissionPolicy::kResidentOnly),
+      executor_(ConfigFrom(settings_), Moment::Now(), settings_.admission),
       backend_({QUrl(QString::fromStdString(settings_.backend_url)),
                 settings_.backend_silence_limit}),
       server_(QByteArray::fromStdString(settings_.peer_key), {}),
--- a/services/sidecar/sidecar_settings.cc
+++ b/services/sidecar/sidecar_settings.cc
@@ -22,8 +22,8 @@
   settings.reserve_tokens =
       reader.Integer("reserve_tokens", 0, kMaxCapacityTokens, 0);
   settings.max_running = reader.Integer("max_running", 1, 100000, 256);
-  settings.forecast_admission =
-      reader.Choice("admission", {"forecast", "resident"}, 0) == 0;
+  settings.admission = static_cast<execution::AdmissionPolicy>(reader.Choice(
+      "admission", {"forecast", "known_lengths", "resident", "immediate"}, 0));
   settings.backend_silence_limit =
       reader.Duration("silence_limit", kOneMillisecond, kMaxLimit,
                       settings.backend_silence_limit);
--- a/services/sidecar/sidecar_settings.h
+++ b/services/sidecar/sidecar_settings.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "libraries/execution/executor.h"
 #include "libraries/settings/process_settings.h"
 
 namespace balsam::sidecar {
@@ -26,8 +27,7 @@
   std::int64_t capacity_tokens = 0;
   std::int64_t reserve_tokens = 0;
   std::int64_t max_running = 0;
-  // "forecast", or "resident" for the baseline.
-  bool forecast_admission = true;
+  execution::AdmissionPolicy admission = execution::AdmissionPolicy::kForecast;
   std::chrono::milliseconds backend_silence_limit{15000};
 
   std::chrono::milliseconds reader_grace{30000};
