Pace prompts and keep headroom for live answers

Cause: prompts that fall into one engine step set the tail between tokens, and dossiers that hold the memory make live guests wait past their deadline. Ruled out: refusing more dossiers, which would lose work that can wait. A spent retry budget no longer hides the first refusal behind a code of its own.

--- a/libraries/base/result_code.cc
+++ b/libraries/base/result_code.cc
@@ -37,7 +37,6 @@
     Row{ResultCode::kNoBackendServer, "no_backend_server", 503},
     Row{ResultCode::kQuarantined, "quarantined", 422},
     Row{ResultCode::kStaleVmList, "stale_vm_list", 503},
-    Row{ResultCode::kRetryBudgetSpent, "retry_budget_spent", 503},
     Row{ResultCode::kBackendServerLost, "backend_server_lost", 502},
     Row{ResultCode::kSidecarLost, "sidecar_lost", 502},
     Row{ResultCode::kGenerationLost, "generation_lost", 502},
--- a/libraries/base/result_code.h
+++ b/libraries/base/result_code.h
@@ -36,7 +36,6 @@
   kNoBackendServer = 2005,
   kQuarantined = 2006,
   kStaleVmList = 2007,
-  kRetryBudgetSpent = 2008,
 
   kBackendServerLost = 3001,
   kSidecarLost = 3002,
--- a/libraries/execution/executor.cc
+++ b/libraries/execution/executor.cc
@@ -277,6 +277,11 @@
 std::vector<Counter> Executor::TakeDispatches(Moment now) {
   NoticePause(now);
   ExpireQueue(now);
+  const std::chrono::duration<double, std::milli> passed = now.boot - paced_at_;
+  prompt_debt_ =
+      std::max(0.0, prompt_debt_ -
+                        passed.count() * config_.prompt_tokens_per_millisecond);
+  paced_at_ = now.boot;
   std::vector<Counter> dispatches;
   const auto fits = [&](admission::WorkNumber counter) {
     return FitsNow(*Get(counter), now);
@@ -288,6 +293,7 @@
     if (record.work.kind == WorkKind::kGeneration) {
       ++running_generations_;
       resident_tokens_ += record.work.prompt_tokens;
+      prompt_debt_ += static_cast<double>(record.work.prompt_tokens);
       queue_.Charge(record.work.workspace,
                     static_cast<double>(record.work.prompt_tokens));
     } else {
@@ -328,14 +334,23 @@
   // would wait for ever.
   if (running_generations_ == 0) return true;
   if (policy_ == AdmissionPolicy::kImmediate) return true;
+  if (prompt_debt_ > 0.0 && config_.prompt_burst_tokens > 0 &&
+      prompt_debt_ + static_cast<double>(record.work.prompt_tokens) >
+          static_cast<double>(config_.prompt_burst_tokens)) {
+    return false;
+  }
   if (policy_ == AdmissionPolicy::kResidentOnly) {
     return resident_tokens_ + record.work.prompt_tokens <=
            config_.memory.capacity_tokens;
   }
   auto resident = Resident();
   resident.push_back(ResidentOf(record));
-  return admission::FitsAtRisk(resident, config_.memory,
-                               record.work.overflow_risk);
+  admission::MemoryLimits limits = config_.memory;
+  if (record.work.whole) {
+    limits.reserve_tokens += static_cast<std::int64_t>(
+        config_.live_headroom * static_cast<double>(limits.capacity_tokens));
+  }
+  return admission::FitsAtRisk(resident, limits, record.work.overflow_risk);
 }
 
 admission::ResidentGeneration Executor::ResidentOf(
--- a/libraries/execution/executor.h
+++ b/libraries/execution/executor.h
@@ -35,6 +35,13 @@
   std::uint64_t incarnation = 0;
   admission::MemoryLimits memory;
   std::int64_t max_running_generations = 256;
+  // Share of memory that work which nobody reads live leaves free for work that
+  // somebody does.
+  double live_headroom = 0.06;
+  // Prompt tokens that are handed to the engine at once, and a millisecond, so
+  // that many prompts do not fall into one of its steps. Zero turns it off.
+  std::int64_t prompt_burst_tokens = 512;
+  double prompt_tokens_per_millisecond = 40.0;
   std::int64_t max_running_calls = 64;
   // How long an answer that nobody collected is kept, and how long a
   // generation runs on without a reader.
@@ -214,6 +221,10 @@
   std::int64_t resident_tokens_ = 0;
   std::size_t running_generations_ = 0;
   std::size_t running_calls_ = 0;
+  // Prompt tokens handed out and not yet worked off at the pace, at
+  // `paced_at_`.
+  double prompt_debt_ = 0.0;
+  BootTime paced_at_;
   std::size_t retained_bytes_ = 0;
   // Mean time between dispatches while work waited; zero until known.
   std::chrono::duration<double> dispatch_interval_{0};
--- a/libraries/relay/relay.cc
+++ b/libraries/relay/relay.cc
@@ -40,7 +40,7 @@
 
 Steps Relay::Start(BootTime now) {
   if (resuming_reader_) return {Resume{*generation_, delivered_, now}};
-  return {Place{excluded_, false, suspicion_}};
+  return {Place{excluded_, false, suspicion_, {}}};
 }
 
 void Relay::OnPlaced(const std::string& vm) {
@@ -196,7 +196,7 @@
   held_.clear();
   broken_since_.reset();
   refused_resumes_ = 0;
-  return {Place{excluded_, true, suspicion_}};
+  return {Place{excluded_, true, suspicion_, std::move(otherwise)}};
 }
 
 Steps Relay::TryResume(Outcome otherwise, BootTime now) {
--- a/libraries/relay/relay.h
+++ b/libraries/relay/relay.h
@@ -44,6 +44,8 @@
   bool is_retry = false;
   // Crashes in which the request took part.
   std::int64_t suspicion = 0;
+  // The answer if a retry may not be made.
+  Outcome otherwise;
 };
 // Ask the holder for the generation's tokens from `next` on, at `when`.
 struct Resume {
