--- a/services/entry/caller_session.cc
+++ b/services/entry/caller_session.cc
@@ -110,11 +110,8 @@
   const BootTime now = BootClock::now();
   DropStream();
   if (step.is_retry && !shared_.retries.TryRetry()) {
-    Outcome spent =
-        Outcome::NotRun(ResultCode::kRetryBudgetSpent,
-                        "the retry budget is spent", milliseconds(1000));
-    if (request_.work.key.has_value()) spent.run_state = RunState::kUnknown;
-    Carry(relay_.OnNoPlace(std::move(spent), now));
+    // The retry budget is spent: the first answer stands.
+    Carry(relay_.OnNoPlace(step.otherwise, now));
     return;
   }
   request_.work.suspicion =
