--- a/libraries/templates/template_set.cc
+++ b/libraries/templates/template_set.cc
@@ -106,8 +106,8 @@
 }
 
 std::shared_ptr<const TemplateSet> TemplateSet::Empty() {
-  static const auto empty = std::make_shared<const TemplateSet>();
-  return empty;
+  static const auto kEmpty = std::make_shared<const TemplateSet>();
+  return kEmpty;
 }
 
 void TemplateSet::ReadModels(ObjectReader reader) {
--- a/tests/libraries/admission/admission_test.cc
+++ b/tests/libraries/admission/admission_test.cc
@@ -25,6 +25,7 @@
   std::mt19937 random(seed);
   std::lognormal_distribution<double> lengths(std::log(median), sigma);
   std::vector<std::int64_t> values;
+  values.reserve(static_cast<std::size_t>(count));
   for (int i = 0; i < count; ++i) {
     values.push_back(
         std::max<std::int64_t>(1, static_cast<std::int64_t>(lengths(random))));
@@ -112,6 +113,7 @@
   constexpr int kTrials = 2000;
   for (int trial = 0; trial < kTrials; ++trial) {
     std::vector<std::int64_t> drawn;
+    drawn.reserve(static_cast<std::size_t>(count));
     for (int i = 0; i < count; ++i) drawn.push_back(lengths[any(random)]);
     bool over = false;
     for (std::int64_t step = 0; step < 1500 && !over; step += 10) {
--- a/tests/libraries/execution/executor_test.cc
+++ b/tests/libraries/execution/executor_test.cc
@@ -75,7 +75,8 @@
   EXPECT_EQ(OutcomeOf(generation).run_state, RunState::kRan);
 }
 
-TEST_F(ExecutorNotRunTest, AQueueDeadlineThatPassedWhileStoppedIsNotDispatched) {
+TEST_F(ExecutorNotRunTest,
+       AQueueDeadlineThatPassedWhileStoppedIsNotDispatched) {
   const Counter counter = Accept(Call());
   now_ = now_ + seconds(60);
   EXPECT_TRUE(executor_.TakeDispatches(now_).empty());
@@ -83,7 +84,8 @@
   EXPECT_EQ(OutcomeOf(counter).run_state, RunState::kNotRun);
 }
 
-TEST_F(ExecutorNotRunTest, ARequestThatWaitedInASocketPastItsDeadlineIsNotTakenOn) {
+TEST_F(ExecutorNotRunTest,
+       ARequestThatWaitedInASocketPastItsDeadlineIsNotTakenOn) {
   Work work = Call();
   work.received = now_.wall;
   now_ = now_ + work.queue_deadline + seconds(2);
@@ -267,7 +269,8 @@
   EXPECT_EQ(executor_.Find(counter)->ReadableEnd(), 2U);
 }
 
-TEST_F(ExecutorTokensOnceTest, AGenerationThatNobodyReadsIsCancelledAfterItsGrace) {
+TEST_F(ExecutorTokensOnceTest,
+       AGenerationThatNobodyReadsIsCancelledAfterItsGrace) {
   const Counter counter = Accept(Generation());
   executor_.AttachReader(counter);
   executor_.TakeDispatches(now_);
--- a/tests/libraries/execution/work_builder.h
+++ b/tests/libraries/execution/work_builder.h
@@ -64,11 +64,11 @@
 
 // A UUID of version 7; `number` tells keys of one birth apart.
 inline IdempotencyKey KeyBornAt(WallTime birth, unsigned number = 0) {
-  const auto since =
-      static_cast<unsigned long long>(birth.time_since_epoch().count());
+  const std::int64_t since = birth.time_since_epoch().count();
   char text[64];
-  std::snprintf(text, sizeof(text), "%08llx-%04llx-7000-8000-%012x",
-                since >> 16, since & 0xffff, number);
+  std::snprintf(text, sizeof(text), "%08x-%04x-7000-8000-%012x",
+                static_cast<unsigned>(since >> 16),
+                static_cast<unsigned>(since & 0xffff), number);
   return KeyOf(text);
 }
 
--- a/tests/libraries/placement/placement_test.cc
+++ b/tests/libraries/placement/placement_test.cc
@@ -61,6 +61,7 @@
 
 TEST(PoisonPlacementTest, AListWithoutSomeVmsKeepsTheHomesOfTheRest) {
   std::vector<std::string> vms;
+  vms.reserve(12);
   for (int i = 0; i < 12; ++i) vms.push_back("vm-" + std::to_string(i));
   const auto homes = ForecastHomes(7, vms);
   std::erase_if(vms, [&](const std::string& vm) {
--- a/tests/libraries/relay/delivery_property_test.cc
+++ b/tests/libraries/relay/delivery_property_test.cc
@@ -104,7 +104,9 @@
   }
 
   Vm& Pick(std::uint32_t argument) {
-    return std::next(vms_.begin(), argument % vms_.size())->second;
+    return std::next(vms_.begin(),
+                     static_cast<std::ptrdiff_t>(argument % vms_.size()))
+        ->second;
   }
 
   void Carry(const Steps& steps) {
@@ -284,7 +286,9 @@
   }
 
   void RestartSidecar(std::uint32_t argument) {
-    StartSidecar(std::next(vms_.begin(), argument % vms_.size())->first);
+    StartSidecar(std::next(vms_.begin(),
+                           static_cast<std::ptrdiff_t>(argument % vms_.size()))
+                     ->first);
   }
 
   // The entry dies; the reader names the last event that it saw to another.
--- a/tests/processes/at_most_once_test.cc
+++ b/tests/processes/at_most_once_test.cc
@@ -43,7 +43,7 @@
   // The VM that ran the body, or an empty name.
   std::string Runner(const std::string& body = kDoor) {
     for (int i = 1; i <= 3; ++i) {
-      const std::string vm = "locker-" + std::to_string(i);
+      std::string vm = "locker-" + std::to_string(i);
       if (cluster_.Runs(vm, body) > 0) return vm;
     }
     return "";
--- a/tests/processes/cluster.cc
+++ b/tests/processes/cluster.cc
@@ -109,7 +109,7 @@
 }
 
 QString Cluster::Write(const std::string& name, const json& content) {
-  const QString path = folder_.filePath(QString::fromStdString(name) + ".json");
+  QString path = folder_.filePath(QString::fromStdString(name) + ".json");
   QFile file(path);
   if (file.open(QIODevice::WriteOnly)) {
     file.write(QByteArray::fromStdString(content.dump(2)));
--- a/tests/processes/membership_test.cc
+++ b/tests/processes/membership_test.cc
@@ -43,6 +43,7 @@
   }
   void SendSome(const std::string& entry, int count) {
     std::vector<std::unique_ptr<Exchange>> exchanges;
+    exchanges.reserve(static_cast<std::size_t>(count));
     for (int i = 0; i < count; ++i) {
       exchanges.push_back(
           Ask(entry, 3, "guest", entry + std::to_string(++sent_)));
--- a/tests/processes/tokens_once_test.cc
+++ b/tests/processes/tokens_once_test.cc
@@ -42,7 +42,7 @@
   }
   // The VM that runs the only generation.
   std::string Busy() {
-    for (const std::string vm : {"llm-1", "llm-2"}) {
+    for (std::string vm : {"llm-1", "llm-2"}) {
       if (cluster_.EngineStarts(vm) > 0) return vm;
     }
     return "";
--- a/tests/utilities/standin/engine_model_test.cc
+++ b/tests/utilities/standin/engine_model_test.cc
@@ -18,8 +18,9 @@
   EngineModel engine({});
   engine.Add(Request("a", 100, 5));
   int tokens = 0;
-  while (!engine.IsIdle())
+  while (!engine.IsIdle()) {
     tokens += static_cast<int>(engine.Step().tokens.size());
+  }
   EXPECT_EQ(tokens, 5);
   EXPECT_EQ(engine.used_tokens(), 0);
 }
--- a/utilities/balsamctl/main.cc
+++ b/utilities/balsamctl/main.cc
@@ -225,7 +225,7 @@
     }
     QCoreApplication application(argc, argv);
     const auto arguments = parsed["command"].as<Strings>();
-    const std::string command = arguments.front();
+    const std::string& command = arguments.front();
     if (command == "check") return RunCheck(arguments);
     const std::set<std::string> remote = {"status", "versions", "explain",
                                           "drain"};
