--- a/meta/bench_control.sh
+++ b/meta/bench_control.sh
@@ -123,11 +123,11 @@
   by_entries_max+="$entries $(value bytes_per_s_max)"$'\n'
   by_entries_cpu+="$entries $(value core_share_max)"$'\n'
 done
-for workspaces in 10 400 1600; do
+for workspaces in ${CONTROL_WORKSPACES:-10 400 1600}; do
   measure 4 0 "$workspaces"
   by_workspaces+="$workspaces $(value peak_mib_max)"$'\n'
 done
-for backends in 0 300 900; do
+for backends in ${CONTROL_BACKENDS:-0 300 900}; do
   measure 4 "$backends" 10
   by_vms+="$backends $(value peak_mib_max)"$'\n'
 done
--- a/meta/deployment.sh
+++ b/meta/deployment.sh
@@ -94,5 +94,5 @@
   for id in "${process_ids[@]}"; do kill -KILL "$id" 2> /dev/null || true; done
   wait 2> /dev/null || true
   process_ids=()
-  [ -n "$work_folder" ] && rm -rf "$work_folder"
+  if [ -n "$work_folder" ]; then rm -rf "$work_folder"; fi
 }
--- a/services/entry/state_follower.cc
+++ b/services/entry/state_follower.cc
@@ -128,6 +128,11 @@
   };
   auto watchers = Watchers();
   std::erase(watchers, shared_.settings.vm.id);
+  // Idle links would be probed for ever, and their number grows with the fleet.
+  std::erase_if(links_, [&](const auto& link) {
+    return link.second->open_streams() == 0 &&
+           std::ranges::find(watchers, link.first) == watchers.end();
+  });
   if (!watchers.empty()) Ask(pick(watchers));
   Ask(pick(entries));
 }
