--- a/meta/run_bench.sh
+++ b/meta/run_bench.sh
@@ -68,11 +68,11 @@
   for load in "${loads[@]}"; do
     rate=$(awk "BEGIN {print $capacity * $load / 100 / $mean_output_tokens}")
     for seed in "${seeds[@]}"; do
-      run_load "round_robin@$load" round_robin immediate "$rate" "$seconds" "$seed" --json "$results"
-      run_load "least_outstanding@$load" least_outstanding immediate "$rate" "$seconds" "$seed" --json "$results"
-      run_load "two_choices@$load" two_choices immediate "$rate" "$seconds" "$seed" --json "$results"
-      run_load "ours@$load" forecast forecast "$rate" "$seconds" "$seed" --json "$results"
-      run_load "oracle@$load" forecast known_lengths "$rate" "$seconds" "$seed" --json "$results" --tell-lengths
+      run_load "round_robin@$load" round_robin immediate "$rate" "$seconds" "$seed" --drain 10 --json "$results"
+      run_load "least_outstanding@$load" least_outstanding immediate "$rate" "$seconds" "$seed" --drain 10 --json "$results"
+      run_load "two_choices@$load" two_choices immediate "$rate" "$seconds" "$seed" --drain 10 --json "$results"
+      run_load "ours@$load" forecast forecast "$rate" "$seconds" "$seed" --drain 10 --json "$results"
+      run_load "oracle@$load" forecast known_lengths "$rate" "$seconds" "$seed" --drain 10 --json "$results" --tell-lengths
     done
   done
   if [ -n "$output" ]; then
--- a/services/entry/state_follower.cc
+++ b/services/entry/state_follower.cc
@@ -80,7 +80,7 @@
 }
 
 std::uint64_t StateFollower::peer_bytes() const {
-  std::uint64_t sum = server_.bytes();
+  std::uint64_t sum = server_.bytes() + closed_link_bytes_;
   std::ranges::for_each(
       links_, [&sum](const auto& entry) { sum += entry.second->bytes(); });
   return sum;
@@ -117,6 +117,17 @@
   template_watcher_.SetWatching(watch);
 }
 
+template <typename Kept>
+void StateFollower::CloseIdleLinks(const Kept& kept) {
+  std::erase_if(links_, [&](const auto& link) {
+    const bool closes =
+        link.second->open_streams() == 0 &&
+        std::ranges::find(kept, link.first) == std::ranges::end(kept);
+    if (closes) closed_link_bytes_ += link.second->bytes();
+    return closes;
+  });
+}
+
 void StateFollower::Tick() {
   UpdateRole();
   CheckReady();
@@ -129,10 +140,7 @@
   auto watchers = Watchers();
   std::erase(watchers, shared_.settings.vm.id);
   // Idle links would be probed for ever, and their number grows with the fleet.
-  std::erase_if(links_, [&](const auto& link) {
-    return link.second->open_streams() == 0 &&
-           std::ranges::find(watchers, link.first) == watchers.end();
-  });
+  CloseIdleLinks(watchers);
   if (!watchers.empty()) Ask(pick(watchers));
   Ask(pick(entries));
 }
@@ -293,9 +301,7 @@
     PushListToSidecars();
   }
   // Links to VMs that left are of no more use.
-  std::erase_if(links_, [&](const auto& link) {
-    return !listed.contains(link.first) && link.second->open_streams() == 0;
-  });
+  CloseIdleLinks(listed);
 }
 
 void StateFollower::AskEverybodyOnce() {
--- a/services/entry/state_follower.h
+++ b/services/entry/state_follower.h
@@ -70,7 +70,12 @@
   peer::PeerServer server_;
   platform::ValueWatcher template_watcher_;
   platform::ValueWatcher list_watcher_;
+  // Closes links that have nothing open and are not among `kept`.
+  template <typename Kept>
+  void CloseIdleLinks(const Kept& kept);
+
   std::map<std::string, std::unique_ptr<peer::PeerLink>> links_;
+  std::uint64_t closed_link_bytes_ = 0;
   // Entries asked at the start that have not answered yet.
   std::set<std::string> awaited_;
   bool asked_everybody_ = false;
