Say once what stood twice in entry and peer code

The same look-up of a workspace stood three times in the entry's worker, the same decoding in both ends of a peer connection, and the same plain answer twice. Found: a ticket request used a link without a check although its VM may have left the list meanwhile; it is now answered 'not run'. No test provokes that race. The entry's key_lifetime was read by nothing and is gone. Ruled out for now: the pairs of like shape in the tests, which are parameter tables and separate fault cases.

--- a/libraries/peer/messages.cc
+++ b/libraries/peer/messages.cc
@@ -383,4 +383,13 @@
   return ReadAlternative(static_cast<std::size_t>(number), array.at(1).toMap());
 }
 
+std::optional<Message> DecodeIfValid(const QByteArray& frame) {
+  return TryOr(
+      [&]() -> Result<std::optional<Message>> {
+        BOOST_LEAF_AUTO(message, Decode(frame));
+        return std::optional<Message>(std::move(message));
+      },
+      [](const Error&) { return std::optional<Message>(); });
+}
+
 }  // namespace balsam::peer
--- a/libraries/peer/messages.h
+++ b/libraries/peer/messages.h
@@ -111,4 +111,7 @@
 // whatever the bytes are.
 Result<Message> Decode(const QByteArray& frame);
 
+// The same for callers that need no reason; nothing if the frame does not fit.
+std::optional<Message> DecodeIfValid(const QByteArray& frame);
+
 }  // namespace balsam::peer
--- a/libraries/peer/peer_link.cc
+++ b/libraries/peer/peer_link.cc
@@ -144,12 +144,7 @@
                        const QByteArray& frame) {
   const auto stream = FindStream(connection, id);
   if (!stream.has_value()) return;
-  const auto message = TryOr(
-      [&]() -> Result<std::optional<Message>> {
-        BOOST_LEAF_AUTO(decoded, Decode(frame));
-        return std::optional<Message>(std::move(decoded));
-      },
-      [](const Error&) { return std::optional<Message>(); });
+  const auto message = DecodeIfValid(frame);
   if (!message.has_value()) {
     const auto broken = connections_.find(connection);
     if (broken != connections_.end()) broken->second->Reset(id);
--- a/libraries/peer/peer_server.cc
+++ b/libraries/peer/peer_server.cc
@@ -70,12 +70,7 @@
 
 void PeerServer::OnRequest(Http2Connection* connection, StreamId id,
                            const QByteArray& frame) {
-  const auto message = TryOr(
-      [&]() -> Result<std::optional<Message>> {
-        BOOST_LEAF_AUTO(decoded, Decode(frame));
-        return std::optional<Message>(std::move(decoded));
-      },
-      [](const Error&) { return std::optional<Message>(); });
+  const auto message = DecodeIfValid(frame);
   if (!message.has_value()) {
     connection->Refuse(id);
     return;
--- a/services/entry/entry_settings.cc
+++ b/services/entry/entry_settings.cc
@@ -29,7 +29,6 @@
   read("stop_deadline", settings.stop_deadline);
   read("gossip_interval", settings.gossip_interval);
   read("suspicion_lifetime", settings.suspicion_lifetime);
-  read("key_lifetime", settings.key_lifetime);
   reader.ReportUnknownKeys();
 }
 
--- a/services/entry/entry_settings.h
+++ b/services/entry/entry_settings.h
@@ -31,7 +31,6 @@
   std::chrono::milliseconds stop_deadline{300000};
   std::chrono::milliseconds gossip_interval{1000};
   std::chrono::milliseconds suspicion_lifetime{600000};
-  std::chrono::milliseconds key_lifetime{600000};
 
   static std::vector<settings::Problem> Load(const std::string& path,
                                              EntrySettings& settings);
--- a/services/entry/entry_worker.cc
+++ b/services/entry/entry_worker.cc
@@ -25,6 +25,8 @@
 constexpr std::string_view kGenerationsPrefix = "/v1/generations/";
 constexpr std::string_view kServicesPrefix = "/services/";
 constexpr milliseconds kRetryAfterDrain{1000};
+constexpr milliseconds kRetryAfterNoTicket{1000};
+constexpr int kHttpOk = 200;
 
 std::string MethodName(QHttpServerRequest::Method method) {
   using Method = QHttpServerRequest::Method;
@@ -46,6 +48,28 @@
   }
 }
 
+// Finds the workspace of a bearer key; null, with `failed` set, if there is
+// none.
+const templates::Workspace* WorkspaceOrError(const std::string& bearer,
+                                             const templates::TemplateSet& set,
+                                             std::optional<Error>& failed) {
+  return TryOr([&] { return Authenticate(bearer, set); },
+               [&failed](const Error& error) -> const templates::Workspace* {
+                 failed = error;
+                 return nullptr;
+               });
+}
+
+// An answer that the entry gives by itself.
+Outcome JsonOutcome(const nlohmann::json& body) {
+  Outcome outcome;
+  outcome.run_state = RunState::kRan;
+  outcome.http_status = kHttpOk;
+  outcome.content_type = "application/json";
+  outcome.body = body.dump();
+  return outcome;
+}
+
 CallerInput InputFrom(const QHttpServerRequest& request) {
   CallerInput input;
   input.method = MethodName(request.method());
@@ -195,18 +219,8 @@
 void EntryWorker::HandleModels(const QHttpServerRequest& request,
                                QHttpServerResponder&& responder) {
   const auto set = shared_.templates.InForce();
-  const std::string bearer = http::BearerOf(request);
-  Outcome outcome;
   std::optional<Error> failed;
-  TryOr(
-      [&]() -> Result<bool> {
-        BOOST_LEAF_CHECK(Authenticate(bearer, *set));
-        return true;
-      },
-      [&failed](const Error& error) {
-        failed = error;
-        return false;
-      });
+  WorkspaceOrError(http::BearerOf(request), *set, failed);
   if (failed.has_value()) {
     Refuse(std::move(responder), *failed);
     return;
@@ -216,12 +230,9 @@
     models.push_back(
         {{"id", model.first}, {"object", "model"}, {"owned_by", model.second}});
   });
-  outcome.run_state = RunState::kRan;
-  outcome.http_status = 200;
-  outcome.content_type = "application/json";
-  outcome.body = nlohmann::json{{"object", "list"}, {"data", models}}.dump();
   ResponseWriter writer(std::move(responder), AnswerForm::kCall, false, "");
-  writer.Finish(std::nullopt, outcome, "");
+  writer.Finish(std::nullopt,
+                JsonOutcome({{"object", "list"}, {"data", models}}), "");
 }
 
 void EntryWorker::HandleResume(const CallerInput& input,
@@ -233,11 +244,7 @@
   const auto from = generation::EventId::Parse(last);
   std::optional<Error> failed;
   const templates::Workspace* workspace =
-      TryOr([&] { return Authenticate(input.bearer, *set); },
-            [&failed](const Error& error) -> const templates::Workspace* {
-              failed = error;
-              return nullptr;
-            });
+      WorkspaceOrError(input.bearer, *set, failed);
   if (!failed.has_value() &&
       (!from.has_value() || from->generation.ToText() != text)) {
     failed = Error{ResultCode::kInvalidEventId,
@@ -266,11 +273,7 @@
   const std::string service = input.path.substr(sizeof("/v1/tickets/") - 1);
   std::optional<Error> failed;
   const templates::Workspace* workspace =
-      TryOr([&] { return Authenticate(input.bearer, *set); },
-            [&failed](const Error& error) -> const templates::Workspace* {
-              failed = error;
-              return nullptr;
-            });
+      WorkspaceOrError(input.bearer, *set, failed);
   if (!failed.has_value() && !set->HasService(service)) {
     failed = Error{ResultCode::kUnknownService,
                    "service \"" + service.substr(0, 64) + "\" does not exist"};
@@ -291,27 +294,26 @@
     writer->Finish(std::nullopt, *outcome, "");
     return;
   }
+  const Outcome not_issued =
+      Outcome::NotRun(ResultCode::kNoBackendServer,
+                      "no sidecar issued a ticket", kRetryAfterNoTicket);
+  // The VM may have left the list since it was chosen.
+  peer::PeerLink* link = pool_.LinkTo(std::get<std::string>(choice));
+  if (link == nullptr) {
+    writer->Finish(std::nullopt, not_issued, "");
+    return;
+  }
   peer::PeerLink::Handlers handlers;
   handlers.on_message = [writer](const peer::Message& message) {
     const auto* reply = std::get_if<peer::TicketReply>(&message);
     if (reply == nullptr) return;
-    Outcome outcome;
-    outcome.run_state = RunState::kRan;
-    outcome.http_status = 200;
-    outcome.content_type = "application/json";
-    outcome.body = nlohmann::json{{"ticket", reply->ticket}}.dump();
-    writer->Finish(std::nullopt, outcome, "");
+    writer->Finish(std::nullopt, JsonOutcome({{"ticket", reply->ticket}}), "");
   };
-  handlers.on_end = [writer](peer::StreamEnd) {
+  handlers.on_end = [writer, not_issued](peer::StreamEnd) {
     // Finishing twice does nothing.
-    writer->Finish(
-        std::nullopt,
-        Outcome::NotRun(ResultCode::kNoBackendServer,
-                        "no sidecar issued a ticket", milliseconds(1000)),
-        "");
+    writer->Finish(std::nullopt, not_issued, "");
   };
-  pool_.LinkTo(std::get<std::string>(choice))
-      ->Open(peer::kTicketPath, peer::TicketRequest{workspace->name},
+  link->Open(peer::kTicketPath, peer::TicketRequest{workspace->name},
              std::move(handlers));
 }
 
