Give each process test ports of its own; never signal the group

Cause: process tests took a block of ports by process id modulo 220, so two that ran beside each other could get the same block; each probed a port, let it go and bound it later. One then spoke to the other's platform or engine (no token in 20 s). Worse, a member that could not bind had ended, its id was 0, and kill(0, SIGSTOP) stopped the whole process group, ctest included. Ruled out: the relay or sidecar. Change: the first port of a block stays bound while the test runs; a block in use is skipped. Signals go to members that run, only. Conclusion: a fault of the test harness, not of the product.

--- a/tests/processes/cluster.cc
+++ b/tests/processes/cluster.cc
@@ -5,7 +5,6 @@
 #include <QCryptographicHash>
 #include <QFile>
 #include <QHostAddress>
-#include <QTcpServer>
 #include <algorithm>
 #include <chrono>
 #include <csignal>
@@ -54,22 +53,22 @@
   process_.waitForStarted(10000);
 }
 
+void Member::Signal(int number) {
+  // Number 0 would mean this process's whole group.
+  const auto id = static_cast<pid_t>(process_.processId());
+  if (id > 0) ::kill(id, number);
+}
+
 void Member::Kill() {
-  ::kill(static_cast<pid_t>(process_.processId()), SIGKILL);
+  Signal(SIGKILL);
   process_.waitForFinished(5000);
 }
 
-void Member::Freeze() {
-  ::kill(static_cast<pid_t>(process_.processId()), SIGSTOP);
-}
+void Member::Freeze() { Signal(SIGSTOP); }
 
-void Member::Thaw() {
-  ::kill(static_cast<pid_t>(process_.processId()), SIGCONT);
-}
+void Member::Thaw() { Signal(SIGCONT); }
 
-void Member::Terminate() {
-  ::kill(static_cast<pid_t>(process_.processId()), SIGTERM);
-}
+void Member::Terminate() { Signal(SIGTERM); }
 
 bool Member::WaitForEnd(milliseconds limit) {
   return WaitUntil([this] { return !running(); }, limit);
@@ -91,18 +90,26 @@
   members_.clear();
 }
 
-std::uint16_t Cluster::FreePort() {
+void Cluster::TakePortBlock() {
   // Below the range from which the system takes ports for outgoing
-  // connections; tests that run beside each other begin at different places.
+  // connections. The first port of a block stays taken while this test runs,
+  // so tests that run beside each other never share a block.
   constexpr int kLowest = 10000;
   constexpr int kPortsEach = 100;
-  constexpr int kPlaces = 220;
-  if (next_port_ == 0) {
-    next_port_ = static_cast<std::uint16_t>(
-        kLowest +
-        static_cast<int>(QCoreApplication::applicationPid() % kPlaces) *
-            kPortsEach);
+  constexpr int kBlocks = 220;
+  const auto first =
+      static_cast<int>(QCoreApplication::applicationPid() % kBlocks);
+  for (int i = 0; i < kBlocks; ++i) {
+    const auto port = static_cast<std::uint16_t>(
+        kLowest + (first + i) % kBlocks * kPortsEach);
+    if (!port_block_.listen(QHostAddress::LocalHost, port)) continue;
+    next_port_ = static_cast<std::uint16_t>(port + 1);
+    return;
   }
+}
+
+std::uint16_t Cluster::FreePort() {
+  if (next_port_ == 0) TakePortBlock();
   QTcpServer probe;
   while (!probe.listen(QHostAddress::LocalHost, next_port_)) ++next_port_;
   return next_port_++;
--- a/tests/processes/cluster.h
+++ b/tests/processes/cluster.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <QProcess>
+#include <QTcpServer>
 #include <QTemporaryDir>
 #include <chrono>
 #include <cstdint>
@@ -41,6 +42,9 @@
   std::string Log();
 
  private:
+  // Does nothing if the process does not run.
+  void Signal(int number);
+
   std::string name_;
   std::string program_;
   QStringList arguments_;
@@ -111,6 +115,8 @@
     std::uint16_t operator_port = 0;
   };
 
+  // Takes a block of ports that no other test uses meanwhile.
+  void TakePortBlock();
   std::uint16_t FreePort();
   void AddBackend(const std::string& vm, const std::string& service,
                   bool engine, const BackendOptions& options);
@@ -126,6 +132,7 @@
   std::map<std::string, Backend> backends_;
   std::map<std::string, Entry> entries_;
   std::map<std::string, nlohmann::json> vms_;
+  QTcpServer port_block_;
   std::uint16_t next_port_ = 0;
 };
 
