--- /dev/null
+++ b/libraries/backend/engine_controller.cc
@@ -0,0 +1,116 @@
+// Orders over HTTP.
+#include "libraries/backend/engine_controller.h"
+
+#include <QNetworkReply>
+#include <nlohmann/json.hpp>
+
+#include "libraries/backend/one_shot_body.h"
+#include "libraries/base/log_event.h"
+
+namespace balsam::backend {
+namespace {
+
+using nlohmann::json;
+using orders::OrderAnswer;
+
+constexpr int kHttpOk = 200;
+constexpr int kHttpConflict = 409;
+constexpr int kHttpTooManyRequests = 429;
+constexpr int kHttpUnavailable = 503;
+
+OrderAnswer AnswerOf(int status) {
+  switch (status) {
+    case kHttpOk:
+      return OrderAnswer::kApplied;
+    case kHttpConflict:
+      return OrderAnswer::kRefusedOldNumber;
+    case kHttpTooManyRequests:
+    case kHttpUnavailable:
+      return OrderAnswer::kStoreBusy;
+    default:
+      return OrderAnswer::kFailed;
+  }
+}
+
+int StatusOf(const QNetworkReply& reply) {
+  return reply.attribute(QNetworkRequest::HttpStatusCodeAttribute).toInt();
+}
+
+// The member as text; empty if it is absent or not a string.
+std::string TextOf(const json& object, const char* name) {
+  const auto found = object.find(name);
+  return found != object.end() && found->is_string() ? found->get<std::string>()
+                                                     : std::string();
+}
+
+}  // namespace
+
+EngineController::EngineController(QUrl base_url,
+                                   std::chrono::milliseconds answer_limit,
+                                   orders::OrderBook::Config config,
+                                   QObject* parent)
+    : QObject(parent),
+      base_url_(std::move(base_url)),
+      answer_limit_(answer_limit),
+      book_(config) {}
+
+void EngineController::Tick(BootTime now) {
+  if (book_.TakeReadBack(now)) ReadBack();
+  if (const auto order = book_.TakeOrder(now)) SendOrder(*order);
+}
+
+QNetworkRequest EngineController::RequestFor(const QString& path) const {
+  QUrl url = base_url_;
+  url.setPath(path);
+  QNetworkRequest request(url);
+  request.setTransferTimeout(static_cast<int>(answer_limit_.count()));
+  request.setHeader(QNetworkRequest::ContentTypeHeader, "application/json");
+  return request;
+}
+
+void EngineController::SendOrder(const orders::Order& order) {
+  const json body = {{"fencing_number", order.fencing_number},
+                     {"model", order.state.model},
+                     {"adapter", order.state.adapter},
+                     {"version", order.state.version},
+                     {"role", order.state.role}};
+  const QByteArray bytes = QByteArray::fromStdString(body.dump());
+  QNetworkRequest request = RequestFor("/engine/orders");
+  request.setHeader(QNetworkRequest::ContentLengthHeader, bytes.size());
+  // Qt sends a request again when a kept connection closes; an order that is
+  // sent later than it was decided on could be an old one.
+  auto* content = new OneShotBody(bytes, this);
+  QNetworkReply* reply = manager_.post(request, content);
+  content->setParent(reply);
+  connect(reply, &QNetworkReply::finished, this, [this, reply, order] {
+    reply->deleteLater();
+    const int status = StatusOf(*reply);
+    book_.OnAnswer(AnswerOf(status), BootClock::now());
+    LogEvent("order")
+        .With("number", order.fencing_number)
+        .With("model", order.state.model)
+        .With("adapter", order.state.adapter)
+        .With("version", order.state.version)
+        .With("role", order.state.role)
+        .With("status", status);
+  });
+}
+
+void EngineController::ReadBack() {
+  QNetworkReply* reply = manager_.get(RequestFor("/engine/state"));
+  connect(reply, &QNetworkReply::finished, this, [this, reply] {
+    reply->deleteLater();
+    const json state = json::parse(reply->readAll().toStdString(), nullptr,
+                                   /*allow_exceptions=*/false);
+    if (StatusOf(*reply) != kHttpOk || !state.is_object()) return;
+    const auto number = state.find("fencing_number");
+    const bool keeps_number =
+        number != state.end() && number->is_number_unsigned();
+    book_.OnReadBack({TextOf(state, "model"), TextOf(state, "adapter"),
+                      TextOf(state, "version"), TextOf(state, "role")},
+                     keeps_number ? number->get<std::uint64_t>() : 0,
+                     BootClock::now());
+  });
+}
+
+}  // namespace balsam::backend
--- /dev/null
+++ b/libraries/backend/engine_controller.h
@@ -0,0 +1,46 @@
+// Carries an order book's decisions out at one engine: posts orders, and reads
+// the engine's state back.
+#pragma once
+
+#include <QNetworkAccessManager>
+#include <QObject>
+#include <QUrl>
+#include <chrono>
+
+#include "libraries/base/boot_clock.h"
+#include "libraries/orders/order_book.h"
+
+class QNetworkReply;
+
+namespace balsam::backend {
+
+class EngineController : public QObject {
+  Q_OBJECT
+
+ public:
+  // An order or a read that takes longer than `answer_limit` has failed.
+  EngineController(QUrl base_url, std::chrono::milliseconds answer_limit,
+                   orders::OrderBook::Config config, QObject* parent = nullptr);
+
+  void OnDesired(const orders::Desired& desired, BootTime now) {
+    book_.OnDesired(desired, now);
+  }
+  // The process was stopped for a while.
+  void OnPause() { book_.OnPause(); }
+  // Sends what is due.
+  void Tick(BootTime now);
+
+  const orders::OrderBook& book() const { return book_; }
+
+ private:
+  void SendOrder(const orders::Order& order);
+  void ReadBack();
+  QNetworkRequest RequestFor(const QString& path) const;
+
+  QUrl base_url_;
+  std::chrono::milliseconds answer_limit_;
+  orders::OrderBook book_;
+  QNetworkAccessManager manager_;
+};
+
+}  // namespace balsam::backend
--- a/libraries/execution/executor.cc
+++ b/libraries/execution/executor.cc
@@ -168,9 +168,18 @@
   }
   const std::int64_t waiting =
       static_cast<std::int64_t>(queue_.WaitingOf(work.workspace));
-  const milliseconds wait = ExpectedWait(queue_.size());
+  const milliseconds wait = ExpectedWait(
+      queue_.TurnsBefore(work.workspace, work.over_budget == milliseconds(0)));
   const milliseconds retry_after =
       std::clamp(wait, kMinRetryAfter, kMaxRetryAfter);
+  if (work.over_budget > milliseconds(0) &&
+      queue_.waiting_within_budget() > 0) {
+    return Outcome::NotRun(
+        ResultCode::kBudgetSpent,
+        "workspace " + work.workspace +
+            " has used up its budget, and others wait at sidecar " + config_.vm,
+        std::clamp(work.over_budget, kMinRetryAfter, kMaxRetryAfter));
+  }
   if (waiting >= work.queue_limit) {
     return Outcome::NotRun(ResultCode::kQueueFull,
                            "workspace " + work.workspace + " has " +
@@ -200,7 +209,9 @@
   record.queued_at = now.boot;
   record.queue_deadline = now.boot + work.queue_deadline;
   if (work.kind == WorkKind::kGeneration) record.lengths = &LengthsOf(work);
-  queue_.Push(work.workspace, work.weight, work.priority, counter);
+  if (work.over_budget == milliseconds(0)) within_budget_seen_ = now.boot;
+  queue_.Push(work.workspace, work.weight, work.priority, counter,
+              work.over_budget == milliseconds(0));
   record.work = std::move(work);
   active_.insert(counter);
   return {counter, false};
@@ -292,6 +303,7 @@
     record.started_at = now.boot;
     if (record.work.kind == WorkKind::kGeneration) {
       ++running_generations_;
+      running_over_budget_ += record.IsOverBudget() ? 1 : 0;
       resident_tokens_ += record.work.prompt_tokens;
       prompt_debt_ += static_cast<double>(record.work.prompt_tokens);
       queue_.Charge(record.work.workspace,
@@ -330,6 +342,9 @@
         });
     if (suspect_runs) return false;
   }
+  if (record.IsOverBudget() && !LeavesOthersTheirPace(record, now)) {
+    return false;
+  }
   // An idle engine takes anything, or a prompt larger than the forecast allows
   // would wait for ever.
   if (running_generations_ == 0) return true;
@@ -353,6 +368,29 @@
   return admission::FitsAtRisk(resident, limits, record.work.overflow_risk);
 }
 
+bool Executor::LeavesOthersTheirPace(const GenerationRecord& record,
+                                     Moment now) const {
+  const std::size_t within = running_generations_ - running_over_budget_;
+  const bool nobody_cares =
+      within == 0 &&
+      (!within_budget_seen_.has_value() ||
+       *within_budget_seen_ + config_.within_budget_memory <= now.boot);
+  if (nobody_cares) return true;
+  // What a workspace has over budget already counts twice, so that it leaves
+  // half of the room to one that is only now and then over.
+  const auto own = std::ranges::count_if(active_, [&](Counter counter) {
+    const GenerationRecord* other = Find(counter);
+    return other->HoldsMemory() && other->IsOverBudget() &&
+           other->work.workspace == record.work.workspace;
+  });
+  // One at a time may always go, or a small workspace would stand still.
+  if (own == 0) return true;
+  const double growth =
+      steps_.Growth(static_cast<std::int64_t>(within),
+                    static_cast<std::int64_t>(running_generations_) + 1 + own);
+  return growth <= 1.0 + config_.over_budget_growth;
+}
+
 admission::ResidentGeneration Executor::ResidentOf(
     const GenerationRecord& record) const {
   const bool known = policy_ == AdmissionPolicy::kKnownLengths;
@@ -404,6 +442,11 @@
   const auto grown = static_cast<std::int64_t>(record->log.end() - before);
   if (grown == 0) return;
   record->resume_attempts = 0;
+  if (record->grown_at.has_value()) {
+    steps_.OnToken(static_cast<std::int64_t>(running_generations_),
+                   (now.boot - *record->grown_at) / grown);
+  }
+  record->grown_at = now.boot;
   resident_tokens_ += grown;
   queue_.Charge(record->work.workspace, static_cast<double>(grown));
   record->lengths->OnGrowth(static_cast<std::int64_t>(before),
@@ -594,6 +637,8 @@
 void Executor::Finish(GenerationRecord& record, Outcome outcome, Moment now) {
   if (record.HoldsMemory()) {
     --running_generations_;
+    running_over_budget_ -= record.IsOverBudget() ? 1 : 0;
+    if (!record.IsOverBudget()) within_budget_seen_ = now.boot;
     resident_tokens_ -=
         record.work.prompt_tokens + static_cast<std::int64_t>(record.log.end());
   } else if (record.phase == Phase::kRunning) {
--- a/libraries/execution/executor.h
+++ b/libraries/execution/executor.h
@@ -22,6 +22,7 @@
 
 #include "libraries/admission/fair_queue.h"
 #include "libraries/admission/memory_forecast.h"
+#include "libraries/admission/step_model.h"
 #include "libraries/execution/generation_record.h"
 #include "libraries/execution/key_authority.h"
 #include "libraries/execution/suspicion_table.h"
@@ -43,6 +44,11 @@
   std::int64_t prompt_burst_tokens = 512;
   double prompt_tokens_per_millisecond = 40.0;
   std::int64_t max_running_calls = 64;
+  // By how much work over budget may lengthen the time between the tokens of
+  // work within budget, and after how long without any such work it need not
+  // care.
+  double over_budget_growth = 0.05;
+  std::chrono::milliseconds within_budget_memory{5000};
   // How long an answer that nobody collected is kept, and how long a
   // generation runs on without a reader.
   std::chrono::milliseconds reader_grace{30000};
@@ -186,6 +192,8 @@
 
   GenerationRecord* Get(Counter counter);
   bool FitsNow(const GenerationRecord& record, Moment now) const;
+  // Whether one more generation over budget leaves the others their pace.
+  bool LeavesOthersTheirPace(const GenerationRecord& record, Moment now) const;
   void Finish(GenerationRecord& record, Outcome outcome, Moment now);
   void FinishNotRun(GenerationRecord& record, Outcome outcome, Moment now);
   void ExpireQueue(Moment now);
@@ -221,6 +229,10 @@
   std::int64_t resident_tokens_ = 0;
   std::size_t running_generations_ = 0;
   std::size_t running_calls_ = 0;
+  std::size_t running_over_budget_ = 0;
+  // When work within budget was last taken on or ended.
+  std::optional<BootTime> within_budget_seen_;
+  admission::StepModel steps_;
   // Prompt tokens handed out and not yet worked off at the pace, at
   // `paced_at_`.
   double prompt_debt_ = 0.0;
--- a/libraries/execution/generation_record.h
+++ b/libraries/execution/generation_record.h
@@ -42,6 +42,8 @@
   BootTime started_at;
   BootTime done_at;
   BootTime resume_at;
+  // When its last tokens came.
+  std::optional<BootTime> grown_at;
   int resume_attempts = 0;
   int readers = 0;
   // When the work is given up because nobody reads it; none while a reader is
@@ -49,6 +51,9 @@
   std::optional<BootTime> abandon_at;
 
   bool IsDone() const { return phase == Phase::kDone; }
+  bool IsOverBudget() const {
+    return work.over_budget > std::chrono::milliseconds(0);
+  }
   bool HoldsMemory() const {
     return work.kind == WorkKind::kGeneration &&
            (phase == Phase::kRunning || phase == Phase::kBroken);
--- a/libraries/execution/work.h
+++ b/libraries/execution/work.h
@@ -41,6 +41,8 @@
   std::int64_t queue_limit = 64;
   std::chrono::milliseconds queue_deadline{5000};
   std::chrono::milliseconds run_deadline{120000};
+  // How long its workspace stays over its budget; zero while it is within.
+  std::chrono::milliseconds over_budget{0};
   // When the entry received the request, by its wall clock.
   WallTime received;
 
--- a/libraries/orders/order_book.cc
+++ b/libraries/orders/order_book.cc
@@ -12,8 +12,9 @@
   desired_ = desired;
   superseded_ = desired_.revision < highest_seen_;
   settled_ = false;
+  applied_ = false;
   backoff_ = config_.min_backoff;
-  due_ = now + config_.load_interval * desired.rank;
+  due_ = now + desired.load_delay;
   next_read_ = now;
 }
 
@@ -35,6 +36,7 @@
   switch (answer) {
     case OrderAnswer::kApplied:
       // Only reading back settles it: an older order may have come between.
+      applied_ = true;
       due_ = now + config_.read_interval;
       return;
     case OrderAnswer::kRefusedOldNumber:
@@ -61,9 +63,17 @@
     superseded_ = true;
     return;
   }
-  const bool fits = state == desired_.state;
+  // An engine that keeps numbers must have this one, or an older order could
+  // still be taken.
+  const bool knows_number =
+      fencing_number == 0 || fencing_number == desired_.revision;
+  const bool fits = state == desired_.state && knows_number;
+  // Somebody changed what was in place: a newer sidecar, or the engine lost it.
+  // Only news from after this tell which.
+  const bool changed = !fits && (settled_ || applied_);
+  if (changed) heard_at_.reset();
   // A repair is not staggered again: one engine alone needs it.
-  if (settled_ && !fits) due_ = now;
+  if (changed) due_ = now;
   settled_ = fits;
 }
 
--- a/libraries/orders/order_book.h
+++ b/libraries/orders/order_book.h
@@ -2,10 +2,11 @@
 // adapter and version it has loaded, and its role. The sidecar is its only
 // orderer, but an earlier sidecar may wake up late with an older order.
 //
-// Each order carries the published revision as its fencing number. An engine
+// Each order carries the published number as its fencing number. An engine
 // that checks it refuses an older one. For an engine that does not, an order is
-// sent only while what it rests on is fresh, and reading back finds and repairs
-// what an older order left.
+// sent only while what it rests on is fresh, and reading back finds what an
+// older order left, which is repaired once news show that the order still
+// holds.
 #pragma once
 
 #include <chrono>
@@ -30,9 +31,11 @@
 struct Desired {
   std::uint64_t revision = 0;
   EngineState state;
-  // The place of this engine among those that change with the revision. Loads
-  // are staggered by it, so that they keep under the weight store's rate.
-  std::int64_t rank = 0;
+  // How long after the news a load may begin. Engines that change together get
+  // different delays, so that they keep under the weight store's rate.
+  std::chrono::milliseconds load_delay{0};
+
+  bool operator==(const Desired&) const = default;
 };
 
 struct Order {
@@ -52,8 +55,6 @@
 class OrderBook {
  public:
   struct Config {
-    // Time between two loads over all engines.
-    std::chrono::milliseconds load_interval{1000};
     std::chrono::milliseconds min_backoff{500};
     std::chrono::milliseconds max_backoff{30000};
     // How often an engine's state is read back.
@@ -92,6 +93,8 @@
   Desired desired_;
   // The engine was seen in the desired state.
   bool settled_ = true;
+  // The engine took the desired state at least once.
+  bool applied_ = false;
   // A higher fencing number was seen at the engine; nothing is sent until a
   // revision at least as high is known.
   bool superseded_ = false;
--- a/libraries/peer/messages.cc
+++ b/libraries/peer/messages.cc
@@ -237,6 +237,7 @@
   fields(24, work.path);
   fields(25, work.content_type);
   fields(26, work.body);
+  fields(27, work.over_budget);
   if constexpr (Fields::kReads) {
     // The negated forms also refuse a number that is not one.
     if (!(work.weight > 0.0)) fields.Reject(17);
@@ -329,6 +330,29 @@
   fields.Nested(4, message.load);
 }
 
+template <typename Fields>
+void Visit(Fields& fields, orders::Desired& desired) {
+  fields(1, desired.revision);
+  fields(2, desired.state.model);
+  fields(3, desired.state.adapter);
+  fields(4, desired.state.version);
+  fields(5, desired.state.role);
+  fields(6, desired.load_delay);
+}
+
+template <typename Fields>
+void Visit(Fields& fields, OrderNotice& message) {
+  fields(1, message.vm);
+  fields.Nested(2, message.desired);
+}
+
+template <typename Fields>
+void Visit(Fields& fields, OrderReply& message) {
+  fields(1, message.revision);
+  fields(2, message.settled);
+  fields(3, message.superseded);
+}
+
 // Makes the alternative of `Message` with this index and reads its fields.
 template <std::size_t index = 0>
 Result<Message> ReadAlternative(std::size_t wanted, const QCborMap& map) {
--- a/libraries/peer/messages.h
+++ b/libraries/peer/messages.h
@@ -15,6 +15,7 @@
 #include "libraries/base/outcome.h"
 #include "libraries/execution/executor.h"
 #include "libraries/execution/work.h"
+#include "libraries/orders/order_book.h"
 
 namespace balsam::peer {
 
@@ -24,6 +25,7 @@
 inline constexpr char kTicketPath[] = "/ticket";
 inline constexpr char kConfirmPath[] = "/confirm";
 inline constexpr char kGossipPath[] = "/gossip";
+inline constexpr char kOrderPath[] = "/order";
 
 // Asks a sidecar to run work. Answered by Accepted, Tokens and Finished.
 struct ExecuteRequest {
@@ -100,10 +102,25 @@
   execution::LoadReport load;
 };
 
+// Tells a sidecar what operators published for its engine.
+struct OrderNotice {
+  std::string vm;
+  orders::Desired desired;
+};
+
+struct OrderReply {
+  std::uint64_t revision = 0;
+  // The engine was seen in the published state.
+  bool settled = false;
+  // The engine has taken a higher number than the sidecar knows.
+  bool superseded = false;
+};
+
 using Message =
     std::variant<ExecuteRequest, ResumeRequest, TicketRequest, TicketReply,
                  ConfirmRequest, ConfirmReply, GossipRequest, GossipReply,
-                 AcceptedReply, TokensReply, FinishedReply>;
+                 AcceptedReply, TokensReply, FinishedReply, OrderNotice,
+                 OrderReply>;
 
 QByteArray Encode(const Message& message);
 
--- a/libraries/relay/relay.cc
+++ b/libraries/relay/relay.cc
@@ -18,6 +18,7 @@
     case ResultCode::kDraining:
     case ResultCode::kNoBackendServer:
     case ResultCode::kQueueFull:
+    case ResultCode::kBudgetSpent:
     case ResultCode::kStaleVmList:
       return true;
     default:
--- a/libraries/templates/template_set.cc
+++ b/libraries/templates/template_set.cc
@@ -16,6 +16,7 @@
 
 constexpr std::size_t kMaxTextBytes = 1U << 20;
 constexpr std::int64_t kMaxTokens = 1'000'000;
+constexpr std::int64_t kMaxOrder = 1'000'000'000'000;
 constexpr milliseconds kMaxDeadline = std::chrono::hours(1);
 constexpr int kMaxPriority = 100;
 constexpr double kMaxWeight = 1000.0;
@@ -101,6 +102,9 @@
   set->ReadModels(root.Object("models"));
   set->ReadServices(root.Object("services", false));
   set->ReadWorkspaces(root.Object("workspaces"), templates);
+  const milliseconds load_interval = root.Duration(
+      "load_interval", milliseconds(1), kMaxDeadline, milliseconds(1000));
+  set->ReadEngines(root.Object("engines", false), load_interval);
   root.ReportUnknownKeys();
   return problems.empty() ? set : nullptr;
 }
@@ -133,6 +137,22 @@
   }
 }
 
+void TemplateSet::ReadEngines(ObjectReader reader, milliseconds load_interval) {
+  std::map<std::int64_t, std::int64_t> ranks;
+  for (auto& [vm, member] : reader.Members()) {
+    const std::int64_t number = member.Integer("order", 1, kMaxOrder);
+    orders::Desired desired;
+    desired.revision = static_cast<std::uint64_t>(number);
+    desired.state.model = member.String("model");
+    desired.state.adapter = member.String("adapter", "");
+    desired.state.version = member.String("version");
+    desired.state.role = member.String("role", "any");
+    desired.load_delay = load_interval * ranks[number]++;
+    member.ReportUnknownKeys();
+    engines_.emplace(vm, std::move(desired));
+  }
+}
+
 void TemplateSet::ReadWorkspaces(
     ObjectReader reader, const std::map<std::string, Template>& templates) {
   for (auto& [name, member] : reader.Members()) {
--- a/libraries/templates/template_set.h
+++ b/libraries/templates/template_set.h
@@ -12,6 +12,7 @@
 #include <string_view>
 #include <vector>
 
+#include "libraries/orders/order_book.h"
 #include "libraries/settings/object_reader.h"
 
 namespace balsam::templates {
@@ -91,6 +92,12 @@
   const ServiceMethod* FindMethod(std::string_view service,
                                   std::string_view method) const;
 
+  // What each engine is to have loaded, by its VM. Engines whose orders bear
+  // one number change together, `load_interval` after each other.
+  const std::map<std::string, orders::Desired, std::less<>>& engines() const {
+    return engines_;
+  }
+
   const std::map<std::string, Workspace, std::less<>>& workspaces() const {
     return workspaces_;
   }
@@ -103,6 +110,8 @@
 
   void ReadModels(settings::ObjectReader reader);
   void ReadServices(settings::ObjectReader reader);
+  void ReadEngines(settings::ObjectReader reader,
+                   std::chrono::milliseconds load_interval);
   void ReadWorkspaces(settings::ObjectReader reader,
                       const std::map<std::string, Template>& templates);
 
@@ -113,6 +122,7 @@
   std::map<std::array<std::uint8_t, 32>, std::string> workspace_of_digest_;
   std::map<std::string, std::string, std::less<>> models_;
   std::map<std::string, Methods, std::less<>> services_;
+  std::map<std::string, orders::Desired, std::less<>> engines_;
 };
 
 }  // namespace balsam::templates
--- a/services/entry/caller_session.cc
+++ b/services/entry/caller_session.cc
@@ -23,12 +23,14 @@
 
 CallerSession::CallerSession(CallerRequest request, relay::Relay relay,
                              std::unique_ptr<ResponseWriter> writer,
+                             admission::BudgetCharge charge,
                              SharedState& shared, SidecarPool& pool,
                              QObject* parent)
     : QObject(parent),
       request_(std::move(request)),
       relay_(std::move(relay)),
       writer_(std::move(writer)),
+      charge_(std::move(charge)),
       shared_(shared),
       pool_(pool),
       instruments_(shared.metrics.For(request_.work.workspace,
@@ -225,6 +227,7 @@
   const BootTime now = BootClock::now();
   writer_->WriteTokens(*relay_.generation(), step.first, step.tokens);
   instruments_.tokens->Increment(static_cast<double>(step.tokens.size()));
+  charge_.OnTokens(static_cast<double>(step.tokens.size()), now);
   ObserveTokens(now);
   last_write_ = now;
   if (!paused_ && writer_->pending_bytes() > kPauseAboveBytes) {
@@ -247,6 +250,7 @@
 }
 
 void CallerSession::DoConclude(const Outcome& outcome) {
+  charge_.Settle(outcome.run_state != RunState::kNotRun, BootClock::now());
   instruments_.stall->Observe(Seconds(stall_));
   shared_.metrics.CountOutcome(request_.work.workspace, outcome.code);
   LogEvent("concluded")
@@ -267,6 +271,8 @@
 
 void CallerSession::Finish() {
   if (std::exchange(finished_, true)) return;
+  // A caller that left has used what was charged so far.
+  charge_.Settle(/*ran=*/true, BootClock::now());
   DropStream();
   if (on_finished) on_finished();
 }
--- a/services/entry/caller_session.h
+++ b/services/entry/caller_session.h
@@ -20,7 +20,8 @@
 
  public:
   CallerSession(CallerRequest request, relay::Relay relay,
-                std::unique_ptr<ResponseWriter> writer, SharedState& shared,
+                std::unique_ptr<ResponseWriter> writer,
+                admission::BudgetCharge charge, SharedState& shared,
                 SidecarPool& pool, QObject* parent = nullptr);
   ~CallerSession() override;
 
@@ -51,6 +52,7 @@
   CallerRequest request_;
   relay::Relay relay_;
   std::unique_ptr<ResponseWriter> writer_;
+  admission::BudgetCharge charge_;
   SharedState& shared_;
   SidecarPool& pool_;
   telemetry::RequestInstruments& instruments_;
--- a/services/entry/entry_node.cc
+++ b/services/entry/entry_node.cc
@@ -122,6 +122,8 @@
           {"platform_calls", follower_.platform_calls()},
           {"watching", follower_.watching()},
           {"control_bytes", follower_.peer_bytes()},
+          {"engines_told", follower_.orders().told()},
+          {"engines_settled", follower_.orders().settled()},
           {"draining", shared_.draining.load()}};
 }
 
--- a/services/entry/entry_worker.cc
+++ b/services/entry/entry_worker.cc
@@ -212,8 +212,16 @@
       !work.ticket.empty() || (work.key.has_value() && !work.idempotent);
   config.resume_window = shared_.settings.resume_window;
   config.deadline = BootClock::now() + work.queue_deadline + work.run_deadline;
+  const BootTime now = BootClock::now();
+  admission::BudgetCharge charge;
+  if (work.kind == execution::WorkKind::kGeneration) {
+    const auto budget = shared_.budgets.Find(work.workspace);
+    if (budget != nullptr) parsed->work.over_budget = budget->Overdrawn(now);
+    charge = admission::BudgetCharge(
+        budget, static_cast<double>(work.prompt_tokens), now);
+  }
   StartSession(std::move(*parsed), relay::Relay::ForRequest(config),
-               std::move(responder));
+               std::move(charge), std::move(responder));
 }
 
 void EntryWorker::HandleModels(const QHttpServerRequest& request,
@@ -263,7 +271,7 @@
   relay::RelayConfig config;
   config.resume_window = shared_.settings.resume_window;
   config.deadline = BootClock::now() + std::chrono::hours(1);
-  StartSession(std::move(request), relay::Relay::ForResume(config, *from),
+  StartSession(std::move(request), relay::Relay::ForResume(config, *from), {},
                std::move(responder));
 }
 
@@ -318,12 +326,14 @@
 }
 
 void EntryWorker::StartSession(CallerRequest request, relay::Relay relay,
+                               admission::BudgetCharge charge,
                                QHttpServerResponder&& responder) {
   auto writer = std::make_unique<ResponseWriter>(
       std::move(responder), request.form, request.stream, request.work.model);
   const std::uint64_t number = next_session_++;
   auto session = std::make_unique<CallerSession>(
-      std::move(request), std::move(relay), std::move(writer), shared_, pool_);
+      std::move(request), std::move(relay), std::move(writer),
+      std::move(charge), shared_, pool_);
   CallerSession* started = session.get();
   sessions_.emplace(number, std::move(session));
   started->on_finished = [this, number] {
--- a/services/entry/entry_worker.h
+++ b/services/entry/entry_worker.h
@@ -35,6 +35,7 @@
   void HandleResume(const CallerInput& input, QHttpServerResponder&& responder);
   void HandleTicket(const CallerInput& input, QHttpServerResponder&& responder);
   void StartSession(CallerRequest request, relay::Relay relay,
+                    admission::BudgetCharge charge,
                     QHttpServerResponder&& responder);
   Result<CallerRequest> Parse(const CallerInput& input) const;
   void Refuse(QHttpServerResponder&& responder, const Error& error);
--- a/services/entry/shared_state.h
+++ b/services/entry/shared_state.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <mutex>
 
+#include "libraries/admission/budget.h"
 #include "libraries/base/rcu_cell.h"
 #include "libraries/execution/suspicion_table.h"
 #include "libraries/membership/vm_list.h"
@@ -30,6 +31,7 @@
   templates::TemplateStore templates;
   RcuCell<membership::VmList> vms;
   placement::LoadBoard board;
+  admission::BudgetBook budgets;
   relay::RetryBudget retries;
   telemetry::RequestMetrics metrics;
   std::atomic<bool> draining{false};
--- a/services/entry/state_follower.cc
+++ b/services/entry/state_follower.cc
@@ -26,6 +26,10 @@
   return watcher;
 }
 
+peer::PeerAddress AddressOf(const membership::Vm& vm) {
+  return {QHostAddress(QString::fromStdString(vm.address)), vm.peer_port};
+}
+
 }  // namespace
 
 StateFollower::StateFollower(SharedState& shared, QObject* parent)
@@ -36,6 +40,12 @@
       list_watcher_("vms", WatcherFrom(shared.settings)),
       started_(BootClock::now()),
       heard_watcher_(started_),
+      orders_(
+          shared,
+          [this](const membership::Vm& vm) -> peer::PeerLink& {
+            return LinkTo(vm);
+          },
+          [this] { return watching(); }),
       random_(std::random_device{}()) {
   template_watcher_.on_value = [this](std::uint64_t revision,
                                       const std::string& text) {
@@ -72,6 +82,7 @@
                    address);
       });
   timer_.start(shared_.settings.gossip_interval);
+  orders_.Start();
   return {};
 }
 
@@ -156,9 +167,11 @@
 void StateFollower::Ask(const std::string& vm) {
   const auto list = shared_.vms.Read();
   const membership::Vm* row = list->Find(vm);
-  if (row == nullptr) return;
-  AskAddress(
-      vm, {QHostAddress(QString::fromStdString(row->address)), row->peer_port});
+  if (row != nullptr) AskAddress(vm, AddressOf(*row));
+}
+
+peer::PeerLink& StateFollower::LinkTo(const membership::Vm& vm) {
+  return LinkTo(vm.id, AddressOf(vm));
 }
 
 peer::PeerLink& StateFollower::LinkTo(const std::string& name,
@@ -238,9 +251,7 @@
         (vm.state == membership::VmState::kLeaving ||
          std::ranges::find(with_keys, vm.service) != with_keys.end());
     if (!needs_list) return;
-    const peer::PeerAddress address{
-        QHostAddress(QString::fromStdString(vm.address)), vm.peer_port};
-    LinkTo(vm.id, address).Open(peer::kGossipPath, gossip, {});
+    LinkTo(vm).Open(peer::kGossipPath, gossip, {});
   });
 }
 
@@ -265,6 +276,7 @@
           .With("revision", revision)
           .With("source", source);
       template_watcher_.SetKnownRevision(revision);
+      ShareBudgets();
       if (watching()) Announce();
       CheckReady();
       return;
@@ -292,6 +304,7 @@
                          &membership::Vm::id);
   shared_.vms.Publish(std::move(list));
   shared_.board.Retain(listed);
+  ShareBudgets();
   list_watcher_.SetKnownRevision(revision);
   LogEvent("vm_list").With("revision", revision).With("source", source);
   UpdateRole();
@@ -304,6 +317,16 @@
   CloseIdleLinks(listed);
 }
 
+void StateFollower::ShareBudgets() {
+  std::map<std::string, double> rates;
+  std::ranges::transform(
+      shared_.templates.InForce()->workspaces(),
+      std::inserter(rates, rates.end()), [](const auto& workspace) {
+        return std::pair(workspace.first, workspace.second.tokens_per_second);
+      });
+  shared_.budgets.Update(rates, shared_.vms.Read()->EntryVms().size());
+}
+
 void StateFollower::AskEverybodyOnce() {
   if (std::exchange(asked_everybody_, true)) return;
   const auto entries = OtherEntries(/*same_data_center=*/false);
--- a/services/entry/state_follower.h
+++ b/services/entry/state_follower.h
@@ -18,6 +18,7 @@
 #include "libraries/peer/peer_link.h"
 #include "libraries/peer/peer_server.h"
 #include "libraries/platform/value_watcher.h"
+#include "services/entry/order_notifier.h"
 #include "services/entry/shared_state.h"
 
 namespace balsam::entry {
@@ -38,6 +39,7 @@
   std::uint64_t platform_calls() const;
   std::uint64_t peer_bytes() const;
   std::uint16_t peer_port() const { return server_.port(); }
+  const OrderNotifier& orders() const { return orders_; }
 
   std::function<void()> on_ready;
 
@@ -55,12 +57,15 @@
   void AskAddress(const std::string& name, const peer::PeerAddress& address);
   peer::PeerLink& LinkTo(const std::string& name,
                          const peer::PeerAddress& address);
+  peer::PeerLink& LinkTo(const membership::Vm& vm);
   // Tells all entries of this data centre, and one of each other, at once.
   void Announce();
   // Tells the sidecars that need the list: those that are homes of keys, and
   // those whose VM is leaving.
   void PushListToSidecars();
   void AskEverybodyOnce();
+  // Gives each workspace its part of the published budget.
+  void ShareBudgets();
   void CheckReady();
   std::vector<std::string> OtherEntries(bool same_data_center) const;
   std::vector<std::string> Watchers() const;
@@ -83,6 +88,7 @@
   BootTime started_;
   // When a watcher last answered; others take its place when none does.
   BootTime heard_watcher_;
+  OrderNotifier orders_;
   QTimer timer_;
   std::minstd_rand random_;
 };
--- a/services/sidecar/sidecar_node.cc
+++ b/services/sidecar/sidecar_node.cc
@@ -62,6 +62,8 @@
       executor_(ConfigFrom(settings_), Moment::Now(), settings_.admission),
       backend_({QUrl(QString::fromStdString(settings_.backend_url)),
                 settings_.backend_silence_limit}),
+      engine_(QUrl(QString::fromStdString(settings_.backend_url)),
+              settings_.order_answer_limit, {}),
       server_(QByteArray::fromStdString(settings_.peer_key), {}),
       operators_(settings_.operator_key),
       list_watcher_("vms", WatcherFrom(settings_)),
@@ -165,6 +167,8 @@
     OnConfirm(stream, *ask);
   } else if (const auto* gossip = std::get_if<peer::GossipRequest>(&message)) {
     OnGossip(stream, *gossip);
+  } else if (const auto* order = std::get_if<peer::OrderNotice>(&message)) {
+    OnOrder(stream, *order);
   } else {
     stream.Refuse();
   }
@@ -235,6 +239,25 @@
   stream.Send(reply, true);
 }
 
+void SidecarNode::OnOrder(const peer::ServerStream& stream,
+                          const peer::OrderNotice& notice) {
+  const bool is_own = notice.vm == settings_.vm.id &&
+                      settings_.backend_kind == BackendKind::kEngine;
+  if (!is_own) {
+    stream.Refuse();
+    return;
+  }
+  // A pause is noticed before the news counts as new.
+  NoticePauses();
+  const BootTime now = BootClock::now();
+  engine_.OnDesired(notice.desired, now);
+  engine_.Tick(now);
+  const orders::OrderBook& book = engine_.book();
+  stream.Send(
+      peer::OrderReply{book.revision(), book.settled(), book.superseded()},
+      true);
+}
+
 void SidecarNode::OnStreamGone(const peer::ServerStream& stream) {
   const auto reader = readers_.find(stream);
   if (reader == readers_.end()) return;
@@ -350,14 +373,18 @@
   });
 }
 
+void SidecarNode::NoticePauses() {
+  executor_.Tick(Moment::Now());
+  const std::uint64_t pauses = executor_.pauses();
+  if (std::exchange(pauses_seen_, pauses) == pauses) return;
+  engine_.OnPause();
+  LogEvent("woke_late", LogEvent::Level::kWarning).With("vm", settings_.vm.id);
+}
+
 void SidecarNode::Tick() {
+  NoticePauses();
   const Moment now = Moment::Now();
-  const std::uint64_t pauses = executor_.pauses();
-  executor_.Tick(now);
-  if (executor_.pauses() != pauses) {
-    LogEvent("woke_late", LogEvent::Level::kWarning)
-        .With("vm", settings_.vm.id);
-  }
+  engine_.Tick(now.boot);
   if (now.boot - last_heard_ > kListPatience || list_.revision() == 0) {
     if (now.boot - last_heard_ > kListPatience) last_heard_ = now.boot;
     list_watcher_.ReadOnce();
@@ -492,6 +519,9 @@
           {"preemptions", preemptions_},
           {"peer_bytes", server_.bytes()},
           {"platform_calls", list_watcher_.calls()},
+          {"order", engine_.book().revision()},
+          {"order_settled", engine_.book().settled()},
+          {"order_superseded", engine_.book().superseded()},
           {"draining", load.draining}};
 }
 
--- a/services/sidecar/sidecar_node.h
+++ b/services/sidecar/sidecar_node.h
@@ -12,6 +12,7 @@
 #include <set>
 
 #include "libraries/backend/backend_client.h"
+#include "libraries/backend/engine_controller.h"
 #include "libraries/execution/executor.h"
 #include "libraries/http/operator_server.h"
 #include "libraries/membership/vm_list.h"
@@ -59,6 +60,8 @@
                  const peer::ConfirmRequest& request);
   void OnGossip(const peer::ServerStream& stream,
                 const peer::GossipRequest& request);
+  void OnOrder(const peer::ServerStream& stream,
+               const peer::OrderNotice& notice);
   void OnStreamGone(const peer::ServerStream& stream);
 
   void AddReader(const peer::ServerStream& stream, execution::Counter counter,
@@ -74,6 +77,8 @@
   void Dispatch(execution::Counter counter);
   void OnChanged(execution::Counter counter);
   void Tick();
+  // Lets everybody know if this process was stopped meanwhile.
+  void NoticePauses();
   void AdoptList(std::uint64_t revision, const std::string& text);
   void AskForConfirmations();
   // Sends one peer of the service what this sidecar has adopted.
@@ -85,6 +90,7 @@
   SidecarSettings settings_;
   execution::Executor executor_;
   backend::BackendClient backend_;
+  backend::EngineController engine_;
   peer::PeerServer server_;
   http::OperatorServer operators_;
   platform::ValueWatcher list_watcher_;
@@ -106,6 +112,7 @@
   std::set<std::string> seal_unheard_;
   BootTime seal_deadline_;
   std::uint64_t preemptions_ = 0;
+  std::uint64_t pauses_seen_ = 0;
 };
 
 }  // namespace balsam::sidecar
--- a/services/sidecar/sidecar_settings.cc
+++ b/services/sidecar/sidecar_settings.cc
@@ -27,6 +27,9 @@
   settings.backend_silence_limit =
       reader.Duration("silence_limit", kOneMillisecond, kMaxLimit,
                       settings.backend_silence_limit);
+  settings.order_answer_limit =
+      reader.Duration("order_answer_limit", kOneMillisecond, kMaxLimit,
+                      settings.order_answer_limit);
   if (settings.reserve_tokens >= settings.capacity_tokens) {
     reader.AddProblem("reserve_tokens", "must be below capacity_tokens");
   }
--- a/services/sidecar/sidecar_settings.h
+++ b/services/sidecar/sidecar_settings.h
@@ -29,6 +29,8 @@
   std::int64_t max_running = 0;
   execution::AdmissionPolicy admission = execution::AdmissionPolicy::kForecast;
   std::chrono::milliseconds backend_silence_limit{15000};
+  // How long an engine may take to carry out an order.
+  std::chrono::milliseconds order_answer_limit{300000};
 
   std::chrono::milliseconds reader_grace{30000};
   std::chrono::milliseconds stop_deadline{300000};
--- a/tests/libraries/execution/executor_test.cc
+++ b/tests/libraries/execution/executor_test.cc
@@ -360,6 +360,37 @@
   EXPECT_EQ(others, 1);
 }
 
+TEST_F(ExecutorOverloadTest, WorkOverBudgetGoesOnlyWhileNobodyElseWaits) {
+  ExecutorConfig config = ConfigOf("a");
+  config.max_running_generations = 1;
+  Executor executor(config, now_);
+  const auto submit = [&](const std::string& workspace, milliseconds over) {
+    Work work = Generation();
+    work.workspace = workspace;
+    work.over_budget = over;
+    work.received = now_.wall;
+    return executor.Submit(work, now_);
+  };
+  // Nobody waits, so the budget binds nobody.
+  ASSERT_TRUE(std::holds_alternative<Accepted>(submit("rich", seconds(3))));
+  const auto running = executor.TakeDispatches(now_);
+  ASSERT_EQ(running.size(), 1U);
+  ASSERT_TRUE(std::holds_alternative<Accepted>(submit("rich", seconds(3))));
+  ASSERT_TRUE(std::holds_alternative<Accepted>(submit("poor", seconds(0))));
+  // Somebody waits: the excess gets its answer now, and a time to come back.
+  const Submission refused = submit("rich", seconds(3));
+  ASSERT_TRUE(std::holds_alternative<Outcome>(refused));
+  const auto& outcome = std::get<Outcome>(refused);
+  EXPECT_EQ(outcome.code, ResultCode::kBudgetSpent);
+  EXPECT_EQ(outcome.run_state, RunState::kNotRun);
+  EXPECT_EQ(outcome.retry_after, seconds(3));
+  // The one within budget goes first, though it came later.
+  executor.OnCompleted(running[0], Outcome{}, now_);
+  const auto next = executor.TakeDispatches(now_);
+  ASSERT_EQ(next.size(), 1U);
+  EXPECT_EQ(executor.Find(next[0])->work.workspace, "poor");
+}
+
 class ExecutorPoisonTest : public ExecutorTest {};
 
 TEST_F(ExecutorPoisonTest, TheSecondCrashQuarantinesTheSuspectOnly) {
--- a/tests/libraries/orders/order_book_test.cc
+++ b/tests/libraries/orders/order_book_test.cc
@@ -21,8 +21,8 @@
 EngineState StateOf(std::uint64_t revision) {
   return {"m", "a", "v" + std::to_string(revision), "decode"};
 }
-Desired DesiredAt(std::uint64_t revision, std::int64_t rank = 0) {
-  return {revision, StateOf(revision), rank};
+Desired DesiredAt(std::uint64_t revision, milliseconds load_delay = {}) {
+  return {revision, StateOf(revision), load_delay};
 }
 
 struct Engine {
@@ -98,18 +98,35 @@
   book.OnDesired(DesiredAt(2), later);
   ASSERT_TRUE(book.TakeReadBack(later));
   book.OnReadBack(engine.state, 0, later);
+  // It may also be the newer one that changed it, until news tell.
+  EXPECT_FALSE(book.TakeOrder(later).has_value());
+  book.OnDesired(DesiredAt(2), later);
   book.OnAnswer(engine.Take(*book.TakeOrder(later)), later);
   EXPECT_EQ(engine.state, StateOf(2));
 }
 
+TEST(OrderBookTest, AnEngineInTheRightStateWithAnOldNumberIsOrderedAgain) {
+  Engine engine;
+  OrderBook book({});
+  book.OnDesired({3, StateOf(2), {}}, kStart);
+  engine.number = 2;
+  engine.state = StateOf(2);
+  book.OnReadBack(engine.state, engine.number, kStart);
+  EXPECT_FALSE(book.settled());
+  book.OnAnswer(engine.Take(*book.TakeOrder(kStart)), kStart);
+  book.OnReadBack(engine.state, engine.number, kStart);
+  EXPECT_TRUE(book.settled());
+}
+
 TEST(OrderBookTest, LoadsKeepUnderTheStoresRate) {
-  const OrderBook::Config config;
+  constexpr milliseconds kLoadInterval{1000};
   std::vector<BootTime> loads;
   for (std::int64_t rank = 0; rank < 50; ++rank) {
-    OrderBook book(config);
-    book.OnDesired(DesiredAt(1, rank), kStart);
+    OrderBook book({});
+    const milliseconds delay = rank * kLoadInterval;
+    book.OnDesired(DesiredAt(1, delay), kStart);
     for (BootTime now = kStart;; now += milliseconds(100)) {
-      book.OnDesired(DesiredAt(1, rank), now);
+      book.OnDesired(DesiredAt(1, delay), now);
       if (!book.TakeOrder(now).has_value()) continue;
       loads.push_back(now);
       break;
@@ -117,7 +134,7 @@
   }
   std::ranges::sort(loads);
   for (std::size_t i = 1; i < loads.size(); ++i) {
-    EXPECT_GE(loads[i] - loads[i - 1], config.load_interval);
+    EXPECT_GE(loads[i] - loads[i - 1], kLoadInterval);
   }
 }
 
--- a/tests/processes/cluster.cc
+++ b/tests/processes/cluster.cc
@@ -20,6 +20,7 @@
 
 constexpr char kPeerKey[] = "test-peer-key-0123";
 constexpr milliseconds kStartLimit = seconds(30);
+constexpr char kBackendSuffix[] = "/backend";
 
 std::string Url(std::uint16_t port, const std::string& path) {
   return "http://127.0.0.1:" + std::to_string(port) + path;
@@ -140,7 +141,8 @@
 
 void Cluster::AddBackend(const std::string& vm, const std::string& service,
                          bool engine, const BackendOptions& options) {
-  const Backend backend{FreePort(), FreePort(), FreePort(), engine};
+  const Backend backend{FreePort(), FreePort(), FreePort(),
+                        engine,     service,    options};
   backends_[vm] = backend;
   vms_[vm] = {
       {"id", vm},
@@ -153,19 +155,39 @@
       {"state", "live"}};
   QStringList arguments = {engine ? "engine" : "service", "--port",
                            QString::number(backend.backend_port)};
-  AddMember(vm + "/backend", BALSAM_STANDIN,
+  AddMember(vm + kBackendSuffix, BALSAM_STANDIN,
             arguments + options.engine_arguments);
+  AddSidecar(vm, vm, backend, options);
+}
+
+void Cluster::AddReplacement(const std::string& name, const std::string& vm) {
+  Backend backend = backends_.at(vm);
+  backend.peer_port = FreePort();
+  backend.operator_port = FreePort();
+  AddSidecar(name, vm, backend, backend.options);
+  start_order_.pop_back();
+  replacements_[name] = backend;
+}
+
+void Cluster::ListReplacement(const std::string& name, const std::string& vm) {
+  vms_[vm]["peer_port"] = replacements_.at(name).peer_port;
+  PublishList();
+}
+
+void Cluster::AddSidecar(const std::string& name, const std::string& vm,
+                         const Backend& backend,
+                         const BackendOptions& options) {
   json limits = {{"reader_grace", "20s"},
                  {"clock_error", "100ms"},
                  {"removed_vm_grace", "200ms"},
                  {"pause_limit", "500ms"}};
   limits.update(options.limits);
   json server = {{"url", Url(backend.backend_port, "")},
-                 {"kind", engine ? "engine" : "plain"}};
-  if (engine) server["capacity_tokens"] = 40000;
+                 {"kind", backend.engine ? "engine" : "plain"}};
+  if (backend.engine) server["capacity_tokens"] = 40000;
   const json settings = {
       {"vm", {{"id", vm}, {"data_center", options.data_center}}},
-      {"service", service},
+      {"service", backend.service},
       {"peers",
        {{"address", "127.0.0.1"},
         {"port", backend.peer_port},
@@ -177,7 +199,7 @@
       {"platform", {{"url", Url(platform_port_, "")}}},
       {"backend_server", server},
       {"limits", limits}};
-  AddMember(vm, BALSAM_SIDECAR, {"--settings", Write(vm, settings)});
+  AddMember(name, BALSAM_SIDECAR, {"--settings", Write(name, settings)});
 }
 
 void Cluster::AddEntry(const std::string& vm, const std::string& data_center) {
@@ -225,6 +247,9 @@
   for (const std::string& name : start_order_) {
     if (name != "platform") process(name).Start();
   }
+  const bool servers_up = std::ranges::all_of(
+      backends_, [&](const auto& row) { return WaitBackendServer(row.first); });
+  if (!servers_up) return false;
   const bool sidecars_up = std::ranges::all_of(backends_, [&](const auto& row) {
     return WaitUntil(
         [&] { return Status(row.first).value("list_revision", 0) > 0; },
@@ -238,6 +263,18 @@
 void Cluster::Restart(const std::string& name) {
   process(name).WaitForEnd(seconds(10));
   process(name).Start();
+  const auto slash = name.find(kBackendSuffix);
+  if (slash != std::string::npos) WaitBackendServer(name.substr(0, slash));
+}
+
+bool Cluster::WaitBackendServer(const std::string& vm) {
+  const Backend& backend = backends_.at(vm);
+  const std::string path = backend.engine ? "/load" : "/counters";
+  return WaitUntil(
+      [&] {
+        return Send("GET", Url(backend.backend_port, path)).status == 200;
+      },
+      kStartLimit);
 }
 
 bool Cluster::WaitServing(const std::string& entry) {
@@ -293,9 +330,11 @@
 
 json Cluster::Status(const std::string& name) const {
   const auto entry = entries_.find(name);
-  const std::uint16_t port = entry != entries_.end()
-                                 ? entry->second.operator_port
-                                 : backends_.at(name).operator_port;
+  const auto replacement = replacements_.find(name);
+  const std::uint16_t port =
+      entry != entries_.end()              ? entry->second.operator_port
+      : replacement != replacements_.end() ? replacement->second.operator_port
+                                           : backends_.at(name).operator_port;
   const json status =
       Send("GET", Url(port, "/status"), "",
            {{"Authorization", std::string("Bearer ") + kOperatorKey}})
@@ -324,6 +363,12 @@
       .value("started", 0);
 }
 
+json Cluster::EngineState(const std::string& vm) const {
+  const json state =
+      Send("GET", Url(backends_.at(vm).backend_port, "/engine/state")).Json();
+  return state.is_object() ? state : json::object();
+}
+
 void Cluster::SetServiceFault(const std::string& vm, const json& fault) {
   Send("POST", Url(backends_.at(vm).backend_port, "/faults"), fault.dump());
 }
--- a/tests/processes/cluster.h
+++ b/tests/processes/cluster.h
@@ -68,6 +68,10 @@
 
   void AddEngine(const std::string& vm, const BackendOptions& options = {});
   void AddService(const std::string& vm, const BackendOptions& options = {});
+  // Another sidecar process, `name`, for the slot of `vm`; not started.
+  void AddReplacement(const std::string& name, const std::string& vm);
+  // Lists the replacement's address instead of the first sidecar's.
+  void ListReplacement(const std::string& name, const std::string& vm);
   void AddEntry(const std::string& vm,
                 const std::string& data_center = "hall-tywi");
   // The port on which a sidecar will listen for peers.
@@ -98,6 +102,8 @@
   int Runs(const std::string& vm, const std::string& body) const;
   int TotalRuns(const std::string& body) const;
   int EngineStarts(const std::string& vm) const;
+  // What the engine has loaded, and its loads so far.
+  nlohmann::json EngineState(const std::string& vm) const;
   void SetServiceFault(const std::string& vm, const nlohmann::json& fault);
 
   static nlohmann::json Templates();
@@ -108,6 +114,8 @@
     std::uint16_t peer_port = 0;
     std::uint16_t operator_port = 0;
     bool engine = false;
+    std::string service;
+    BackendOptions options;
   };
   struct Entry {
     std::uint16_t caller_port = 0;
@@ -118,6 +126,10 @@
   // Takes a block of ports that no other test uses meanwhile.
   void TakePortBlock();
   std::uint16_t FreePort();
+  // Waits until the backend server beside this VM's sidecar answers.
+  bool WaitBackendServer(const std::string& vm);
+  void AddSidecar(const std::string& name, const std::string& vm,
+                  const Backend& backend, const BackendOptions& options);
   void AddBackend(const std::string& vm, const std::string& service,
                   bool engine, const BackendOptions& options);
   QString Write(const std::string& name, const nlohmann::json& content);
@@ -130,6 +142,7 @@
   std::map<std::string, std::unique_ptr<Member>> members_;
   std::vector<std::string> start_order_;
   std::map<std::string, Backend> backends_;
+  std::map<std::string, Backend> replacements_;
   std::map<std::string, Entry> entries_;
   std::map<std::string, nlohmann::json> vms_;
   QTcpServer port_block_;
--- /dev/null
+++ b/tests/processes/orders_test.cc
@@ -0,0 +1,114 @@
+// Engine orders on real processes: what operators publish reaches engines, and
+// a sidecar that wakes late undoes nothing.
+#include <gtest/gtest.h>
+
+#include "tests/processes/cluster.h"
+
+namespace balsam::processes {
+namespace {
+
+using nlohmann::json;
+using std::chrono::seconds;
+
+json TemplatesWithOrder(int order, const std::vector<std::string>& engines) {
+  json templates = Cluster::Templates();
+  templates["load_interval"] = "100ms";
+  for (const std::string& vm : engines) {
+    templates["engines"][vm] = {{"order", order},
+                                {"model", "croeso"},
+                                {"adapter", "pentre"},
+                                {"version", "v" + std::to_string(order)},
+                                {"role", "any"}};
+  }
+  return templates;
+}
+
+class OrdersProcessTest : public testing::Test {
+ protected:
+  void Publish(int order, const std::vector<std::string>& engines) {
+    cluster_.PublishTemplates(TemplatesWithOrder(order, engines));
+  }
+  bool WaitVersion(const std::string& vm, const std::string& version) {
+    return WaitUntil(
+        [&] {
+          return cluster_.EngineState(vm).value("version", "") == version;
+        },
+        seconds(20));
+  }
+  bool WaitSettled(const std::string& sidecar, int order) {
+    return WaitUntil(
+        [&] {
+          const json status = cluster_.Status(sidecar);
+          return status.value("order", 0) == order &&
+                 status.value("order_settled", false);
+        },
+        seconds(20));
+  }
+  // An older sidecar stops before a newer order and wakes after it.
+  void WakeLate(const QStringList& engine_arguments) {
+    BackendOptions options;
+    options.engine_arguments = engine_arguments;
+    cluster_.AddEngine("llm-1", options);
+    cluster_.AddEntry("entry-1");
+    cluster_.AddReplacement("llm-1b", "llm-1");
+    ASSERT_TRUE(cluster_.Start());
+    Publish(1, {"llm-1"});
+    ASSERT_TRUE(WaitSettled("llm-1", 1));
+    cluster_.process("llm-1").Freeze();
+    cluster_.process("llm-1b").Start();
+    cluster_.ListReplacement("llm-1b", "llm-1");
+    Publish(2, {"llm-1"});
+    ASSERT_TRUE(WaitSettled("llm-1b", 2));
+    cluster_.process("llm-1").Thaw();
+    // It reads back every two seconds, and would repair what it believes in.
+    WaitUntil([] { return false; }, seconds(5));
+    EXPECT_EQ(cluster_.EngineState("llm-1")["loads"], json({"v1", "v2"}));
+    EXPECT_FALSE(cluster_.Status("llm-1").value("order_settled", true) &&
+                 !cluster_.Status("llm-1").value("order_superseded", false));
+  }
+
+  Cluster cluster_;
+};
+
+TEST_F(OrdersProcessTest, WhatIsPublishedIsLoadedEverywhereOnce) {
+  const std::vector<std::string> engines = {"llm-1", "llm-2", "llm-3"};
+  for (const std::string& vm : engines) cluster_.AddEngine(vm);
+  cluster_.AddEntry("entry-1");
+  cluster_.AddEntry("entry-2");
+  ASSERT_TRUE(cluster_.Start());
+  Publish(1, engines);
+  for (const std::string& vm : engines) EXPECT_TRUE(WaitSettled(vm, 1));
+  Publish(2, engines);
+  for (const std::string& vm : engines) {
+    EXPECT_TRUE(WaitSettled(vm, 2));
+    // Two entries told each sidecar; the engine loaded each version once.
+    EXPECT_EQ(cluster_.EngineState(vm)["loads"], json({"v1", "v2"}));
+  }
+}
+
+TEST_F(OrdersProcessTest, ALateSidecarIsRefusedByAnEngineThatChecks) {
+  WakeLate({});
+}
+
+TEST_F(OrdersProcessTest, ALateSidecarUndoesNothingWhereNumbersAreIgnored) {
+  WakeLate({"--ignore-fencing"});
+}
+
+TEST_F(OrdersProcessTest, AnEngineThatRestartsIsBroughtBack) {
+  cluster_.AddEngine("llm-1");
+  cluster_.AddEntry("entry-1");
+  ASSERT_TRUE(cluster_.Start());
+  Publish(1, {"llm-1"});
+  ASSERT_TRUE(WaitSettled("llm-1", 1));
+  cluster_.process("llm-1/backend").Kill();
+  cluster_.Restart("llm-1/backend");
+  // The news that repairs it rests on comes within half a minute.
+  EXPECT_TRUE(WaitUntil(
+      [&] {
+        return cluster_.EngineState("llm-1").value("version", "") == "v1";
+      },
+      seconds(60)));
+}
+
+}  // namespace
+}  // namespace balsam::processes
--- a/tests/processes/tokens_once_test.cc
+++ b/tests/processes/tokens_once_test.cc
@@ -34,10 +34,14 @@
         CompletionBody(kTokens), headers);
   }
   // Waits until the reader has some tokens, but not all.
-  static void WaitMidStream(Exchange& exchange) {
+  void WaitMidStream(Exchange& exchange) {
     ASSERT_TRUE(WaitUntil(
         [&] { return ReadEvents(exchange.received()).tokens >= kBeforeFault; },
-        seconds(20)));
+        seconds(20)))
+        << "status " << exchange.answer().status << ", received \""
+        << exchange.received() << "\", entry-1 logged:\n"
+        << cluster_.process("entry-1").Log() << "llm-1 logged:\n"
+        << cluster_.process("llm-1").Log();
     ASSERT_LT(ReadEvents(exchange.received()).tokens, kTokens);
   }
   // The VM that runs the only generation.
--- a/utilities/standin/engine_server.cc
+++ b/utilities/standin/engine_server.cc
@@ -51,6 +51,17 @@
     Resume(request, std::move(answer));
     return;
   }
+  if (request.path == "/engine/orders" && request.method == "POST") {
+    TakeOrder(request, answer);
+    return;
+  }
+  if (request.path == "/engine/state") {
+    json state = loaded_;
+    if (options_.checks_fencing) state["fencing_number"] = fencing_number_;
+    state["loads"] = loads_;
+    answer->SendJson(200, state);
+    return;
+  }
   if (request.path == "/load") {
     answer->SendJson(200, {{"used_tokens", model_.used_tokens()},
                            {"memory_tokens", options_.parameters.memory_tokens},
@@ -65,6 +76,26 @@
   answer->SendJson(404, {{"error", "no such path"}});
 }
 
+void EngineServer::TakeOrder(const StandinRequest& request,
+                             const LateAnswerPointer& answer) {
+  json order = json::parse(request.body, nullptr, false);
+  if (!order.is_object()) {
+    answer->SendJson(400, {{"error", "bad order"}});
+    return;
+  }
+  const auto number = order.value("fencing_number", std::uint64_t{0});
+  if (options_.checks_fencing && number < fencing_number_) {
+    answer->SendJson(409, {{"error", "old fencing number"}});
+    return;
+  }
+  fencing_number_ = number;
+  order.erase("fencing_number");
+  // Loading what is loaded takes nothing from the weight store.
+  if (order != loaded_) loads_.push_back(order.value("version", ""));
+  loaded_ = std::move(order);
+  answer->SendJson(200, {{"applied", number}});
+}
+
 std::int64_t EngineServer::OutputTokensFor(const std::string& prompt,
                                            std::int64_t max_tokens) {
   static const std::regex kDirective(R"(\[\[tokens=(\d{1,7})\]\])");
--- a/utilities/standin/engine_server.h
+++ b/utilities/standin/engine_server.h
@@ -20,6 +20,8 @@
   std::uint64_t seed = 1;
   double median_output_tokens = 60.0;
   double output_sigma = 0.8;
+  // Whether an order with an old fencing number is refused.
+  bool checks_fencing = true;
 };
 
 class EngineServer : public QObject {
@@ -45,6 +47,8 @@
   void Handle(const StandinRequest& request, LateAnswerPointer answer);
   void Begin(const StandinRequest& request, LateAnswerPointer answer);
   void Resume(const StandinRequest& request, LateAnswerPointer answer);
+  void TakeOrder(const StandinRequest& request,
+                 const LateAnswerPointer& answer);
   void Attach(Stream& stream, LateAnswerPointer answer, std::uint64_t from);
   void Flush(Stream& stream);
   void RunStep();
@@ -63,6 +67,10 @@
   std::mt19937_64 random_;
   std::uint64_t started_ = 0;
   std::uint64_t tokens_ = 0;
+  std::uint64_t fencing_number_ = 0;
+  nlohmann::json loaded_ = nlohmann::json::object();
+  // The versions that were loaded, in order.
+  nlohmann::json loads_ = nlohmann::json::array();
 };
 
 }  // namespace balsam::standin
--- a/utilities/standin/main.cc
+++ b/utilities/standin/main.cc
@@ -37,6 +37,7 @@
       std::chrono::microseconds(parsed["step-us"].as<std::int64_t>());
   options.time_scale = parsed["time-scale"].as<double>();
   options.seed = parsed["seed"].as<std::uint64_t>();
+  options.checks_fencing = !parsed["ignore-fencing"].as<bool>();
   options.median_output_tokens = parsed["median-output"].as<double>();
   return options;
 }
@@ -96,6 +97,8 @@
       cxxopts::value<double>()->default_value("1"))(
       "median-output", "engine: median of output lengths, in tokens",
       cxxopts::value<double>()->default_value("60"))(
+      "ignore-fencing", "engine: take orders whatever their number",
+      cxxopts::value<bool>()->default_value("false"))(
       "seed", "engine: seed of the lengths",
       cxxopts::value<std::uint64_t>()->default_value("1"))("help",
                                                            "Print this help");
