Ask for whole texts until one was read

Change: only a whole text that was read takes the wish back; a sidecar reads the platform's list once. The head of budget.h named a burst for each entry; it is one over all.

--- a/libraries/admission/budget.h
+++ b/libraries/admission/budget.h
@@ -1,8 +1,8 @@
 // What one workspace may use at one entry while others want theirs. Each entry
 // holds an equal part of the published rate and asks nobody, so that a split of
 // the fleet cannot raise the whole: all entries together charge as "within
-// budget" at most the rate, plus a burst each, plus what was admitted before
-// its length was known.
+// budget" at most the rate, one burst over all of them, and what each admitted
+// before its length was known.
 #pragma once
 
 #include <atomic>
--- a/services/entry/state_follower.cc
+++ b/services/entry/state_follower.cc
@@ -196,7 +196,6 @@
     if (std::ranges::find(watchers, name) != watchers.end()) {
       heard_watcher_ = BootClock::now();
     }
-    wants_whole_ = false;
     if (const auto text =
             TextOf(shared_.list_history, reply->list_change, name)) {
       OfferList(reply->list_revision, *text, name);
@@ -283,6 +282,8 @@
   return TryOr(
       [&]() -> Result<std::optional<std::string>> {
         BOOST_LEAF_AUTO(text, history.Read(change));
+        // Only a whole text mends what a change could not be read against.
+        if (change.base == 0) wants_whole_ = false;
         return std::optional(std::move(text));
       },
       [&](const Error& error) -> std::optional<std::string> {
--- a/services/sidecar/sidecar_node.cc
+++ b/services/sidecar/sidecar_node.cc
@@ -239,6 +239,8 @@
                 LogEvent("change_unreadable", LogEvent::Level::kWarning)
                     .With("source", request.vm)
                     .With("reason", error.detail);
+                // The sender cannot know, so the whole list is read here.
+                list_watcher_.ReadOnce();
                 return std::string();
               });
     AdoptList(request.list_revision, text);
