Let any gateway that reaches the store vouch for a removal

The gateway's own path to the store had come back less than three seconds before; it took a removal from the store itself for a lapse and moved nothing, although its peers had reached the store all the while. Ruled out: the pulled changes (no pull between the return and the removal), the links (every other gateway moved its runs in time). Change: digests say whether their sender reached the store all the while lately; a removed entry may have lapsed only if no live gateway did. The word with pulled changes is gone again. PeerTable::NewestBeyond, unused, too.

--- a/libraries/gossip/digest.cc
+++ b/libraries/gossip/digest.cc
@@ -9,7 +9,7 @@
 using nlohmann::json;
 
 // Changes with the layout below; entries of another layout are not understood.
-constexpr int kLayout = 3;
+constexpr int kLayout = 4;
 
 }  // namespace
 
@@ -29,6 +29,7 @@
                         digest.sequence,
                         digest.incarnation,
                         digest.revision,
+                        digest.reaches_store,
                         std::move(usage),
                         digest.peers,
                         std::move(crashes),
@@ -40,7 +41,7 @@
 
 Result<Digest> Decode(std::string_view bytes) {
   const json message = json::from_cbor(bytes.begin(), bytes.end(), true, false);
-  if (!message.is_array() || message.size() != 10 || message[0] != kLayout) {
+  if (!message.is_array() || message.size() != 11 || message[0] != kLayout) {
     return Fail(ResultCode::kInvalidPeerMessage, "not a digest");
   }
   try {
@@ -50,17 +51,18 @@
     digest.sequence = message[3].get<std::uint64_t>();
     digest.incarnation = message[4].get<std::uint64_t>();
     digest.revision = message[5].get<std::uint64_t>();
-    for (const json& used : message[6]) {
+    digest.reaches_store = message[6].get<bool>();
+    for (const json& used : message[7]) {
       digest.usage[used.at(0).get<std::string>()] = {
           used.at(1).get<std::int64_t>(), used.at(2).get<std::int64_t>(),
           used.at(3).get<std::int64_t>()};
     }
-    digest.peers = message[7].get<std::vector<std::string>>();
-    for (const json& crash : message[8]) {
+    digest.peers = message[8].get<std::vector<std::string>>();
+    for (const json& crash : message[9]) {
       digest.crashes[crash.at(0).get<std::uint64_t>()] =
           crash.at(1).get<std::int64_t>();
     }
-    digest.leaving_servers = message[9].get<std::vector<std::string>>();
+    digest.leaving_servers = message[10].get<std::vector<std::string>>();
     return digest;
   } catch (const json::exception& error) {
     return Fail(ResultCode::kInvalidPeerMessage, error.what());
--- a/libraries/gossip/digest.h
+++ b/libraries/gossip/digest.h
@@ -22,6 +22,8 @@
   std::uint64_t incarnation = 0;
   // Newest revision of the replicated configuration and directory.
   std::uint64_t revision = 0;
+  // It reached the store all the while lately.
+  bool reaches_store = false;
   // This entry's requests by backend server.
   std::map<std::string, dispatch::Usage> usage;
   // Addresses of other entries heard from.
--- a/libraries/gossip/peer_table.cc
+++ b/libraries/gossip/peer_table.cc
@@ -42,7 +42,7 @@
   peer.node = digest.node;
   peer.incarnation = digest.incarnation;
   peer.sequence = digest.sequence;
-  peer.revision = digest.revision;
+  peer.reaches_store = digest.reaches_store;
   peer.heard = now;
   peer.reported_alive = true;
   for (const std::string& ip : digest.peers) Learn(ip, now);
@@ -95,15 +95,10 @@
   return named;
 }
 
-std::string PeerTable::NewestBeyond(std::uint64_t revision,
-                                    BootTime now) const {
-  std::string best;
-  for (const auto& [ip, peer] : peers_) {
-    if (!IsAlive(peer, now) || peer.revision <= revision) continue;
-    revision = peer.revision;
-    best = ip;
-  }
-  return best;
+bool PeerTable::AnyReachesStore(BootTime now) const {
+  return std::ranges::any_of(peers_, [&](const auto& item) {
+    return IsAlive(item.second, now) && item.second.reaches_store;
+  });
 }
 
 }  // namespace balsam::gossip
--- a/libraries/gossip/peer_table.h
+++ b/libraries/gossip/peer_table.h
@@ -43,18 +43,17 @@
   // of those that have not been heard.
   std::vector<std::string> Targets(BootTime now);
   std::vector<std::string> Alive(BootTime now) const;
+  // Whether any peer that is alive reached the store all the while lately.
+  bool AnyReachesStore(BootTime now) const;
   // Alive addresses to name to others.
   std::vector<std::string> Named(BootTime now);
-  // The alive peer with the newest view; empty if none is newer than
-  // `revision`.
-  std::string NewestBeyond(std::uint64_t revision, BootTime now) const;
 
  private:
   struct Peer {
     std::string node;
     std::uint64_t incarnation = 0;
     std::uint64_t sequence = 0;
-    std::uint64_t revision = 0;
+    bool reaches_store = false;
     // Zero if it was never heard.
     BootTime heard;
     BootTime learned;
--- a/services/gateway/gateway_node.cc
+++ b/services/gateway/gateway_node.cc
@@ -62,11 +62,10 @@
   peers_.on_leaving = [this](const std::string& server_id) {
     OnReportedLeaving(server_id, true);
   };
-  peers_.on_changes = [this](const auto& changes, std::uint64_t revision,
-                             bool may_have_lapsed) {
-    Apply(changes, revision, may_have_lapsed);
+  peers_.on_changes = [this](const auto& changes, std::uint64_t revision) {
+    OnStoreChanges(changes, revision);
   };
-  peers_.may_have_lapsed = [this] { return StoreWasAway(); };
+  peers_.reaches_store = [this] { return ReachesStore(); };
   room_timer_.setSingleShot(true);
   connect(&room_timer_, &QTimer::timeout, this, &GatewayNode::OfferRoom);
   connect(&tick_timer_, &QTimer::timeout, this, &GatewayNode::OnTick);
@@ -118,13 +117,8 @@
 
 void GatewayNode::OnStoreChanges(const std::vector<RevisionedEntry>& changes,
                                  std::uint64_t store_revision) {
-  Apply(changes, store_revision, StoreWasAway());
-}
-
-void GatewayNode::Apply(const std::vector<RevisionedEntry>& changes,
-                        std::uint64_t store_revision, bool may_have_lapsed) {
   for (const RevisionedEntry& entry : changes) {
-    if (replica_.Apply(entry)) OnEntry(entry, may_have_lapsed);
+    if (replica_.Apply(entry)) OnEntry(entry);
   }
   replica_.AdvanceTo(store_revision);
 }
@@ -132,8 +126,7 @@
 void GatewayNode::OnStoreSnapshot(const std::vector<RevisionedEntry>& entries,
                                   std::uint64_t store_revision) {
   const auto changes = replica_.ApplySnapshot({}, entries, store_revision);
-  const bool may_have_lapsed = StoreWasAway();
-  for (const RevisionedEntry& entry : changes) OnEntry(entry, may_have_lapsed);
+  for (const RevisionedEntry& entry : changes) OnEntry(entry);
 }
 
 void GatewayNode::OnStoreAvailable(bool available) {
@@ -145,17 +138,21 @@
       .With("revision", replica_.revision());
 }
 
-bool GatewayNode::StoreWasAway() const {
-  return !store_available_ || BootClock::now() - store_returned_ < kReturnTime;
+bool GatewayNode::ReachesStore() const {
+  return store_available_ && BootClock::now() - store_returned_ >= kReturnTime;
+}
+
+bool GatewayNode::MayHaveLapsed() const {
+  return !ReachesStore() && !peers_.AnyReachesStore();
 }
 
-void GatewayNode::OnEntry(const RevisionedEntry& entry, bool may_have_lapsed) {
+void GatewayNode::OnEntry(const RevisionedEntry& entry) {
   if (context_.dialect.IsConfigurationKey(entry.key)) {
     if (entry.value.has_value()) OnConfiguration(*entry.value);
     return;
   }
   const auto id = context_.dialect.ServerIdOf(entry.key);
-  if (id.has_value()) OnServerEntry(*id, entry.value, may_have_lapsed);
+  if (id.has_value()) OnServerEntry(*id, entry.value);
 }
 
 void GatewayNode::OnConfiguration(const std::string& text) {
@@ -183,8 +180,7 @@
 }
 
 void GatewayNode::OnServerEntry(const std::string& id,
-                                const std::optional<std::string>& text,
-                                bool may_have_lapsed) {
+                                const std::optional<std::string>& text) {
   const BootTime now = BootClock::now();
   std::optional<directory::ServerChange> change;
   if (text.has_value()) {
@@ -200,7 +196,7 @@
           return context_.directory.OnRemoved(id, false, now);
         });
   } else {
-    change = context_.directory.OnRemoved(id, may_have_lapsed, now);
+    change = context_.directory.OnRemoved(id, MayHaveLapsed(), now);
   }
   if (change.has_value()) OnServerChange(*change);
 }
--- a/services/gateway/gateway_node.h
+++ b/services/gateway/gateway_node.h
@@ -50,17 +50,17 @@
  private:
   bool IsReady() const;
   void OnClient(int descriptor);
-  // `may_have_lapsed`: see BackendDirectory::OnRemoved.
-  void Apply(const std::vector<revisions::RevisionedEntry>& changes,
-             std::uint64_t store_revision, bool may_have_lapsed);
-  void OnEntry(const revisions::RevisionedEntry& entry, bool may_have_lapsed);
+  void OnEntry(const revisions::RevisionedEntry& entry);
   void OnConfiguration(const std::string& text);
   void OnServerEntry(const std::string& id,
-                     const std::optional<std::string>& text,
-                     bool may_have_lapsed);
+                     const std::optional<std::string>& text);
   void OnServerChange(const directory::ServerChange& change);
   std::vector<Exchange*> ExchangesSmallestFirst() const;
-  bool StoreWasAway() const;
+  // Reached the store all the while lately.
+  bool ReachesStore() const;
+  // An entry that is missing now may have expired in an outage of the store:
+  // no gateway reached it all the while.
+  bool MayHaveLapsed() const;
 
   // An engine said that it leaves, here or (`by_peer`) to another entry.
   void OnReportedLeaving(const std::string& server_id, bool by_peer);
--- a/services/gateway/peer_exchange.cc
+++ b/services/gateway/peer_exchange.cc
@@ -72,6 +72,10 @@
   return peers_.Alive(BootClock::now());
 }
 
+bool PeerExchange::AnyReachesStore() const {
+  return peers_.AnyReachesStore(BootClock::now());
+}
+
 void PeerExchange::SendDigests() {
   const BootTime now = BootClock::now();
   std::erase_if(told_leaving_, [now](const auto& item) {
@@ -95,6 +99,7 @@
   digest.incarnation = incarnation_;
   digest.sequence = ++sequence_;
   digest.revision = replica_.revision();
+  digest.reaches_store = reaches_store();
   digest.usage = context_.selector.OwnUsage();
   digest.peers = peers_.Named(now);
   for (const auto& [server_id, heard] : told_leaving_) {
@@ -181,7 +186,7 @@
       answer.body.begin(), answer.body.end(), true, false);
   try {
     std::vector<RevisionedEntry> changes;
-    for (const auto& item : message.at(2)) {
+    for (const auto& item : message.at(1)) {
       RevisionedEntry entry{item.at(0).get<std::string>(),
                             item.at(1).get<std::uint64_t>(), std::nullopt};
       if (item.size() > 2) entry.value = item.at(2).get<std::string>();
@@ -192,7 +197,7 @@
         .With("peer", ip)
         .With("changes", changes.size())
         .With("revision", revision);
-    on_changes(changes, revision, message.at(1).get<bool>());
+    on_changes(changes, revision);
   } catch (const nlohmann::json::exception& error) {
     LogEvent("changes_refused", LogEvent::Level::kWarning)
         .With("peer", ip)
@@ -219,8 +224,7 @@
   PlainAnswer answer;
   answer.content_type = "application/cbor";
   nlohmann::json::to_cbor(
-      nlohmann::json::array(
-          {replica_.revision(), may_have_lapsed(), std::move(changes)}),
+      nlohmann::json::array({replica_.revision(), std::move(changes)}),
       answer.body);
   return answer;
 }
--- a/services/gateway/peer_exchange.h
+++ b/services/gateway/peer_exchange.h
@@ -45,18 +45,19 @@
 
   // Addresses of the gateways that are heard, without this one's own.
   std::vector<std::string> Alive() const;
+  // Whether any gateway that is heard reached the store all the while lately:
+  // then the store was not away, whatever this gateway's own path to it did.
+  bool AnyReachesStore() const;
   std::uint64_t incarnation() const { return incarnation_; }
 
   // Another gateway heard that a server leaves.
   std::function<void(const std::string& server_id)> on_leaving;
-  // A peer knew changes that the replica lacks. `may_have_lapsed`: entries that
-  // are missing may have expired around an outage of the store, as that peer
-  // saw it; whether this gateway reaches the store says nothing of that.
+  // A peer knew changes that the replica lacks.
   std::function<void(const std::vector<revisions::RevisionedEntry>& changes,
-                     std::uint64_t revision, bool may_have_lapsed)>
+                     std::uint64_t revision)>
       on_changes;
-  // The same, as this gateway sees it, for peers that ask.
-  std::function<bool()> may_have_lapsed;
+  // Whether this gateway reached the store all the while lately.
+  std::function<bool()> reaches_store;
 
  private:
   void SendDigests();
--- a/tests/libraries/gossip/gossip_test.cc
+++ b/tests/libraries/gossip/gossip_test.cc
@@ -32,6 +32,7 @@
 TEST(DigestTest, ComesBackAsItWas) {
   Digest digest = MakeDigest("10.0.0.1", 7, 9);
   digest.revision = 100;
+  digest.reaches_store = true;
   digest.usage = {{"i-1", {2, 3000, 400}}};
   digest.peers = {"10.0.0.2"};
   digest.leaving_servers = {"i-9"};
@@ -88,6 +89,18 @@
   EXPECT_EQ(table_.OnDigest(MakeDigest("10.0.0.1", 1, 2), now_), News::kJoined);
 }
 
+TEST_F(PeerTableTest, TheStoreIsReachedWhileAnyLivePeerReachesIt) {
+  Digest digest = MakeDigest("10.0.0.1", 1, 1);
+  table_.OnDigest(digest, now_);
+  EXPECT_FALSE(table_.AnyReachesStore(now_));
+  digest.ip = "10.0.0.2";
+  digest.reaches_store = true;
+  table_.OnDigest(digest, now_);
+  EXPECT_TRUE(table_.AnyReachesStore(now_));
+  now_ += milliseconds(1600);
+  EXPECT_FALSE(table_.AnyReachesStore(now_));
+}
+
 TEST_F(PeerTableTest, FanoutIsBounded) {
   for (int i = 0; i < 100; ++i) {
     table_.OnDigest(MakeDigest("10.0.1." + std::to_string(i), 1, 1), now_);
