Go on from the first copy of a run where copies queue

Engines that are taken away hold five to seven long runs; a copy takes 0.13 to 0.25 s of their link (twice that to another data centre), and each run was copied at least twice, the second copy behind the first ones of all others. A second copy that the target had no room for threw away the first and tried all other targets in turn. Change: one copy while the run goes on. If it took longer than a pause that readers accept, the stream at the source is closed and the target reads the few tokens that it lacks; else a short last copy stops the run as before. The limits on the number of copies and on patience are needless now.

--- a/libraries/migration/move_machine.cc
+++ b/libraries/migration/move_machine.cc
@@ -10,7 +10,6 @@
 }
 
 MoveStep MoveMachine::ChooseAgain() {
-  copies_ = 0;
   has_copy_ = false;
   if (++targets_ > limits_.max_targets) {
     targets_ = 0;
@@ -29,20 +28,15 @@
 }
 
 MoveStep MoveMachine::OnCopyAnswer(CopyResult result,
-                                   std::chrono::milliseconds took,
-                                   std::chrono::milliseconds since_notice) {
+                                   std::chrono::milliseconds took) {
   if (state_ == State::kCopying) {
     switch (result) {
       case CopyResult::kCopied:
         has_copy_ = true;
-        ++copies_;
-        if (source_broken_) {
+        if (source_broken_ || took > limits_.short_copy) {
           state_ = State::kResuming;
-          return MoveStep::kResumeAtTarget;
-        }
-        if (took > limits_.short_copy && copies_ < limits_.max_copies &&
-            since_notice < limits_.patience) {
-          return MoveStep::kCopy;
+          return source_broken_ ? MoveStep::kResumeAtTarget
+                                : MoveStep::kCloseAndResumeAtTarget;
         }
         state_ = State::kStopping;
         return MoveStep::kCopyAndStop;
--- a/libraries/migration/move_machine.h
+++ b/libraries/migration/move_machine.h
@@ -1,7 +1,8 @@
 // The steps that move one live generation from an engine that leaves to
-// another: copy its memory while it runs, stop it with a last short copy, go
-// on at the target. Free of I/O; the caller carries out each step and reports
-// what came of it.
+// another: copy its memory while it runs, stop it, go on at the target. Where
+// copies wait long for the engine's link, there is no second one: the target
+// reads the few tokens that it lacks. Free of I/O; the caller carries out each
+// step and reports what came of it.
 #pragma once
 
 #include <chrono>
@@ -34,6 +35,9 @@
   kRetryLater,
   // Go on at the target, from the copy.
   kResumeAtTarget,
+  // Close the stream at the source, which stops the run there; then go on at
+  // the target, from a copy that lacks the run's last tokens.
+  kCloseAndResumeAtTarget,
   // Go on at the source, which stopped the run and keeps its memory.
   kResumeAtSource,
   // There is nothing to go on from.
@@ -43,14 +47,9 @@
 class MoveMachine {
  public:
   struct Limits {
-    // A copy that took no longer met short transfer queues, so the rest goes
-    // within the pause that readers accept.
+    // A copy that took no longer met short transfer queues: another one for
+    // the rest takes less time than a reader notices.
     std::chrono::milliseconds short_copy{60};
-    // Copies made while the run goes on; each is shorter than the one before.
-    int max_copies = 4;
-    // After this time since the notice the run is stopped with its next copy:
-    // engines are gone from about 1.5 s after the notice (platform, reclaims).
-    std::chrono::milliseconds patience{1100};
     // Targets tried before the run is left where it is for a while.
     int max_targets = 4;
   };
@@ -61,9 +60,8 @@
   MoveStep OnNotice();
   // Whether a target with room was found.
   MoveStep OnTarget(bool found);
-  // `took`: the time of this copy; `since_notice`: of the whole move so far.
-  MoveStep OnCopyAnswer(CopyResult result, std::chrono::milliseconds took,
-                        std::chrono::milliseconds since_notice);
+  // `took`: the time of this copy.
+  MoveStep OnCopyAnswer(CopyResult result, std::chrono::milliseconds took);
   // The source's stream ended without the run's end.
   MoveStep OnSourceBroken();
   // The time for `kRetryLater` has passed.
@@ -98,7 +96,6 @@
   bool source_keeps_ = false;
   bool source_broken_ = false;
   bool resuming_at_source_ = false;
-  int copies_ = 0;
   int targets_ = 0;
 };
 
--- a/services/gateway/generation_move.cc
+++ b/services/gateway/generation_move.cc
@@ -104,6 +104,8 @@
       retry_timer_.start(kMoveRetry);
       return;
     case MoveStep::kResumeAtTarget:
+    case MoveStep::kCloseAndResumeAtTarget:
+      // Going on closes the stream at the source in any case.
       Resume(true);
       return;
     case MoveStep::kResumeAtSource:
@@ -173,7 +175,7 @@
       .With("events", answer.events)
       .With("took", took)
       .With("since_notice", SinceNotice());
-  Perform(machine_.OnCopyAnswer(ResultOf(answer.kind), took, SinceNotice()));
+  Perform(machine_.OnCopyAnswer(ResultOf(answer.kind), took));
 }
 
 void GenerationMove::Resume(bool at_target) {
