Try a standby copy of each run that may not run again

Cause looked for: streams lost with an engine that crashes without notice, or before their copy's turn on its link. Change: such a run asks its engine to send its memory, as it grows, to another engine whose forecast stays under a share of its memory; if the stream breaks without its end, the run goes on there.

--- a/tests/libraries/dispatch/server_selector_test.cc
+++ b/tests/libraries/dispatch/server_selector_test.cc
@@ -115,7 +115,7 @@
 TEST_F(ServerSelectorTest, CopiesStayInTheDataCentre) {
   Demand demand = Generation(1000, 100);
   demand.data_center = "near";
-  demand.is_transfer = true;
+  demand.purpose = Purpose::kTransfer;
   EXPECT_EQ(Shares(demand).count("c"), 0U);
   demand.excluded = {"a", "b"};
   EXPECT_EQ(Select(demand), "c");
@@ -218,7 +218,7 @@
   for (const char* id : {"a", "b", "c"}) selector_.OnStart(id, prompt);
   EXPECT_EQ(Select(Generation(100, 10)), "");
   Demand transfer = Generation(100, 10);
-  transfer.is_transfer = true;
+  transfer.purpose = Purpose::kTransfer;
   EXPECT_NE(Select(transfer), "");
   selector_.OnFirstEvent("b", prompt);
   EXPECT_EQ(Select(Generation(100, 10)), "b");
@@ -247,12 +247,12 @@
     selector_.OnStart(id, large);
     selector_.OnFirstEvent(id, large);
   }
-  for (const bool is_transfer : {false, true}) {
+  for (const Purpose purpose : {Purpose::kRun, Purpose::kTransfer}) {
     Demand fits = Generation(300, 100);
-    fits.is_transfer = is_transfer;
+    fits.purpose = purpose;
     EXPECT_NE(Select(fits), "");
     Demand exceeds = Generation(300, 101);
-    exceeds.is_transfer = is_transfer;
+    exceeds.purpose = purpose;
     EXPECT_EQ(Select(exceeds), "");
   }
 }
