--- a/libraries/dispatch/server_selector.cc
+++ b/libraries/dispatch/server_selector.cc
@@ -80,22 +80,16 @@
   const int slots = std::max(server.slots, 1);
   double load = static_cast<double>(usage.requests) / slots;
   if (engine != nullptr) {
-    if (demand.purpose != Purpose::kStandby && usage.requests >= slots) {
-      return std::nullopt;
-    }
-    if (demand.purpose == Purpose::kRun &&
+    if (usage.requests >= slots) return std::nullopt;
+    if (!demand.is_transfer &&
         usage.unread_prompt_tokens > limits_.max_unread_tokens) {
       return std::nullopt;
     }
-    const double share = demand.purpose == Purpose::kStandby
-                             ? limits_.standby_memory_share
-                             : limits_.memory_share;
-    const double room = share * static_cast<double>(engine->memory_tokens);
+    const double room =
+        limits_.memory_share * static_cast<double>(engine->memory_tokens);
     const auto tokens = static_cast<double>(usage.tokens + demand.Tokens());
-    // An idle engine runs what fits it at all.
-    const bool is_idle =
-        usage.requests == 0 && demand.purpose != Purpose::kStandby;
-    if (tokens > room && !is_idle) return std::nullopt;
+    // An idle engine takes what fits it at all.
+    if (tokens > room && usage.requests > 0) return std::nullopt;
     load =
         std::max(load, tokens / room) +
         static_cast<double>(usage.unread_prompt_tokens) / kPromptTokensAsLoad;
@@ -104,13 +98,12 @@
     return std::nullopt;
   }
   std::uniform_real_distribution<double> noise(
-      0.0, demand.purpose == Purpose::kTransfer ? kNoiseTransfer : kNoise);
+      0.0, demand.is_transfer ? kNoiseTransfer : kNoise);
   const bool elsewhere =
       !demand.data_center.empty() && server.data_center != demand.data_center;
   return load + kFailureWeight * FailureShare(server.id, now) +
-         (elsewhere ? (demand.purpose == Purpose::kRun
-                           ? kOtherDataCenter
-                           : kOtherDataCenterTransfer)
+         (elsewhere ? (demand.is_transfer ? kOtherDataCenterTransfer
+                                          : kOtherDataCenter)
                     : 0.0) +
          (server.cold_until > now ? kColdPenalty : 0.0) + noise(random_);
 }
@@ -169,17 +162,6 @@
   own.tokens = std::max<std::int64_t>(0, own.tokens - demand.Tokens());
 }
 
-void ServerSelector::OnStandby(const std::string& id, const Demand& demand) {
-  records_[id].own.tokens += demand.Tokens();
-}
-
-void ServerSelector::OnStandbyEnd(const std::string& id, const Demand& demand) {
-  const auto found = records_.find(id);
-  if (found == records_.end()) return;
-  std::int64_t& tokens = found->second.own.tokens;
-  tokens = std::max<std::int64_t>(0, tokens - demand.Tokens());
-}
-
 void ServerSelector::OnResult(const std::string& id, AttemptResult result,
                               BootTime now) {
   Record& record = records_[id];
@@ -214,7 +196,7 @@
 std::map<std::string, Usage> ServerSelector::OwnUsage() const {
   std::map<std::string, Usage> usage;
   for (const auto& [id, record] : records_) {
-    if (record.own.requests > 0 || record.own.tokens > 0) usage.emplace(id, record.own);
+    if (record.own.requests > 0) usage.emplace(id, record.own);
   }
   return usage;
 }
--- a/libraries/dispatch/server_selector.h
+++ b/libraries/dispatch/server_selector.h
@@ -20,17 +20,6 @@
 
 namespace balsam::dispatch {
 
-// What a backend server is chosen for.
-enum class Purpose {
-  kRun,
-  // The memory of a live run is copied there to go on, over links that many
-  // copies share at the same moment.
-  kTransfer,
-  // A copy of a run grows there while it runs elsewhere, in case that engine is
-  // lost. It takes memory, and no slot.
-  kStandby,
-};
-
 // What a request is expected to take of a backend server.
 struct Demand {
   std::string service;
@@ -40,7 +29,9 @@
   std::int64_t output_tokens = 0;
   // Servers in this data centre are preferred. May be empty.
   std::string data_center;
-  Purpose purpose = Purpose::kRun;
+  // The memory of a live run is copied there, over links that many copies
+  // share at the same moment.
+  bool is_transfer = false;
   // Servers that were tried already.
   std::set<std::string> excluded;
 
@@ -79,9 +70,6 @@
     // Share of an engine's memory that generations may be expected to fill in
     // the end. They do not end together, so it is rarely full at any moment.
     double memory_share = 0.92;
-    // The same with copies that only stand by: they must not take the room of
-    // requests, which come first.
-    double standby_memory_share = 0.4;
     // An engine with more prompt tokens to read than this gets no further
     // prompt: it is busy for most of a second, and another engine, or a more
     // urgent request, may come first meanwhile.
@@ -121,9 +109,6 @@
   void OnFirstEvent(const std::string& id, const Demand& demand);
   // `began`: whether `OnFirstEvent` was called.
   void OnEnd(const std::string& id, const Demand& demand, bool began);
-  // A copy that stands by there, and its end.
-  void OnStandby(const std::string& id, const Demand& demand);
-  void OnStandbyEnd(const std::string& id, const Demand& demand);
   void OnResult(const std::string& id, AttemptResult result, BootTime now);
   // A server began a new incarnation or is gone: nothing of before holds.
   void Forget(const std::string& id);
--- a/services/gateway/dialect.h
+++ b/services/gateway/dialect.h
@@ -53,8 +53,6 @@
   std::optional<MemorySource> memory;
   // The event after which the run goes on.
   std::optional<std::uint64_t> last_event;
-  // The engine that a copy of the run is sent to as it grows.
-  std::optional<directory::Endpoint> standby;
 };
 
 // What a backend server's answer says, decoded.
--- a/services/gateway/exchange.cc
+++ b/services/gateway/exchange.cc
@@ -172,8 +172,6 @@
   if (request_.engine() != nullptr) {
     order.urgency = std::clamp(request_.priority, 0, kLowestUrgency);
   }
-  ChooseStandby(server_id);
-  if (standby_.has_value()) order.standby = standby_->endpoint;
   Attempt attempt;
   attempt.server_id = server_id;
   attempt.endpoint = endpoint;
@@ -268,11 +266,7 @@
   EndAttempt(ResultOf(end));
   request_.demand.excluded.insert(attempt_->server_id);
   if (attempt_->resumes) {
-    if (move_ != nullptr) {
-      move_->OnResumeAnswer(false);
-    } else {
-      OnStreamLost();
-    }
+    move_->OnResumeAnswer(false);
     return;
   }
   const retry::NextStep step = DecideNext(end);
@@ -430,7 +424,6 @@
 void Exchange::Finish(std::string_view outcome, int status) {
   if (std::exchange(finished_, true)) return;
   EndMove();
-  DropStandby();
   deadline_timer_.stop();
   slow_timer_.stop();
   LogEvent("request")
--- a/services/gateway/exchange.h
+++ b/services/gateway/exchange.h
@@ -69,13 +69,6 @@
     bool reported_slow = false;
   };
 
-  // An engine that a copy of the run is sent to as it grows.
-  struct Standby {
-    std::string server_id;
-    directory::Endpoint endpoint;
-    dispatch::Demand demand;
-  };
-
   // When events were relayed.
   struct EventTimes {
     BootTime first;
@@ -120,11 +113,6 @@
   void OnStreamEnded(OutboundConnection::End end);
   void OnStreamLost();
 
-  // A copy of the run on another engine; see exchange_relay.cc.
-  void ChooseStandby(const std::string& server_id);
-  void DropStandby();
-  bool TryStandby();
-
   // Moves of the run; see exchange_relay.cc.
   void MoveIfLeaving();
   void Resume(const GenerationMove::Continuation& continuation);
@@ -152,7 +140,6 @@
   bool finished_ = false;
   migration::EventStream events_;
   EventTimes event_times_;
-  std::optional<Standby> standby_;
   // Null unless the run is being moved.
   std::unique_ptr<GenerationMove> move_;
   QTimer deadline_timer_;
--- a/services/gateway/exchange_relay.cc
+++ b/services/gateway/exchange_relay.cc
@@ -52,7 +52,7 @@
   attempt_->streaming = http1::IsSuccess(head.status) &&
                         request_.route->kind == routing::RequestKind::kStream;
   if (!attempt_->streaming || !attempt_->resumes) return;
-  if (move_ != nullptr) move_->OnResumeAnswer(true);
+  move_->OnResumeAnswer(true);
   // The engine that goes on may have been told to leave meanwhile.
   MoveIfLeaving();
 }
@@ -149,7 +149,6 @@
 void Exchange::OnStreamLost() {
   EndMove();
   events_.OnEngineChanged();
-  if (TryStandby()) return;
   ++sent_attempts_;
   request_.demand.excluded.insert(attempt_->server_id);
   // Another run may go on after the last event that the client has.
@@ -169,59 +168,9 @@
   }
 }
 
-// --- Standby copies ---
-
-void Exchange::ChooseStandby(const std::string& server_id) {
-  const routing::EngineTraits* engine = request_.engine();
-  // A run that may be repeated is not worth another engine's memory.
-  if (engine == nullptr || !engine->can_back_up ||
-      request_.route->kind != routing::RequestKind::kStream ||
-      request_.route->MayRepeat()) {
-    return;
-  }
-  // The copy of a run that has moved goes on growing where it is.
-  if (standby_.has_value() && standby_->server_id != server_id) return;
-  DropStandby();
-  dispatch::Demand demand = request_.demand;
-  demand.purpose = dispatch::Purpose::kStandby;
-  const auto* source = context_.directory.Find(server_id);
-  if (source != nullptr) demand.data_center = source->data_center;
-  demand.excluded.insert(server_id);
-  const auto choice = context_.selector.Select(context_.directory, engine,
-                                               demand, BootClock::now());
-  if (!choice.has_value()) return;
-  standby_ = Standby{choice->id, choice->endpoint, std::move(demand)};
-  context_.selector.OnStandby(standby_->server_id, standby_->demand);
-}
-
-void Exchange::DropStandby() {
-  if (!standby_.has_value()) return;
-  context_.selector.OnStandbyEnd(standby_->server_id, standby_->demand);
-  standby_.reset();
-}
-
-bool Exchange::TryStandby() {
-  if (!standby_.has_value() || finished_ || events_.events() == 0) return false;
-  const Standby standby = *standby_;
-  DropStandby();
-  LogEvent("standby_used")
-      .With("id", facts_.id)
-      .With("from", attempt_->server_id)
-      .With("to", standby.server_id)
-      .With("events", events_.events());
-  dispatch::Demand demand = standby.demand;
-  demand.purpose = dispatch::Purpose::kRun;
-  Resume({standby.server_id,
-          standby.endpoint,
-          std::move(demand),
-          {standby.endpoint, facts_.id}});
-  return true;
-}
-
 // --- Moves ---
 
 void Exchange::OnServerLeaving(const std::string& server_id) {
-  if (standby_.has_value() && standby_->server_id == server_id) DropStandby();
   const bool runs_there = !finished_ && attempt_.has_value() &&
                           attempt_->connection != nullptr &&
                           attempt_->server_id == server_id;
@@ -253,7 +202,6 @@
 }
 
 void Exchange::OnServerRestarted(const std::string& server_id) {
-  if (standby_.has_value() && standby_->server_id == server_id) DropStandby();
   if (finished_ || !attempt_.has_value() || attempt_->server_id != server_id ||
       attempt_->connection == nullptr) {
     return;
--- a/services/gateway/generation_move.cc
+++ b/services/gateway/generation_move.cc
@@ -121,7 +121,7 @@
 void GenerationMove::ChooseTarget() {
   ReleaseTarget();
   dispatch::Demand demand = run_.demand;
-  demand.purpose = dispatch::Purpose::kTransfer;
+  demand.is_transfer = true;
   const auto* source = context_.directory.Find(run_.server_id);
   if (source != nullptr) demand.data_center = source->data_center;
   demand.excluded.insert(run_.server_id);
--- a/tests/libraries/dispatch/server_selector_test.cc
+++ b/tests/libraries/dispatch/server_selector_test.cc
@@ -115,7 +115,7 @@
 TEST_F(ServerSelectorTest, CopiesStayInTheDataCentre) {
   Demand demand = Generation(1000, 100);
   demand.data_center = "near";
-  demand.purpose = Purpose::kTransfer;
+  demand.is_transfer = true;
   EXPECT_EQ(Shares(demand).count("c"), 0U);
   demand.excluded = {"a", "b"};
   EXPECT_EQ(Select(demand), "c");
@@ -218,7 +218,7 @@
   for (const char* id : {"a", "b", "c"}) selector_.OnStart(id, prompt);
   EXPECT_EQ(Select(Generation(100, 10)), "");
   Demand transfer = Generation(100, 10);
-  transfer.purpose = Purpose::kTransfer;
+  transfer.is_transfer = true;
   EXPECT_NE(Select(transfer), "");
   selector_.OnFirstEvent("b", prompt);
   EXPECT_EQ(Select(Generation(100, 10)), "b");
@@ -247,12 +247,12 @@
     selector_.OnStart(id, large);
     selector_.OnFirstEvent(id, large);
   }
-  for (const Purpose purpose : {Purpose::kRun, Purpose::kTransfer}) {
+  for (const bool is_transfer : {false, true}) {
     Demand fits = Generation(300, 100);
-    fits.purpose = purpose;
+    fits.is_transfer = is_transfer;
     EXPECT_NE(Select(fits), "");
     Demand exceeds = Generation(300, 101);
-    exceeds.purpose = purpose;
+    exceeds.is_transfer = is_transfer;
     EXPECT_EQ(Select(exceeds), "");
   }
 }
