Copy the runs of a leaving engine one at a time, repeatable ones last

Cause: each gateway asked for the copies of all its runs at once, so the order on the engine's link was fixed in the first millisecond. Change: migration::CopyQueue, for each gateway and engine: one copy under way, runs that may not be repeated first, of those the small ones. A target is chosen when the turn comes. The node need not sort its requests any more.

--- a/services/gateway/exchange_relay.cc
+++ b/services/gateway/exchange_relay.cc
@@ -185,7 +185,8 @@
   move_ = std::make_unique<GenerationMove>(
       context_, *engine,
       GenerationMove::Run{facts_.id, server_id, attempt_->endpoint,
-                          request_.demand});
+                          request_.demand,
+                          {request_.route->MayRepeat(), tokens()}});
   move_->on_resume = [this](const GenerationMove::Continuation& continuation) {
     Resume(continuation);
   };
--- a/services/gateway/gateway_context.h
+++ b/services/gateway/gateway_context.h
@@ -17,6 +17,7 @@
 #include "libraries/dispatch/waiting_line.h"
 #include "libraries/dispatch/work_forecast.h"
 #include "libraries/execution/suspicion_table.h"
+#include "libraries/migration/copy_queue.h"
 #include "libraries/retry/shared_retry_budget.h"
 #include "libraries/routing/route_table.h"
 #include "services/gateway/connection_pool.h"
@@ -25,6 +26,7 @@
 namespace balsam::gateway {
 
 class Exchange;
+class GenerationMove;
 
 // A request that crashed servers is refused for this long after the last time.
 inline constexpr std::chrono::milliseconds kSuspicionLifetime{30000};
@@ -57,6 +59,8 @@
   // Both by service.
   std::map<std::string, dispatch::WaitingLine<Exchange*>> waiting;
   std::map<std::string, dispatch::WorkForecast> forecasts;
+  // By engine that leaves.
+  std::map<std::string, migration::CopyQueue<GenerationMove>> copy_queues;
   // Requests that are under way.
   std::set<Exchange*> exchanges;
   retry::SharedRetryBudget::Limits retry_limits;
--- a/services/gateway/gateway_node.cc
+++ b/services/gateway/gateway_node.cc
@@ -217,13 +217,13 @@
       return;
     case Kind::kLeaving:
       context_.pool.Drop(change.id);
-      for (Exchange* exchange : ExchangesSmallestFirst()) {
+      for (Exchange* exchange : Exchanges()) {
         exchange->OnServerLeaving(change.id);
       }
       return;
     case Kind::kRestarted:
       context_.pool.Drop(change.id);
-      for (Exchange* exchange : ExchangesSmallestFirst()) {
+      for (Exchange* exchange : Exchanges()) {
         exchange->OnServerRestarted(change.id);
       }
       context_.selector.Forget(change.id);
@@ -235,13 +235,8 @@
   }
 }
 
-std::vector<Exchange*> GatewayNode::ExchangesSmallestFirst() const {
-  // A copy, since the set changes while its members act. Copies of runs queue
-  // on an engine's link; the small ones first save most of them.
-  std::vector<Exchange*> exchanges(context_.exchanges.begin(),
-                                   context_.exchanges.end());
-  std::ranges::sort(exchanges, {}, &Exchange::tokens);
-  return exchanges;
+std::vector<Exchange*> GatewayNode::Exchanges() const {
+  return {context_.exchanges.begin(), context_.exchanges.end()};
 }
 
 void GatewayNode::OnReportedLeaving(const std::string& server_id,
--- a/services/gateway/gateway_node.h
+++ b/services/gateway/gateway_node.h
@@ -55,7 +55,8 @@
   void OnServerEntry(const std::string& id,
                      const std::optional<std::string>& text);
   void OnServerChange(const directory::ServerChange& change);
-  std::vector<Exchange*> ExchangesSmallestFirst() const;
+  // A copy, since the set changes while its members act.
+  std::vector<Exchange*> Exchanges() const;
   // Reached the store all the while lately.
   bool ReachesStore() const;
   // An entry that is missing now may have expired in an outage of the store:
--- a/services/gateway/generation_move.cc
+++ b/services/gateway/generation_move.cc
@@ -47,7 +47,7 @@
       noticed_(BootClock::now()) {
   retry_timer_.setSingleShot(true);
   connect(&retry_timer_, &QTimer::timeout, this,
-          [this] { Perform(machine_.OnRetryTime()); });
+          &GenerationMove::OnRetryTime);
 }
 
 GenerationMove::~GenerationMove() { End(); }
@@ -56,9 +56,51 @@
   LogEvent("move_started")
       .With("id", run_.request_id)
       .With("server", run_.server_id);
-  Perform(machine_.OnNotice());
+  JoinQueue();
 }
 
+// --- The turn to copy ---
+
+void GenerationMove::JoinQueue() {
+  context_.copy_queues[run_.server_id].Join(this, run_.rank);
+  OfferTurn(context_, run_.server_id);
+}
+
+void GenerationMove::LeaveQueue() {
+  const auto found = context_.copy_queues.find(run_.server_id);
+  if (found == context_.copy_queues.end()) return;
+  found->second.Leave(this);
+  OfferTurn(context_, run_.server_id);
+}
+
+void GenerationMove::OfferTurn(GatewayContext& context,
+                               const std::string& server_id) {
+  const auto found = context.copy_queues.find(server_id);
+  if (found == context.copy_queues.end()) return;
+  if (found->second.empty()) {
+    context.copy_queues.erase(found);
+    return;
+  }
+  if (GenerationMove* next = found->second.TakeNext(); next != nullptr) {
+    next->OnTurn();
+  }
+}
+
+void GenerationMove::OnTurn() {
+  Perform(machine_.active() ? machine_.OnRetryTime() : machine_.OnNotice());
+}
+
+void GenerationMove::OnRetryTime() {
+  // The last copy is short, and its run has stopped already.
+  if (machine_.stopping()) {
+    Perform(machine_.OnRetryTime());
+  } else {
+    JoinQueue();
+  }
+}
+
+// --- Steps ---
+
 void GenerationMove::OnSourceBroken() { Perform(machine_.OnSourceBroken()); }
 
 void GenerationMove::OnResumeAnswer(bool accepted) {
@@ -81,6 +123,7 @@
   ReleaseTarget();
   ReleaseCall();
   DropCopy();
+  LeaveQueue();
 }
 
 milliseconds GenerationMove::SinceNotice() const {
@@ -101,6 +144,7 @@
       CallCopy(true);
       return;
     case MoveStep::kRetryLater:
+      LeaveQueue();
       retry_timer_.start(kMoveRetry);
       return;
     case MoveStep::kResumeAtTarget:
@@ -181,6 +225,7 @@
 void GenerationMove::Resume(bool at_target) {
   ReleaseCall();
   ReleaseTarget();
+  LeaveQueue();
   on_resume({at_target ? target_id_ : run_.server_id,
              at_target ? target_ : run_.endpoint,
              target_demand_,
--- a/services/gateway/generation_move.h
+++ b/services/gateway/generation_move.h
@@ -11,6 +11,7 @@
 #include <set>
 #include <string>
 
+#include "libraries/migration/copy_queue.h"
 #include "libraries/migration/move_machine.h"
 #include "services/gateway/gateway_context.h"
 
@@ -26,6 +27,7 @@
     std::string server_id;
     directory::Endpoint endpoint;
     dispatch::Demand demand;
+    migration::CopyRank rank;
   };
 
   // Where the run goes on, and the memory that it goes on from.
@@ -62,6 +64,13 @@
   std::function<void()> on_lost;
 
  private:
+  // Waits for the turn to copy.
+  void JoinQueue();
+  // Gives the turn, or the place, to the next.
+  void LeaveQueue();
+  static void OfferTurn(GatewayContext& context, const std::string& server_id);
+  void OnTurn();
+  void OnRetryTime();
   void Perform(migration::MoveStep step);
   void ChooseTarget();
   void CallCopy(bool stop);
--- /dev/null
+++ b/tests/services/gateway/report_poller_test.cc
@@ -0,0 +1,114 @@
+// What engines tell when they are asked, and what their silence tells.
+#include "services/gateway/report_poller.h"
+
+#include <gtest/gtest.h>
+
+#include <QCoreApplication>
+#include <QEventLoop>
+#include <QTimer>
+#include <string>
+#include <vector>
+
+#include "platform/wire_dialect.h"
+#include "tests/services/gateway/scripted_engine.h"
+
+namespace balsam::gateway {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr char kOwnIp[] = "127.0.0.1";
+// Ends a test that hangs; no test relies on it.
+constexpr milliseconds kTestLimit{20000};
+
+class ReportPollerTest : public testing::Test {
+ protected:
+  ReportPollerTest()
+      : context_(dialect_, {}, {0.2, 50.0, milliseconds(10000)}, 1),
+        poller_(context_, {}) {
+    routing::Configuration configuration;
+    configuration.version = 1;
+    routing::Service service;
+    service.name = "s";
+    service.health_path = "/health";
+    service.engine = routing::EngineTraits{8, 100000, true, true};
+    configuration.services = {service};
+    context_.routes = TryOr(
+        [&] { return routing::RouteTable::Build(std::move(configuration)); },
+        [](const Error&) {
+          return std::shared_ptr<const routing::RouteTable>();
+        });
+    poller_.on_leaving = [this](const std::string& id) {
+      leaving_.push_back(id);
+    };
+  }
+
+  void Announce(std::uint16_t port) {
+    directory::BackendServer server;
+    server.id = "i-1";
+    server.service = "s";
+    server.endpoint = {"127.0.0.1", port};
+    context_.directory.OnAnnounced(server, BootClock::now());
+  }
+
+  // Asks, and runs until the answer or its failure is known.
+  void PollUntilKnown() {
+    poller_.Poll(kOwnIp, {kOwnIp}, true, BootClock::now());
+    QEventLoop loop;
+    bool late = false;
+    QTimer::singleShot(kTestLimit, &loop, [&] { late = true; });
+    while (leaving_.empty() && !late &&
+           context_.selector.FailureShare("i-1", BootClock::now()) == 0.0) {
+      loop.processEvents(QEventLoop::WaitForMoreEvents);
+    }
+    ASSERT_FALSE(late);
+  }
+
+  // A port that nothing listens at.
+  static std::uint16_t ClosedPort() {
+    QTcpServer server;
+    server.listen(QHostAddress::LocalHost);
+    return server.serverPort();
+  }
+
+  platform::WireDialect dialect_;
+  GatewayContext context_;
+  ReportPoller poller_;
+  std::vector<std::string> leaving_;
+};
+
+// Load: a silent store through three reclaims in a row. Engines that had said
+// that they leave, and had gone, were targets of copies again five seconds
+// later; each such copy cost 0.3 s of the second that was left.
+TEST_F(ReportPollerTest, AnEngineThatLeftAndFellSilentStaysLeaving) {
+  Announce(ClosedPort());
+  context_.directory.OnReportedLeaving("i-1", BootClock::now());
+  PollUntilKnown();
+  EXPECT_EQ(leaving_, std::vector<std::string>{"i-1"});
+}
+
+TEST_F(ReportPollerTest, SilenceAloneIsNoLeaving) {
+  Announce(ClosedPort());
+  PollUntilKnown();
+  EXPECT_TRUE(leaving_.empty());
+}
+
+TEST_F(ReportPollerTest, AnEngineThatIsUnwellLeaves) {
+  ScriptedEngine engine;
+  engine.on_request = [](const ScriptedEngine::Request& request) {
+    request.socket->write(
+        "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
+  };
+  Announce(engine.port());
+  PollUntilKnown();
+  EXPECT_EQ(leaving_, std::vector<std::string>{"i-1"});
+}
+
+}  // namespace
+}  // namespace balsam::gateway
+
+int main(int argc, char** argv) {
+  QCoreApplication application(argc, argv);
+  testing::InitGoogleTest(&argc, argv);
+  return RUN_ALL_TESTS();
+}
