Keep an engine that left and fell silent out while the store is away

Ruled out: late notice (0.05 to 0.17 s); links (each copy waited for nothing but the target's connection). Change: an engine that said that it leaves and does not answer the next poll is told as leaving again, here and to peers. A refused copy that took longer than 150 ms counts as an unreachable target: engines that have no room say so at once. Tests: report_poller_test; AnEngineThatLeftAndFellSilentStaysLeaving fails without the change.

--- a/services/gateway/generation_move.cc
+++ b/services/gateway/generation_move.cc
@@ -17,6 +17,9 @@
 // Time that a copy may take: a long generation's memory between data centres,
 // behind a few others (platform: gigabytes over 24 Gbit/s).
 constexpr milliseconds kCopyTime{3000};
+// An engine refuses a copy that has no room at once. A refusal that took longer
+// tells that it could not connect to the target.
+constexpr milliseconds kRefusalTime{150};
 // Time for the call that frees a copy; nothing waits for it.
 constexpr milliseconds kDropTime{1000};
 
@@ -209,6 +212,10 @@
   if (!answer.handle.empty()) handle_ = answer.handle;
   if (answer.kind == CopyAnswer::Kind::kNoRoom) {
     refused_targets_.insert(target_id_);
+    if (took > kRefusalTime) {
+      context_.selector.OnResult(
+          target_id_, dispatch::AttemptResult::kUnreachable, BootClock::now());
+    }
   }
   LogEvent("move_copied")
       .With("id", run_.request_id)
--- a/services/gateway/report_poller.cc
+++ b/services/gateway/report_poller.cc
@@ -85,6 +85,11 @@
                                    ? dispatch::AttemptResult::kUnreachable
                                    : dispatch::AttemptResult::kFailed,
                                BootClock::now());
+    // It said before that it leaves, so this is how that ended. Without this it
+    // would be taken for ready again, if the store is not there to remove it.
+    if (context_.directory.IsReportedOnly(server_id) && on_leaving) {
+      on_leaving(server_id);
+    }
     return;
   }
   if (is_health) {
--- a/services/gateway/report_poller.h
+++ b/services/gateway/report_poller.h
@@ -37,7 +37,7 @@
   void Poll(const std::string& own_ip, const std::vector<std::string>& entries,
             bool urgent, BootTime now);
 
-  // The engine said that it leaves.
+  // The engine said that it leaves, or said so before and does not answer now.
   std::function<void(const std::string& server_id)> on_leaving;
 
  private:
