--- a/libraries/routing/configuration.h
+++ b/libraries/routing/configuration.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace balsam::routing {
@@ -19,6 +20,18 @@
   kStream,
 };
 
+constexpr std::string_view NameOf(RequestKind kind) {
+  switch (kind) {
+    case RequestKind::kIdempotent:
+      return "idempotent";
+    case RequestKind::kNonIdempotent:
+      return "non_idempotent";
+    case RequestKind::kStream:
+      return "stream";
+  }
+  return "";
+}
+
 struct WeightedService {
   std::string service;
   // Relative to the other services of the route; not negative.
--- a/libraries/telemetry/request_metrics.cc
+++ b/libraries/telemetry/request_metrics.cc
@@ -6,8 +6,6 @@
 namespace balsam::telemetry {
 namespace {
 
-constexpr std::size_t kMaxLabelSets = 4000;
-
 const prometheus::Histogram::BucketBoundaries kSecondsBuckets = {
     0.005, 0.02, 0.056, 0.1, 0.25, 0.72, 2, 8, 30};
 const prometheus::Histogram::BucketBoundaries kCountBuckets = {0, 1, 2, 4, 8};
@@ -24,8 +22,10 @@
 
 }  // namespace
 
-RequestMetrics::RequestMetrics(const std::string& process)
+RequestMetrics::RequestMetrics(const std::string& process,
+                               std::size_t max_label_sets)
     : process_(process),
+      max_label_sets_(max_label_sets),
       first_token_(Register(prometheus::BuildHistogram(), registry_, process,
                             "first_token_seconds",
                             "Time from a request to its first token")),
@@ -51,7 +51,7 @@
   Labels labels{workspace, service_class};
   const auto known = instruments_.find(labels);
   if (known != instruments_.end()) return known->second;
-  if (instruments_.size() >= kMaxLabelSets) labels = {"other", "other"};
+  if (instruments_.size() >= max_label_sets_) labels = {"other", "other"};
   const prometheus::Labels named = {{"workspace", labels.first},
                                     {"class", labels.second}};
   RequestInstruments& row = instruments_[labels];
@@ -67,16 +67,21 @@
 
 void RequestMetrics::CountOutcome(const std::string& workspace,
                                   ResultCode code) {
+  CountOutcome(workspace, static_cast<int>(code), NameOf(code));
+}
+
+void RequestMetrics::CountOutcome(const std::string& workspace, int code,
+                                  std::string_view name) {
   const std::lock_guard lock(mutex_);
-  std::pair key(workspace, static_cast<int>(code));
-  if (outcomes_.size() >= kMaxLabelSets && !outcomes_.contains(key)) {
-    key.first = "other";
+  std::tuple key(workspace, code, std::string(name));
+  if (outcomes_.size() >= max_label_sets_ && !outcomes_.contains(key)) {
+    std::get<0>(key) = "other";
   }
   prometheus::Counter*& counter = outcomes_[key];
   if (counter == nullptr) {
-    counter = &outcome_.Add({{"workspace", key.first},
-                             {"code", std::to_string(key.second)},
-                             {"name", std::string(NameOf(code))}});
+    counter = &outcome_.Add({{"workspace", std::get<0>(key)},
+                             {"code", std::to_string(code)},
+                             {"name", std::string(name)}});
   }
   counter->Increment();
 }
--- a/libraries/telemetry/request_metrics.h
+++ b/libraries/telemetry/request_metrics.h
@@ -13,6 +13,8 @@
 #include <memory>
 #include <mutex>
 #include <string>
+#include <string_view>
+#include <tuple>
 #include <utility>
 
 #include "libraries/base/result_code.h"
@@ -31,14 +33,21 @@
 
 class RequestMetrics {
  public:
+  // Label sets that a process keeps by default; each takes about 3 KB.
+  static constexpr std::size_t kDefaultLabelSets = 4000;
+
   // `process` names the kind of process in each metric's labels.
-  explicit RequestMetrics(const std::string& process);
+  explicit RequestMetrics(const std::string& process,
+                          std::size_t max_label_sets = kDefaultLabelSets);
 
   // Safe from any thread. Beyond the bound, label sets share one named
   // "other".
   RequestInstruments& For(const std::string& workspace,
                           const std::string& service_class);
   void CountOutcome(const std::string& workspace, ResultCode code);
+  // `code`: a number that belongs to `name`, such as the status of an answer.
+  void CountOutcome(const std::string& workspace, int code,
+                    std::string_view name);
   void SetGauge(const std::string& name, double value);
   void CountEvent(const std::string& name);
 
@@ -50,9 +59,11 @@
 
   prometheus::Registry registry_;
   std::string process_;
+  std::size_t max_label_sets_;
   std::mutex mutex_;
   std::map<Labels, RequestInstruments> instruments_;
-  std::map<std::pair<std::string, int>, prometheus::Counter*> outcomes_;
+  std::map<std::tuple<std::string, int, std::string>, prometheus::Counter*>
+      outcomes_;
   prometheus::Family<prometheus::Histogram>& first_token_;
   prometheus::Family<prometheus::Histogram>& between_tokens_;
   prometheus::Family<prometheus::Histogram>& stall_;
--- a/services/gateway/exchange.cc
+++ b/services/gateway/exchange.cc
@@ -154,6 +154,10 @@
       context_.directory, request_.engine(), request_.demand, BootClock::now());
   if (!choice.has_value()) return false;
   waiting_ = false;
+  if (!attempt_.has_value()) {
+    Instruments().queueing->Observe(
+        std::chrono::duration<double>(BootClock::now() - received_).count());
+  }
   DispatchOrder order;
   order.last_event = answer_begun_ ? events_.last_event() : facts_.last_event;
   StartAttempt(choice->id, choice->endpoint, request_.demand, std::move(order));
@@ -316,6 +320,7 @@
   if (end != AttemptEnd::kNotSent) {
     context_.RetryBudgetOf(request_.service->name).TrySpend(BootClock::now());
   }
+  context_.metrics.CountEvent("attempts_repeated_total");
   if (TryDispatch()) return;
   switch (end) {
     case AttemptEnd::kNotSent:
@@ -426,6 +431,7 @@
   EndMove();
   deadline_timer_.stop();
   slow_timer_.stop();
+  CountFinished(outcome, status);
   LogEvent("request")
       .With("id", facts_.id)
       .With("route", request_.route == nullptr ? "" : request_.route->name)
@@ -442,4 +448,28 @@
       .With("took", BootClock::now() - received_);
 }
 
+telemetry::RequestInstruments& Exchange::Instruments() {
+  // Looked up once: the map is not for each event of a stream.
+  if (instruments_ == nullptr) {
+    instruments_ = &context_.metrics.For(
+        request_.workspace == nullptr ? "" : request_.workspace->name,
+        std::string(routing::NameOf(request_.route->kind)));
+  }
+  return *instruments_;
+}
+
+void Exchange::CountFinished(std::string_view outcome, int status) {
+  const std::string workspace =
+      request_.workspace == nullptr ? "" : request_.workspace->name;
+  context_.metrics.CountOutcome(workspace, status, outcome);
+  if (event_times_.first == BootTime{}) return;
+  const auto seconds = [](std::chrono::nanoseconds time) {
+    return std::chrono::duration<double>(time).count();
+  };
+  telemetry::RequestInstruments& instruments = Instruments();
+  instruments.first_token->Observe(seconds(event_times_.first - received_));
+  instruments.stall->Observe(seconds(event_times_.stall));
+  instruments.tokens->Increment(static_cast<double>(events_.events()));
+}
+
 }  // namespace balsam::gateway
--- a/services/gateway/exchange.h
+++ b/services/gateway/exchange.h
@@ -74,8 +74,11 @@
     BootTime first;
     BootTime last;
     std::chrono::nanoseconds longest_pause{0};
+    // Sum of what pauses last beyond `telemetry::kStallThreshold`.
+    std::chrono::nanoseconds stall{0};
 
-    void OnEvents(BootTime now);
+    // The pause before these events; nothing before the first ones.
+    std::optional<std::chrono::nanoseconds> OnEvents(BootTime now);
   };
 
   // Waiting for room.
@@ -123,6 +126,8 @@
               std::optional<std::chrono::milliseconds> retry_after = {});
   void BreakOff(std::string_view outcome);
   void Finish(std::string_view outcome, int status);
+  telemetry::RequestInstruments& Instruments();
+  void CountFinished(std::string_view outcome, int status);
 
   GatewayContext& context_;
   ResponseSink& sink_;
@@ -132,6 +137,8 @@
   RequestFacts facts_;
   // Its route is null until the request is admitted.
   AdmittedRequest request_;
+  // Of its workspace and kind; null until first used.
+  telemetry::RequestInstruments* instruments_ = nullptr;
   std::optional<Attempt> attempt_;
   int sent_attempts_ = 0;
   bool waiting_ = false;
--- a/services/gateway/exchange_relay.cc
+++ b/services/gateway/exchange_relay.cc
@@ -21,13 +21,19 @@
 
 }  // namespace
 
-void Exchange::EventTimes::OnEvents(BootTime now) {
+std::optional<std::chrono::nanoseconds> Exchange::EventTimes::OnEvents(
+    BootTime now) {
+  const BootTime before = std::exchange(last, now);
   if (first == BootTime{}) {
     first = now;
-  } else {
-    longest_pause = std::max(longest_pause, now - last);
+    return std::nullopt;
+  }
+  const std::chrono::nanoseconds pause = now - before;
+  longest_pause = std::max(longest_pause, pause);
+  if (pause > telemetry::kStallThreshold) {
+    stall += pause - telemetry::kStallThreshold;
   }
-  last = now;
+  return pause;
 }
 
 void Exchange::OnHead(const http1::ResponseHead& head) {
@@ -90,7 +96,10 @@
   if (events.empty()) return;
   slow_timer_.stop();
   const BootTime now = BootClock::now();
-  event_times_.OnEvents(now);
+  if (const auto pause = event_times_.OnEvents(now)) {
+    Instruments().between_tokens->Observe(
+        std::chrono::duration<double>(*pause).count());
+  }
   if (!std::exchange(attempt_->began, true)) {
     context_.selector.OnFirstEvent(attempt_->server_id, attempt_->demand);
     context_.forecasts[request_.service->name].OnDone(work(), now);
@@ -184,14 +193,23 @@
   if (events_.events() == 0) return;
   move_ = std::make_unique<GenerationMove>(
       context_, *engine,
-      GenerationMove::Run{facts_.id, server_id, attempt_->endpoint,
+      GenerationMove::Run{facts_.id,
+                          server_id,
+                          attempt_->endpoint,
                           request_.demand,
                           {request_.route->MayRepeat(), tokens()}});
   move_->on_resume = [this](const GenerationMove::Continuation& continuation) {
     Resume(continuation);
   };
-  move_->on_done = [this] { EndMove(); };
-  move_->on_lost = [this] { OnStreamLost(); };
+  move_->on_done = [this] {
+    context_.metrics.CountEvent("moves_done_total");
+    EndMove();
+  };
+  move_->on_lost = [this] {
+    context_.metrics.CountEvent("moves_lost_total");
+    OnStreamLost();
+  };
+  context_.metrics.CountEvent("moves_begun_total");
   move_->Start();
 }
 
--- a/services/gateway/gateway_context.h
+++ b/services/gateway/gateway_context.h
@@ -20,6 +20,7 @@
 #include "libraries/migration/copy_queue.h"
 #include "libraries/retry/shared_retry_budget.h"
 #include "libraries/routing/route_table.h"
+#include "libraries/telemetry/request_metrics.h"
 #include "services/gateway/connection_pool.h"
 #include "services/gateway/dialect.h"
 
@@ -32,6 +33,8 @@
 inline constexpr std::chrono::milliseconds kSuspicionLifetime{30000};
 // Fingerprints told to other entries.
 inline constexpr std::size_t kMaxOwnCrashes = 16;
+// Label sets of the metrics, each about 3 KB of the process's memory.
+inline constexpr std::size_t kMaxMetricLabels = 200;
 
 struct GatewayContext {
   GatewayContext(const Dialect& dialect, ConnectionPool::Limits pool_limits,
@@ -51,6 +54,7 @@
   }
 
   const Dialect& dialect;
+  telemetry::RequestMetrics metrics{"gateway", kMaxMetricLabels};
   // Null until a configuration is known.
   std::shared_ptr<const routing::RouteTable> routes;
   directory::BackendDirectory directory;
--- a/services/gateway/gateway_node.cc
+++ b/services/gateway/gateway_node.cc
@@ -22,6 +22,7 @@
 // Entries that expired around an outage of the store may be missing for this
 // long after its return.
 constexpr milliseconds kReturnTime{3000};
+constexpr char kMetricsPath[] = "/metrics";
 // For how long a word of leaving holds where it is not heard again.
 constexpr milliseconds kLeavingMemory{5000};
 // For how long engines are asked more often after one told what the store had
@@ -49,6 +50,11 @@
       readiness_server_([this](const http1::RequestHead&, const std::string&) {
         return PlainAnswer{IsReady() ? 200 : 503, "text/plain", {}};
       }),
+      metrics_server_([this](const http1::RequestHead& head,
+                             const std::string&) {
+        if (head.target != kMetricsPath) return PlainAnswer{404, {}, {}};
+        return PlainAnswer{200, "text/plain; version=0.0.4", CollectMetrics()};
+      }),
       peers_({settings_.node, settings_.ip, settings_.peers,
               settings_.gossip_port},
              context_, replica_, RandomNumber()) {
@@ -87,6 +93,7 @@
   BOOST_LEAF_CHECK(readiness_server_.Listen(settings_.readiness));
   BOOST_LEAF_CHECK(peers_.Start());
   peers_.SetSeeds(settings_.seed_ips);
+  ListenForMetrics();
   tick_timer_.start(kTickInterval);
   LogEvent("started")
       .With("node", settings_.node)
@@ -96,6 +103,54 @@
   return {};
 }
 
+void GatewayNode::ListenForMetrics() {
+  if (settings_.metrics.port == 0) return;
+  // Requests are served without metrics, too.
+  TryOr(
+      [&]() -> Result<bool> {
+        BOOST_LEAF_CHECK(metrics_server_.Listen(settings_.metrics));
+        return true;
+      },
+      [](const Error& error) {
+        LogEvent("metrics_unavailable", LogEvent::Level::kWarning)
+            .With("reason", error.detail);
+        return false;
+      });
+}
+
+std::string GatewayNode::CollectMetrics() {
+  const BootTime now = BootClock::now();
+  const auto seconds_since = [now](BootTime then) {
+    return std::chrono::duration<double>(now - then).count();
+  };
+  const bool configured = context_.routes != nullptr;
+  std::size_t waiting = 0;
+  for (const auto& [service, line] : context_.waiting) waiting += line.size();
+  std::map<directory::Life, int> servers;
+  context_.directory.ForEach([&](const directory::BackendServer&,
+                                 directory::Life life) { ++servers[life]; });
+  const std::initializer_list<std::pair<const char*, double>> gauges = {
+      {"configuration_version",
+       configured ? static_cast<double>(context_.routes->version()) : 0.0},
+      {"configuration_age_seconds",
+       configured ? seconds_since(configured_) : 0.0},
+      {"directory_revision", static_cast<double>(replica_.revision())},
+      {"store_reached", store_available_ ? 1.0 : 0.0},
+      {"servers_ready", servers[directory::Life::kReady]},
+      {"servers_lapsed", servers[directory::Life::kLapsed]},
+      {"servers_leaving", servers[directory::Life::kLeaving]},
+      {"peers_alive", static_cast<double>(peers_.Alive().size())},
+      {"client_connections", static_cast<double>(clients_.size())},
+      {"requests_open", static_cast<double>(context_.exchanges.size())},
+      {"requests_waiting", static_cast<double>(waiting)},
+      {"store_calls", static_cast<double>(store_calls ? store_calls() : 0)},
+  };
+  for (const auto& [name, value] : gauges) {
+    context_.metrics.SetGauge(name, value);
+  }
+  return context_.metrics.Serialize();
+}
+
 void GatewayNode::Reload(const GatewaySettings& settings) {
   settings_.seed_ips = settings.seed_ips;
   peers_.SetSeeds(settings_.seed_ips);
@@ -173,6 +228,7 @@
       context_.routes == nullptr ? 0 : context_.routes->version();
   if (table->version() <= before) return;
   context_.routes = table;
+  configured_ = BootClock::now();
   LogEvent("configuration_in_force")
       .With("version", table->version())
       .With("before", before)
--- a/services/gateway/gateway_node.h
+++ b/services/gateway/gateway_node.h
@@ -46,6 +46,8 @@
   std::uint64_t known_revision() const { return replica_.revision(); }
 
   std::function<void()> on_stopped;
+  // Calls made to the store so far, for the metrics; may be unset.
+  std::function<std::uint64_t()> store_calls;
 
  private:
   bool IsReady() const;
@@ -67,6 +69,10 @@
   void OnReportedLeaving(const std::string& server_id, bool by_peer);
   void PollReports();
 
+  // The text of all metrics; sets those that are read and not counted first.
+  std::string CollectMetrics();
+  void ListenForMetrics();
+
   void OnTick();
   void OfferRoom();
   void CheckStopped();
@@ -80,12 +86,15 @@
   // last heard.
   std::map<std::string, BootTime> reported_leaving_;
   PlainServer readiness_server_;
+  PlainServer metrics_server_;
   PeerExchange peers_;
   std::set<ClientConnection*> clients_;
   QTimer tick_timer_;
   QTimer room_timer_;
   // The store answered the last call.
   bool store_available_ = false;
+  // When the configuration in force was taken.
+  BootTime configured_;
   // When it was last seen to come back.
   BootTime store_returned_;
   // Until when it counts as behind: an engine told what it had not.
--- a/services/gateway/gateway_settings.h
+++ b/services/gateway/gateway_settings.h
@@ -18,6 +18,8 @@
   // Where clients connect, and where the balancer asks for readiness.
   directory::Endpoint clients;
   directory::Endpoint readiness;
+  // Where metrics are served; port 0: nowhere.
+  directory::Endpoint metrics;
   // Where other entries connect, and where their datagrams arrive.
   directory::Endpoint peers;
   std::uint16_t gossip_port = 0;
--- a/tests/services/gateway/exchange_test.cc
+++ b/tests/services/gateway/exchange_test.cc
@@ -159,6 +159,36 @@
   EXPECT_EQ(sink_.text, "opened");
 }
 
+TEST_F(ExchangeTest, EachEndIsCountedOnceUnderItsOutcome) {
+  first_.on_request = [](const auto& request) {
+    ReplyOk(request.socket, "opened");
+  };
+  Send(routing::RequestKind::kNonIdempotent, 1);
+  RunUntilEnd();
+  const std::string metrics = context_.metrics.Serialize();
+  EXPECT_NE(metrics.find("balsam_outcomes_total{process=\"gateway\","
+                         "code=\"200\",name=\"delivered\",workspace=\"\"} 1"),
+            std::string::npos)
+      << metrics;
+}
+
+TEST_F(ExchangeTest, EventsAndTheirPausesAreMeasured) {
+  first_.on_request = [](const auto& request) {
+    BeginStream(request.socket, 1, 3);
+    request.socket->write("0\r\n\r\n");
+  };
+  Send(routing::RequestKind::kStream, 1);
+  RunUntilEnd();
+  const std::string metrics = context_.metrics.Serialize();
+  const std::string labels =
+      "{process=\"gateway\",class=\"stream\",workspace=\"\"} ";
+  EXPECT_NE(metrics.find("balsam_tokens_total" + labels + "3"),
+            std::string::npos)
+      << metrics;
+  EXPECT_NE(metrics.find("balsam_first_token_seconds_count" + labels + "1"),
+            std::string::npos);
+}
+
 TEST_F(ExchangeTest, AResetIsNeverRepeatedIfItMayNotRunTwice) {
   first_.on_request = [](const auto& request) { request.socket->abort(); };
   Send(routing::RequestKind::kNonIdempotent, 3);
