--- a/services/gateway/exchange.cc
+++ b/services/gateway/exchange.cc
@@ -124,6 +124,11 @@
   const milliseconds expected = ExpectedWait();
   if (expected > longest) {
     // Known now, so it is said now.
+    LogEvent("wait_too_long")
+        .With("id", facts_.id)
+        .With("expected", expected)
+        .With("longest", longest)
+        .With("line", context_.waiting[request_.service->name].size());
     Answer(503, "no_room_in_time", RetryAfter());
     return;
   }
--- a/tests/documentation_test.cc
+++ b/tests/documentation_test.cc
@@ -69,6 +69,11 @@
                        std::regex(R"re("([a-z_]+_(?:seconds|total))")re")));
 }
 
+TEST_F(DocumentationTest, EveryCauseIsListed) {
+  ExpectListed(NamesIn({"libraries/explanation"},
+                       std::regex(R"re(return \{"([a-z_]+)",\s)re")));
+}
+
 TEST_F(DocumentationTest, EveryReasonOfAnAnswerIsListed) {
   ExpectListed(
       NamesIn({"services/gateway"},
--- /dev/null
+++ b/tests/libraries/explanation/story_test.cc
@@ -0,0 +1,109 @@
+// Stories and causes from the text of logs.
+#include <gtest/gtest.h>
+
+#include <string>
+#include <vector>
+
+#include "libraries/base/log_event.h"
+#include "libraries/explanation/cause.h"
+#include "libraries/explanation/request_story.h"
+
+namespace balsam::explanation {
+namespace {
+
+std::vector<LogLine> StoryOf(const std::string& id,
+                             const std::vector<std::string>& texts) {
+  RequestStory story(id);
+  for (const std::string& text : texts) {
+    if (const auto line = ParseLogLine(text, "file")) story.Add(*line);
+  }
+  return story.Lines();
+}
+
+TEST(LogLineTest, ReadsBackWhatLogsEscape) {
+  const std::string value = "a \"quoted\\\" = \n\x01 end";
+  const auto line = ParseLogLine("time=1 level=INFO process=p event=e reason=" +
+                                     EscapeLogValue(value) + " id=r-1",
+                                 "file");
+  ASSERT_TRUE(line.has_value());
+  EXPECT_EQ(line->event, "e");
+  EXPECT_EQ(line->process, "p");
+  EXPECT_EQ(line->Field("reason"), value);
+  EXPECT_TRUE(line->IsOf("r-1"));
+  EXPECT_FALSE(line->IsOf("r-2"));
+}
+
+TEST(LogLineTest, ASourceBeforeTheTimeGoesBeforeTheFile) {
+  EXPECT_EQ(ParseLogLine("  1.5 vm-2 time=1 event=e", "file")->source, "vm-2");
+  EXPECT_EQ(ParseLogLine("time=1 event=e", "file")->source, "file");
+  EXPECT_FALSE(ParseLogLine("no event here", "file").has_value());
+  EXPECT_FALSE(ParseLogLine("event=", "file").has_value());
+}
+
+TEST(RequestStoryTest, BringsWhatTheProcessBelievedOfTheServersInvolved) {
+  const auto story =
+      StoryOf("r-1", {"event=configuration_in_force version=4",
+                      "event=configuration_in_force version=5",
+                      "event=server_changed server=i-1 change=appeared",
+                      "event=server_changed server=i-9 change=appeared",
+                      "event=request id=r-0 server=i-9",
+                      "event=attempt_ended id=r-1 server=i-1 end=4",
+                      "event=server_changed server=i-1 change=leaving",
+                      "event=server_changed server=i-9 change=leaving",
+                      "event=request id=r-1 server=i-1 outcome=server_failed",
+                      "event=server_changed server=i-1 change=gone"});
+  std::vector<std::string> texts;
+  for (const LogLine& line : story) texts.push_back(line.text);
+  EXPECT_EQ(texts,
+            (std::vector<std::string>{
+                "event=configuration_in_force version=5",
+                "event=server_changed server=i-1 change=appeared",
+                "event=attempt_ended id=r-1 server=i-1 end=4",
+                "event=server_changed server=i-1 change=leaving",
+                "event=request id=r-1 server=i-1 outcome=server_failed"}));
+}
+
+// The entry's clock is ahead by an hour; its word still comes last.
+TEST(RequestStoryTest, OrdersByHopsAndNotByClocks) {
+  const auto story = StoryOf(
+      "r-1",
+      {"vm-1 time=10:00 process=balsam-entry event=concluded request=r-1 "
+       "result=deadline_in_queue",
+       "vm-2 time=11:00 process=balsam-sidecar event=refused request=r-1 "
+       "code=2003 reason=\"waited in vain\""});
+  ASSERT_EQ(story.size(), 2U);
+  EXPECT_EQ(story[0].event, "refused");
+  const Cause cause = FindCause(story);
+  EXPECT_EQ(cause.name, "deadline_in_queue");
+  EXPECT_EQ(cause.text, "waited in vain");
+  EXPECT_EQ(cause.deciding_line, 0U);
+}
+
+TEST(CauseTest, AProcessThatEndedLeavesNoEnd) {
+  EXPECT_EQ(FindCause(StoryOf("r-1", {"event=waiting id=r-1"})).name,
+            "unfinished");
+  const Cause none = FindCause(StoryOf("r-1", {"event=waiting id=r-2"}));
+  EXPECT_EQ(none.text, "no line tells of it");
+}
+
+TEST(CauseTest, AnEngineThatWasTakenForLapsed) {
+  EXPECT_EQ(FindCause(StoryOf("r-1",
+                              {"event=waiting id=r-1 server=i-1",
+                               "event=server_changed server=i-1 change=lapsed",
+                               "event=stream_broken id=r-1 server=i-1 moving=0",
+                               "event=request id=r-1 outcome=stream_lost"}))
+                .name,
+            "engine_taken_for_lapsed");
+}
+
+TEST(CauseTest, RefusalsThatWereForecast) {
+  for (const char* reason :
+       {"no_room_in_time", "no_room", "deadline_while_waiting"}) {
+    const std::string line =
+        std::string("event=own_answer id=r-1 status=503 reason=") + reason;
+    EXPECT_EQ(FindCause(StoryOf("r-1", {line})).name, reason);
+  }
+}
+
+}  // namespace
+}  // namespace balsam::explanation
--- /dev/null
+++ b/tests/services/gateway/exchange_fixture.h
@@ -0,0 +1,166 @@
+// One request through the gateway, against engines that act by script. No test
+// waits for a time to pass; each waits for the answer.
+#pragma once
+
+#include <gtest/gtest.h>
+
+#include <QCoreApplication>
+#include <QEventLoop>
+#include <QTimer>
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+
+#include "platform/wire_dialect.h"
+#include "services/gateway/exchange.h"
+#include "tests/services/gateway/scripted_engine.h"
+
+namespace balsam::gateway {
+
+// Ends a test that hangs; no test relies on it.
+inline constexpr std::chrono::milliseconds kTestLimit{20000};
+
+class RecordingSink : public ResponseSink {
+ public:
+  void SendWhole(http1::ResponseHead head, std::string body) override {
+    status = head.status;
+    text = std::move(body);
+    End(true);
+  }
+  void BeginBody(http1::ResponseHead head) override { status = head.status; }
+  void WriteBody(std::string_view bytes) override {
+    text += bytes;
+    if (on_text) on_text();
+  }
+  void EndBody() override { End(true); }
+  void BreakOff() override { End(false); }
+  bool IsFull() const override { return false; }
+
+  std::function<void()> on_text;
+  std::function<void()> on_end;
+  int status = 0;
+  std::string text;
+  std::optional<bool> complete;
+
+ private:
+  void End(bool whole) {
+    complete = whole;
+    if (on_end) on_end();
+  }
+};
+
+class ExchangeTest : public testing::Test {
+ protected:
+  ExchangeTest()
+      : context_(dialect_, {}, {0.2, 50.0, std::chrono::milliseconds(10000)},
+                 1) {
+    Announce("i-1", first_);
+    Announce("i-2", second_);
+  }
+
+  void Announce(const std::string& id, const ScriptedEngine& engine,
+                bool leaving = false) {
+    directory::BackendServer server;
+    server.id = id;
+    server.service = "s";
+    server.endpoint = {"127.0.0.1", engine.port()};
+    server.data_center = id;
+    server.slots = 8;
+    server.leaving = leaving;
+    context_.directory.OnAnnounced(server, BootClock::now());
+  }
+
+  // Offers a route of this kind and sends a request on it. The first engine is
+  // the nearer one by load: the second has work already.
+  void Send(routing::RequestKind kind, int attempts) {
+    Offer(kind, attempts);
+    SendRequest();
+  }
+
+  void Offer(routing::RequestKind kind, int attempts) {
+    routing::Route route;
+    route.name = "r";
+    route.host = "h";
+    route.prefix = "/";
+    route.kind = kind;
+    route.timeout = route_timeout_;
+    route.latency_objective = std::chrono::seconds(10);
+    route.max_attempts = attempts;
+    route.services = {{"s", 1.0}};
+    routing::Configuration configuration;
+    configuration.version = 1;
+    configuration.routes = {route};
+    routing::Service service;
+    service.name = "s";
+    if (kind == routing::RequestKind::kStream) {
+      service.engine = routing::EngineTraits{8, 100000, true, true};
+    }
+    configuration.services = {service};
+    context_.routes = TryOr(
+        [&] { return routing::RouteTable::Build(std::move(configuration)); },
+        [](const Error&) {
+          return std::shared_ptr<const routing::RouteTable>();
+        });
+    dispatch::Demand busy;
+    context_.selector.OnStart("i-2", busy);
+    context_.selector.OnStart("i-2", busy);
+  }
+
+  void SendRequest() {
+    http1::RequestHead head;
+    head.method = "POST";
+    head.target = "/x";
+    head.fields.Add("Host", "h");
+    head.fields.Add("Request-Id", "r-1");
+    head.fields.Add("Token-Usage", "100,100");
+    exchange_ = std::make_unique<Exchange>(context_, sink_, std::move(head),
+                                           "body", BootClock::now());
+    exchange_->Start();
+  }
+
+  void RunUntilEnd() {
+    if (sink_.complete.has_value()) return;
+    QEventLoop loop;
+    sink_.on_end = [&loop] { loop.quit(); };
+    QTimer::singleShot(kTestLimit, &loop, &QEventLoop::quit);
+    loop.exec();
+    sink_.on_end = nullptr;
+    ASSERT_TRUE(sink_.complete.has_value());
+  }
+
+  static void Reply(QTcpSocket* socket, const std::string& status,
+                    const std::string& fields, const std::string& body) {
+    const std::string text = "HTTP/1.1 " + status + "\r\n" + fields +
+                             "Content-Length: " + std::to_string(body.size()) +
+                             "\r\n\r\n" + body;
+    socket->write(text.data(), static_cast<qint64>(text.size()));
+  }
+  static void ReplyOk(QTcpSocket* socket, const std::string& body) {
+    Reply(socket, "200 OK", "Request-Id: r-1\r\nResponse-Seal: s\r\n", body);
+  }
+  // Begins a stream of unknown length and sends its first events.
+  static void BeginStream(QTcpSocket* socket, int first, int last) {
+    std::string text =
+        "HTTP/1.1 200 OK\r\nRequest-Id: r-1\r\nResponse-Seal: s\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n";
+    for (int number = first; number <= last; ++number) {
+      text +=
+          http1::EncodeChunk("id: " + std::to_string(number) + "\ndata: t\n\n");
+    }
+    socket->write(text.data(), static_cast<qint64>(text.size()));
+  }
+  static void EndStream(QTcpSocket* socket) { socket->write("0\r\n\r\n"); }
+
+  std::chrono::milliseconds route_timeout_{15000};
+  platform::WireDialect dialect_;
+  ScriptedEngine first_;
+  ScriptedEngine second_;
+  RecordingSink sink_;
+  GatewayContext context_;
+  std::unique_ptr<Exchange> exchange_;
+};
+
+}  // namespace balsam::gateway
--- a/utilities/balsamctl/main.cc
+++ b/utilities/balsamctl/main.cc
@@ -1,5 +1,5 @@
-// balsamctl: the operators' command line. It checks files, and asks running
-// processes on their operator ports.
+// balsamctl: the operators' command line. It checks files, asks running
+// processes on their operator ports, and explains requests from logs.
 #include <QCoreApplication>
 #include <QEventLoop>
 #include <QFile>
@@ -18,6 +18,7 @@
 #include "libraries/templates/template_set.h"
 #include "services/entry/entry_settings.h"
 #include "services/sidecar/sidecar_settings.h"
+#include "utilities/balsamctl/explain.h"
 
 namespace {
 
@@ -37,6 +38,7 @@
     "  status            what each process has and does\n"
     "  versions          template and list revisions of each process\n"
     "  explain MODEL     where an entry would place a request\n"
+    "  explain ID        what became of a request, from the files of --log\n"
     "  drain             take no new work, and stop once idle\n";
 
 // One process's answer, or why there is none.
@@ -208,6 +210,8 @@
                         cxxopts::value<Strings>()->default_value(""))(
       "process", "ADDRESS:PORT of an operator port; may be repeated",
       cxxopts::value<Strings>()->default_value(""))(
+      "log", "Log file to explain from, - for standard input; may be repeated",
+      cxxopts::value<Strings>()->default_value(""))(
       "key-file", "File that holds the operators' key",
       cxxopts::value<std::string>()->default_value(""))("json", "Print JSON")(
       "help", "Print this help")("version", "Print the version");
@@ -227,6 +231,15 @@
     const auto arguments = parsed["command"].as<Strings>();
     const std::string& command = arguments.front();
     if (command == "check") return RunCheck(arguments);
+    const auto logs = parsed["log"].as<Strings>();
+    if (command == "explain" && !logs.front().empty()) {
+      if (arguments.size() != 2) {
+        std::cerr << "balsamctl: explain needs a request's id\n";
+        return kExitBadUsage;
+      }
+      return balsam::ctl::ExplainRequest(arguments[1], logs,
+                                         parsed.count("json") > 0, std::cout);
+    }
     const std::set<std::string> remote = {"status", "versions", "explain",
                                           "drain"};
     auto processes = parsed["process"].as<Strings>();
