Tell peers in turn, in smaller digests, within 9 KB/s

The digest named each server by its 12-byte id. Change: peers take turns; a token bucket (SendAllowance) bounds digests to 9 KB/s a node; servers are named by a 32-bit hash, the node's name is gone, 4 instead of 8 peers are named. Word of an engine that leaves goes to every peer at once, outside the allowance.

--- a/libraries/dispatch/server_selector.cc
+++ b/libraries/dispatch/server_selector.cc
@@ -5,6 +5,8 @@
 #include <cmath>
 #include <limits>
 
+#include "libraries/membership/rendezvous.h"
+
 namespace balsam::dispatch {
 namespace {
 
@@ -39,6 +41,10 @@
 
 }  // namespace
 
+std::uint32_t ServerKey(std::string_view id) {
+  return static_cast<std::uint32_t>(membership::StableHash(id));
+}
+
 double ServerSelector::Faded(double value, const Record& record,
                              BootTime now) const {
   const double halves =
@@ -60,9 +66,10 @@
   if (const auto own = records_.find(id); own != records_.end()) {
     usage = own->second.own;
   }
+  const std::uint32_t key = ServerKey(id);
   for (const auto& [entry, report] : reports_) {
     if (now - report.at > limits_.report_lifetime) continue;
-    const auto found = report.usage.find(id);
+    const auto found = report.usage.find(key);
     if (found != report.usage.end()) usage += found->second;
   }
   return usage;
@@ -188,15 +195,15 @@
 void ServerSelector::Forget(const std::string& id) { records_.erase(id); }
 
 void ServerSelector::OnReport(const std::string& entry,
-                              std::map<std::string, Usage> usage,
+                              std::map<std::uint32_t, Usage> usage,
                               BootTime now) {
   reports_[entry] = {std::move(usage), now};
 }
 
-std::map<std::string, Usage> ServerSelector::OwnUsage() const {
-  std::map<std::string, Usage> usage;
+std::map<std::uint32_t, Usage> ServerSelector::OwnUsage() const {
+  std::map<std::uint32_t, Usage> usage;
   for (const auto& [id, record] : records_) {
-    if (record.own.requests > 0) usage.emplace(id, record.own);
+    if (record.own.requests > 0) usage[ServerKey(id)] += record.own;
   }
   return usage;
 }
--- a/libraries/dispatch/server_selector.h
+++ b/libraries/dispatch/server_selector.h
@@ -64,6 +64,10 @@
   kUnreachable,
 };
 
+// Names a server in few bytes where entries tell each other of usage. Two that
+// fall together are each taken to be as busy as both.
+std::uint32_t ServerKey(std::string_view id);
+
 class ServerSelector {
  public:
   struct Limits {
@@ -114,9 +118,9 @@
   void Forget(const std::string& id);
 
   // Another entry's requests, all of them.
-  void OnReport(const std::string& entry, std::map<std::string, Usage> usage,
+  void OnReport(const std::string& entry, std::map<std::uint32_t, Usage> usage,
                 BootTime now);
-  std::map<std::string, Usage> OwnUsage() const;
+  std::map<std::uint32_t, Usage> OwnUsage() const;
 
   // Of this entry and all others.
   Usage UsageOf(const std::string& id, BootTime now) const;
@@ -133,7 +137,7 @@
     BootTime paused_until;
   };
   struct Report {
-    std::map<std::string, Usage> usage;
+    std::map<std::uint32_t, Usage> usage;
     BootTime at;
   };
 
--- a/libraries/gossip/digest.cc
+++ b/libraries/gossip/digest.cc
@@ -9,22 +9,21 @@
 using nlohmann::json;
 
 // Changes with the layout below; entries of another layout are not understood.
-constexpr int kLayout = 4;
+constexpr int kLayout = 5;
 
 }  // namespace
 
 std::string Encode(const Digest& digest) {
   json usage = json::array();
-  for (const auto& [id, used] : digest.usage) {
+  for (const auto& [key, used] : digest.usage) {
     usage.push_back(
-        {id, used.requests, used.tokens, used.unread_prompt_tokens});
+        {key, used.requests, used.tokens, used.unread_prompt_tokens});
   }
   json crashes = json::array();
   for (const auto& [fingerprint, count] : digest.crashes) {
     crashes.push_back({fingerprint, count});
   }
   const json message = {kLayout,
-                        digest.node,
                         digest.ip,
                         digest.sequence,
                         digest.incarnation,
@@ -41,28 +40,27 @@
 
 Result<Digest> Decode(std::string_view bytes) {
   const json message = json::from_cbor(bytes.begin(), bytes.end(), true, false);
-  if (!message.is_array() || message.size() != 11 || message[0] != kLayout) {
+  if (!message.is_array() || message.size() != 10 || message[0] != kLayout) {
     return Fail(ResultCode::kInvalidPeerMessage, "not a digest");
   }
   try {
     Digest digest;
-    digest.node = message[1].get<std::string>();
-    digest.ip = message[2].get<std::string>();
-    digest.sequence = message[3].get<std::uint64_t>();
-    digest.incarnation = message[4].get<std::uint64_t>();
-    digest.revision = message[5].get<std::uint64_t>();
-    digest.reaches_store = message[6].get<bool>();
-    for (const json& used : message[7]) {
-      digest.usage[used.at(0).get<std::string>()] = {
+    digest.ip = message[1].get<std::string>();
+    digest.sequence = message[2].get<std::uint64_t>();
+    digest.incarnation = message[3].get<std::uint64_t>();
+    digest.revision = message[4].get<std::uint64_t>();
+    digest.reaches_store = message[5].get<bool>();
+    for (const json& used : message[6]) {
+      digest.usage[used.at(0).get<std::uint32_t>()] = {
           used.at(1).get<std::int64_t>(), used.at(2).get<std::int64_t>(),
           used.at(3).get<std::int64_t>()};
     }
-    digest.peers = message[8].get<std::vector<std::string>>();
-    for (const json& crash : message[9]) {
+    digest.peers = message[7].get<std::vector<std::string>>();
+    for (const json& crash : message[8]) {
       digest.crashes[crash.at(0).get<std::uint64_t>()] =
           crash.at(1).get<std::int64_t>();
     }
-    digest.leaving_servers = message[10].get<std::vector<std::string>>();
+    digest.leaving_servers = message[9].get<std::vector<std::string>>();
     return digest;
   } catch (const json::exception& error) {
     return Fail(ResultCode::kInvalidPeerMessage, error.what());
--- a/libraries/gossip/digest.h
+++ b/libraries/gossip/digest.h
@@ -14,7 +14,6 @@
 namespace balsam::gossip {
 
 struct Digest {
-  std::string node;
   std::string ip;
   // Counts up with each digest of one process.
   std::uint64_t sequence = 0;
@@ -24,8 +23,8 @@
   std::uint64_t revision = 0;
   // It reached the store all the while lately.
   bool reaches_store = false;
-  // This entry's requests by backend server.
-  std::map<std::string, dispatch::Usage> usage;
+  // This entry's requests by `dispatch::ServerKey` of the backend server.
+  std::map<std::uint32_t, dispatch::Usage> usage;
   // Addresses of other entries heard from.
   std::vector<std::string> peers;
   // Backend servers that said, when asked, that they leave.
--- a/libraries/gossip/peer_table.cc
+++ b/libraries/gossip/peer_table.cc
@@ -39,7 +39,6 @@
   if (!restarted && digest.sequence <= peer.sequence) return News::kNone;
   const bool joined = !peer.reported_alive;
   const bool known = peer.incarnation != 0;
-  peer.node = digest.node;
   peer.incarnation = digest.incarnation;
   peer.sequence = digest.sequence;
   peer.reaches_store = digest.reaches_store;
@@ -66,10 +65,11 @@
   return silent;
 }
 
-std::vector<std::string> PeerTable::Targets(BootTime now) {
+std::vector<std::string> PeerTable::Targets(BootTime now, std::size_t most) {
   std::vector<std::string> targets = Alive(now);
-  std::ranges::shuffle(targets, random_);
-  if (targets.size() > limits_.fanout) targets.resize(limits_.fanout);
+  std::ranges::rotate(targets, std::ranges::upper_bound(targets, last_target_));
+  if (targets.size() > most) targets.resize(most);
+  if (!targets.empty()) last_target_ = targets.back();
   std::vector<std::string> silent;
   for (const auto& [ip, peer] : peers_) {
     if (!IsAlive(peer, now)) silent.push_back(ip);
--- a/libraries/gossip/peer_table.h
+++ b/libraries/gossip/peer_table.h
@@ -22,10 +22,9 @@
     // An address that does not answer is forgotten after this time, unless it
     // is a seed.
     std::chrono::milliseconds memory{20000};
-    // Digests sent in one round; bounds the traffic of a large fleet.
-    std::size_t fanout = 6;
-    // Addresses named in one digest.
-    std::size_t named_peers = 8;
+    // Addresses named in one digest: a new one is known everywhere within a
+    // few rounds.
+    std::size_t named_peers = 4;
   };
 
   PeerTable(std::string own_ip, Limits limits, std::uint64_t seed)
@@ -39,9 +38,9 @@
   // Peers that fell silent since the last call.
   std::vector<std::string> TakeSilent(BootTime now);
 
-  // Addresses to send this round's digest to: peers that are alive, and a few
-  // of those that have not been heard.
-  std::vector<std::string> Targets(BootTime now);
+  // Up to `most` addresses to send this round's digest to: peers that are
+  // alive, each in its turn; and a few of those that have not been heard.
+  std::vector<std::string> Targets(BootTime now, std::size_t most);
   std::vector<std::string> Alive(BootTime now) const;
   // Whether any peer that is alive reached the store all the while lately.
   bool AnyReachesStore(BootTime now) const;
@@ -50,7 +49,6 @@
 
  private:
   struct Peer {
-    std::string node;
     std::uint64_t incarnation = 0;
     std::uint64_t sequence = 0;
     bool reaches_store = false;
@@ -68,6 +66,8 @@
   Limits limits_;
   std::minstd_rand random_;
   std::map<std::string, Peer> peers_;
+  // The last peer whose turn it was.
+  std::string last_target_;
 };
 
 }  // namespace balsam::gossip
--- /dev/null
+++ b/libraries/gossip/send_allowance.h
@@ -0,0 +1,41 @@
+// Bounds what one process sends to its peers, whatever the size of the fleet:
+// a token bucket of bytes.
+#pragma once
+
+#include <algorithm>
+#include <chrono>
+#include <cstddef>
+
+#include "libraries/base/boot_clock.h"
+
+namespace balsam::gossip {
+
+class SendAllowance {
+ public:
+  // `bytes_per_second`: on average; what one second allows may be sent at once.
+  explicit SendAllowance(double bytes_per_second)
+      : bytes_per_second_(bytes_per_second), left_(bytes_per_second) {}
+
+  // How many of `wanted` messages of `bytes` each may be sent now. One always
+  // may, so that a process is heard at all.
+  std::size_t Take(std::size_t bytes, std::size_t wanted, BootTime now) {
+    if (taken_ != BootTime{}) {
+      left_ += bytes_per_second_ *
+               std::chrono::duration<double>(now - taken_).count();
+    }
+    taken_ = now;
+    left_ = std::min(left_, bytes_per_second_);
+    const double affordable = std::max(left_ / static_cast<double>(bytes), 1.0);
+    const std::size_t sent =
+        std::min(wanted, static_cast<std::size_t>(affordable));
+    left_ -= static_cast<double>(sent * bytes);
+    return sent;
+  }
+
+ private:
+  double bytes_per_second_;
+  double left_;
+  BootTime taken_;
+};
+
+}  // namespace balsam::gossip
--- a/services/gateway/gateway_node.cc
+++ b/services/gateway/gateway_node.cc
@@ -55,9 +55,8 @@
         if (head.target != kMetricsPath) return PlainAnswer{404, {}, {}};
         return PlainAnswer{200, "text/plain; version=0.0.4", CollectMetrics()};
       }),
-      peers_({settings_.node, settings_.ip, settings_.peers,
-              settings_.gossip_port},
-             context_, replica_, RandomNumber()) {
+      peers_({settings_.ip, settings_.peers, settings_.gossip_port}, context_,
+             replica_, RandomNumber()) {
   context_.data_center = settings_.data_center;
   context_.on_room = [this] {
     if (!room_timer_.isActive()) room_timer_.start(0);
--- a/services/gateway/peer_exchange.cc
+++ b/services/gateway/peer_exchange.cc
@@ -17,6 +17,9 @@
 
 // Between two rounds of digests: loads are that much out of date elsewhere.
 constexpr milliseconds kInterval{150};
+// Of all digests but urgent ones, which are rare: the bound on a node's control
+// traffic (docs/CAPACITY.md), less what pulled changes take.
+constexpr double kDigestBytesPerSecond = 9000.0;
 // For how long after it was last heard the others are told that a server
 // leaves.
 constexpr milliseconds kLeavingTold{1000};
@@ -40,10 +43,11 @@
       server_([this](const http1::RequestHead& head, const std::string&) {
         return AnswerPull(head);
       }),
+      allowance_(kDigestBytesPerSecond),
       // Zero stands for a peer that was never heard.
       incarnation_(seed | 1) {
   connect(&socket_, &QUdpSocket::readyRead, this, &PeerExchange::OnDatagrams);
-  connect(&timer_, &QTimer::timeout, this, &PeerExchange::SendDigests);
+  connect(&timer_, &QTimer::timeout, this, &PeerExchange::OnRound);
 }
 
 Result<void> PeerExchange::Start() {
@@ -65,7 +69,7 @@
   const bool is_news =
       told_leaving_.insert_or_assign(server_id, BootClock::now()).second;
   // Each tenth of a second counts for what runs there.
-  if (is_news) SendDigests();
+  if (is_news) SendDigest(true);
 }
 
 std::vector<std::string> PeerExchange::Alive() const {
@@ -76,16 +80,24 @@
   return peers_.AnyReachesStore(BootClock::now());
 }
 
-void PeerExchange::SendDigests() {
+void PeerExchange::SendDigest(bool urgent) {
   const BootTime now = BootClock::now();
-  std::erase_if(told_leaving_, [now](const auto& item) {
-    return now - item.second > kLeavingTold;
-  });
   const std::string bytes = gossip::Encode(MakeDigest(now));
-  for (const std::string& ip : peers_.Targets(now)) {
+  const std::size_t alive = peers_.Alive(now).size();
+  const std::size_t most =
+      urgent ? alive : allowance_.Take(bytes.size(), alive, now);
+  for (const std::string& ip : peers_.Targets(now, most)) {
     socket_.writeDatagram(bytes.data(), static_cast<qint64>(bytes.size()),
                           Address(ip), identity_.gossip_port);
   }
+}
+
+void PeerExchange::OnRound() {
+  const BootTime now = BootClock::now();
+  std::erase_if(told_leaving_, [now](const auto& item) {
+    return now - item.second > kLeavingTold;
+  });
+  SendDigest(false);
   for (const std::string& ip : peers_.TakeSilent(now)) {
     LogEvent("peer_lost", LogEvent::Level::kWarning).With("peer", ip);
   }
@@ -94,7 +106,6 @@
 
 gossip::Digest PeerExchange::MakeDigest(BootTime now) {
   gossip::Digest digest;
-  digest.node = identity_.node;
   digest.ip = identity_.ip;
   digest.incarnation = incarnation_;
   digest.sequence = ++sequence_;
--- a/services/gateway/peer_exchange.h
+++ b/services/gateway/peer_exchange.h
@@ -13,6 +13,7 @@
 
 #include "libraries/base/error.h"
 #include "libraries/gossip/peer_table.h"
+#include "libraries/gossip/send_allowance.h"
 #include "libraries/revisions/revisioned_map.h"
 #include "services/gateway/gateway_context.h"
 #include "services/gateway/plain_server.h"
@@ -25,7 +26,6 @@
  public:
   // Who this gateway is to the others.
   struct Identity {
-    std::string node;
     std::string ip;
     // Where peers fetch changes; the same port on every VM.
     directory::Endpoint changes;
@@ -60,7 +60,9 @@
   std::function<bool()> reaches_store;
 
  private:
-  void SendDigests();
+  // To peers in their turn, as many as the allowance lets; `urgent`: to all.
+  void SendDigest(bool urgent);
+  void OnRound();
   gossip::Digest MakeDigest(BootTime now);
   // Counts the gateways that share budgets.
   void CountEntries(BootTime now);
@@ -78,6 +80,7 @@
   PlainServer server_;
   QUdpSocket socket_;
   QTimer timer_;
+  gossip::SendAllowance allowance_;
   std::uint64_t incarnation_;
   std::uint64_t sequence_ = 0;
   // Servers that said here that they leave, and when they last did. What only a
