--- a/libraries/gossip/digest.cc
+++ b/libraries/gossip/digest.cc
@@ -11,13 +11,21 @@
 // Changes with the layout below; entries of another layout are not understood.
 constexpr int kLayout = 5;
 
+// Tokens are told in units of this size, rounded up: a smaller number takes
+// fewer bytes, and loads are estimates.
+constexpr std::int64_t kTokenUnit = 64;
+
+std::int64_t ToUnits(std::int64_t tokens) {
+  return (tokens + kTokenUnit - 1) / kTokenUnit;
+}
+
 }  // namespace
 
 std::string Encode(const Digest& digest) {
   json usage = json::array();
   for (const auto& [key, used] : digest.usage) {
-    usage.push_back(
-        {key, used.requests, used.tokens, used.unread_prompt_tokens});
+    usage.push_back({key, used.requests, ToUnits(used.tokens),
+                     ToUnits(used.unread_prompt_tokens)});
   }
   json crashes = json::array();
   for (const auto& [fingerprint, count] : digest.crashes) {
@@ -52,8 +60,9 @@
     digest.reaches_store = message[5].get<bool>();
     for (const json& used : message[6]) {
       digest.usage[used.at(0).get<std::uint32_t>()] = {
-          used.at(1).get<std::int64_t>(), used.at(2).get<std::int64_t>(),
-          used.at(3).get<std::int64_t>()};
+          used.at(1).get<std::int64_t>(),
+          used.at(2).get<std::int64_t>() * kTokenUnit,
+          used.at(3).get<std::int64_t>() * kTokenUnit};
     }
     digest.peers = message[7].get<std::vector<std::string>>();
     for (const json& crash : message[8]) {
--- a/services/gateway/peer_exchange.cc
+++ b/services/gateway/peer_exchange.cc
@@ -3,6 +3,7 @@
 
 #include <QHostAddress>
 #include <QNetworkDatagram>
+#include <algorithm>
 #include <charconv>
 #include <nlohmann/json.hpp>
 #include <utility>
@@ -20,6 +21,9 @@
 // Of all digests but urgent ones, which are rare: the bound on a node's control
 // traffic (docs/CAPACITY.md), less what pulled changes take.
 constexpr double kDigestBytesPerSecond = 9000.0;
+// Fingerprints of requests that crashed servers in one digest; all have their
+// turn within a few.
+constexpr std::size_t kToldCrashes = 4;
 // For how long after it was last heard the others are told that a server
 // leaves.
 constexpr milliseconds kLeavingTold{1000};
@@ -116,7 +120,10 @@
   for (const auto& [server_id, heard] : told_leaving_) {
     digest.leaving_servers.push_back(server_id);
   }
-  for (const std::uint64_t fingerprint : context_.own_crashes) {
+  const std::size_t known = context_.own_crashes.size();
+  for (std::size_t i = 0; i < std::min(known, kToldCrashes); ++i) {
+    const std::uint64_t fingerprint =
+        context_.own_crashes[(sequence_ * kToldCrashes + i) % known];
     const std::int64_t crashes =
         context_.suspicions.CrashesOf(fingerprint, now);
     if (crashes > 0) digest.crashes[fingerprint] = crashes;
