--- a/services/gateway/generation_move.cc
+++ b/services/gateway/generation_move.cc
@@ -49,8 +49,7 @@
       machine_({}),
       noticed_(BootClock::now()) {
   retry_timer_.setSingleShot(true);
-  connect(&retry_timer_, &QTimer::timeout, this,
-          &GenerationMove::OnRetryTime);
+  connect(&retry_timer_, &QTimer::timeout, this, &GenerationMove::OnRetryTime);
 }
 
 GenerationMove::~GenerationMove() { End(); }
--- a/tests/libraries/explanation/story_test.cc
+++ b/tests/libraries/explanation/story_test.cc
@@ -1,6 +1,8 @@
 // Stories and causes from the text of logs.
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <iterator>
 #include <string>
 #include <vector>
 
@@ -53,7 +55,7 @@
                       "event=request id=r-1 server=i-1 outcome=server_failed",
                       "event=server_changed server=i-1 change=gone"});
   std::vector<std::string> texts;
-  for (const LogLine& line : story) texts.push_back(line.text);
+  std::ranges::transform(story, std::back_inserter(texts), &LogLine::text);
   EXPECT_EQ(texts,
             (std::vector<std::string>{
                 "event=configuration_in_force version=5",
--- a/tests/services/gateway/exchange_fixture.h
+++ b/tests/services/gateway/exchange_fixture.h
@@ -23,6 +23,16 @@
 // Ends a test that hangs; no test relies on it.
 inline constexpr std::chrono::milliseconds kTestLimit{20000};
 
+// Null if the configuration is refused.
+inline std::shared_ptr<const routing::RouteTable> BuildRoutes(
+    routing::Configuration configuration) {
+  return TryOr(
+      [&] { return routing::RouteTable::Build(std::move(configuration)); },
+      [](const Error&) {
+        return std::shared_ptr<const routing::RouteTable>();
+      });
+}
+
 class RecordingSink : public ResponseSink {
  public:
   void SendWhole(http1::ResponseHead head, std::string body) override {
@@ -99,11 +109,7 @@
       service.engine = routing::EngineTraits{8, 100000, true, true};
     }
     configuration.services = {service};
-    context_.routes = TryOr(
-        [&] { return routing::RouteTable::Build(std::move(configuration)); },
-        [](const Error&) {
-          return std::shared_ptr<const routing::RouteTable>();
-        });
+    context_.routes = BuildRoutes(std::move(configuration));
     dispatch::Demand busy;
     context_.selector.OnStart("i-2", busy);
     context_.selector.OnStart("i-2", busy);
--- a/tests/services/gateway/exchange_test.cc
+++ b/tests/services/gateway/exchange_test.cc
@@ -239,9 +239,3 @@
 
 }  // namespace
 }  // namespace balsam::gateway
-
-int main(int argc, char** argv) {
-  QCoreApplication application(argc, argv);
-  testing::InitGoogleTest(&argc, argv);
-  return RUN_ALL_TESTS();
-}
--- a/tests/services/gateway/explanation_test.cc
+++ b/tests/services/gateway/explanation_test.cc
@@ -2,6 +2,8 @@
 // log.
 #include <easylogging++.h>
 
+#include <functional>
+
 #include "libraries/explanation/cause.h"
 #include "libraries/explanation/request_story.h"
 #include "tests/services/gateway/exchange_fixture.h"
@@ -27,6 +29,12 @@
 
 class ExplanationTest : public ExchangeTest {
  protected:
+  static void SetUpTestSuite() {
+    el::Helpers::installLogDispatchCallback<LogTap>("tap");
+  }
+  static void TearDownTestSuite() {
+    el::Helpers::uninstallLogDispatchCallback<LogTap>("tap");
+  }
   ExplanationTest() { LogTap::Lines().clear(); }
 
   static explanation::Cause Explain() {
@@ -44,10 +52,29 @@
     exchange_->OnServerLeaving(id);
   }
 
-  void Break(QTcpSocket* socket) {
+  static void Break(QTcpSocket* socket) {
     socket->flush();
     socket->disconnectFromHost();
   }
+
+  // Begins a stream at the first engine, which is then told to leave; `on_copy`
+  // is called for each call that copies the run.
+  void LoseRunAtCopy(
+      const std::function<void(const ScriptedEngine::Request&)>& on_copy) {
+    first_.on_request = [&](const auto& request) {
+      if (request.IsTo("/kv-move")) {
+        on_copy(request);
+        return;
+      }
+      source_ = request.socket;
+      BeginStream(source_, 1, 2);
+    };
+    sink_.on_text = [this] { TellLeaving("i-1", first_); };
+    Send(RequestKind::kStream, 1);
+    RunUntilEnd();
+  }
+
+  QTcpSocket* source_ = nullptr;
 };
 
 TEST_F(ExplanationTest, AServedRequest) {
@@ -98,7 +125,7 @@
 }
 
 TEST_F(ExplanationTest, AnEngineThatCrashed) {
-  first_.on_request = [this](const auto& request) {
+  first_.on_request = [](const auto& request) {
     BeginStream(request.socket, 1, 2);
     Break(request.socket);
   };
@@ -108,41 +135,20 @@
 }
 
 TEST_F(ExplanationTest, AnEngineThatLeftBeforeTheCopyWasMade) {
-  QTcpSocket* source = nullptr;
-  first_.on_request = [&](const auto& request) {
-    if (request.IsTo("/kv-move")) {
-      Break(source);
-      return;
-    }
-    source = request.socket;
-    BeginStream(source, 1, 2);
-  };
-  sink_.on_text = [this] { TellLeaving("i-1", first_); };
-  Send(RequestKind::kStream, 1);
-  RunUntilEnd();
+  LoseRunAtCopy([this](const auto&) { Break(source_); });
   EXPECT_EQ(Explain().name, "engine_left_before_copy");
 }
 
 TEST_F(ExplanationTest, ACopyThatFoundNoRoom) {
-  QTcpSocket* source = nullptr;
   bool refused = false;
-  first_.on_request = [&](const auto& request) {
-    if (request.IsTo("/kv-move")) {
-      // It is gone by the second try.
-      if (refused) {
-        Break(source);
-      } else {
-        Reply(request.socket, "503 Full", "", "{}");
-      }
-      refused = true;
-      return;
+  LoseRunAtCopy([&](const auto& request) {
+    // It is gone by the second try.
+    if (std::exchange(refused, true)) {
+      Break(source_);
+    } else {
+      Reply(request.socket, "503 Full", "", "{}");
     }
-    source = request.socket;
-    BeginStream(source, 1, 2);
-  };
-  sink_.on_text = [this] { TellLeaving("i-1", first_); };
-  Send(RequestKind::kStream, 1);
-  RunUntilEnd();
+  });
   EXPECT_EQ(Explain().name, "no_room_for_copy");
 }
 
@@ -237,10 +243,3 @@
 
 }  // namespace
 }  // namespace balsam::gateway
-
-int main(int argc, char** argv) {
-  QCoreApplication application(argc, argv);
-  el::Helpers::installLogDispatchCallback<balsam::gateway::LogTap>("tap");
-  testing::InitGoogleTest(&argc, argv);
-  return RUN_ALL_TESTS();
-}
--- a/tests/services/gateway/outbound_connection_test.cc
+++ b/tests/services/gateway/outbound_connection_test.cc
@@ -143,9 +143,3 @@
 
 }  // namespace
 }  // namespace balsam::gateway
-
-int main(int argc, char** argv) {
-  QCoreApplication application(argc, argv);
-  testing::InitGoogleTest(&argc, argv);
-  return RUN_ALL_TESTS();
-}
--- a/tests/services/gateway/peer_exchange_test.cc
+++ b/tests/services/gateway/peer_exchange_test.cc
@@ -130,9 +130,3 @@
 
 }  // namespace
 }  // namespace balsam::gateway
-
-int main(int argc, char** argv) {
-  QCoreApplication application(argc, argv);
-  testing::InitGoogleTest(&argc, argv);
-  return RUN_ALL_TESTS();
-}
--- a/tests/services/gateway/report_poller_test.cc
+++ b/tests/services/gateway/report_poller_test.cc
@@ -9,8 +9,7 @@
 #include <string>
 #include <vector>
 
-#include "platform/wire_dialect.h"
-#include "tests/services/gateway/scripted_engine.h"
+#include "tests/services/gateway/exchange_fixture.h"
 
 namespace balsam::gateway {
 namespace {
@@ -18,8 +17,6 @@
 using std::chrono::milliseconds;
 
 constexpr char kOwnIp[] = "127.0.0.1";
-// Ends a test that hangs; no test relies on it.
-constexpr milliseconds kTestLimit{20000};
 
 class ReportPollerTest : public testing::Test {
  protected:
@@ -33,11 +30,7 @@
     service.health_path = "/health";
     service.engine = routing::EngineTraits{8, 100000, true, true};
     configuration.services = {service};
-    context_.routes = TryOr(
-        [&] { return routing::RouteTable::Build(std::move(configuration)); },
-        [](const Error&) {
-          return std::shared_ptr<const routing::RouteTable>();
-        });
+    context_.routes = BuildRoutes(std::move(configuration));
     poller_.on_leaving = [this](const std::string& id) {
       leaving_.push_back(id);
     };
@@ -106,9 +99,3 @@
 
 }  // namespace
 }  // namespace balsam::gateway
-
-int main(int argc, char** argv) {
-  QCoreApplication application(argc, argv);
-  testing::InitGoogleTest(&argc, argv);
-  return RUN_ALL_TESTS();
-}
