Bound what clients and records may say; forget servers that are gone

Causes: a negative or huge Token-Usage or Length-Hint went into the gateway's sums of load and into times (a client could make an engine look empty); times in store records were cast unchecked; a log line longer than PIPE_BUF could make the process wait for its reader, and a client's id may be 16 KB; the end of a request at a server that was gone brought its record in the selector and its list in the connection pool back, for ever. Tests, the first three failing before: TokenCountsThatNoRequestHasAreBounded, TimesInRecordsAreBounded, ALongLineIsCutToWhatAPipeTakesAtOnce, ServersThatAreGoneAreForgottenInTheEnd. The pool's lists have no test of their own.

--- a/libraries/base/bounded_log_sink.cc
+++ b/libraries/base/bounded_log_sink.cc
@@ -5,6 +5,8 @@
 #include <poll.h>
 #include <unistd.h>
 
+#include <climits>
+
 #include "libraries/base/log_event.h"
 
 namespace balsam {
@@ -44,8 +46,6 @@
 }
 
 bool BoundedLogSink::WriteNow(std::string_view text) const {
-  // A pipe that is ready takes PIPE_BUF bytes at once (POSIX); longer lines are
-  // cut by their makers' limits on heads and identifiers.
   pollfd ready{descriptor_, POLLOUT, 0};
   if (::poll(&ready, 1, 0) != 1 || (ready.revents & POLLOUT) == 0) return false;
   return ::write(descriptor_, text.data(), text.size()) ==
@@ -54,6 +54,11 @@
 
 bool BoundedLogSink::Write(std::string_view event, std::string_view line,
                            BootTime now) {
+  // A pipe that is ready takes PIPE_BUF bytes at once (POSIX). A client's names
+  // may be longer.
+  if (line.size() > PIPE_BUF) {
+    return Write(event, std::string(line.substr(0, PIPE_BUF - 1)) + '\n', now);
+  }
   if (!MayWrite(event, now)) {
     ++dropped_;
     return false;
--- a/libraries/base/bounded_log_sink.h
+++ b/libraries/base/bounded_log_sink.h
@@ -19,8 +19,8 @@
 
   explicit BoundedLogSink(int descriptor) : descriptor_(descriptor) {}
 
-  // `event`: what the rate is counted by. `line` ends with a newline. Returns
-  // whether it was written.
+  // `event`: what the rate is counted by. `line` ends with a newline; one that
+  // a pipe does not take at once is cut. Returns whether it was written.
   bool Write(std::string_view event, std::string_view line, BootTime now);
   std::uint64_t dropped() const { return dropped_; }
 
--- a/libraries/dispatch/server_selector.cc
+++ b/libraries/dispatch/server_selector.cc
@@ -36,6 +36,8 @@
 constexpr double kNoiseTransfer = 0.3;
 // Outcomes that a server is assumed to have served before anything is known.
 constexpr double kPriorOutcomes = 4.0;
+// What is left of a failure after so many half-lives counts for nothing.
+constexpr int kRecordHalfLives = 10;
 // A server that lapsed is chosen only where no ready one has room.
 constexpr double kLapsedPenalty = 100.0;
 
@@ -194,6 +196,14 @@
 
 void ServerSelector::Forget(const std::string& id) { records_.erase(id); }
 
+void ServerSelector::DropIdle(BootTime now) {
+  std::erase_if(records_, [&](const auto& item) {
+    const Record& record = item.second;
+    return record.own.requests == 0 &&
+           now - record.faded_at > kRecordHalfLives * limits_.failure_half_life;
+  });
+}
+
 void ServerSelector::OnReport(const std::string& entry,
                               std::map<std::uint32_t, Usage> usage,
                               BootTime now) {
--- a/libraries/dispatch/server_selector.h
+++ b/libraries/dispatch/server_selector.h
@@ -116,6 +116,11 @@
   void OnResult(const std::string& id, AttemptResult result, BootTime now);
   // A server began a new incarnation or is gone: nothing of before holds.
   void Forget(const std::string& id);
+  // Drops what is known of servers that have no request here and gave no result
+  // for a while; requests may end after their server was forgotten.
+  void DropIdle(BootTime now);
+  // Servers that something is known of.
+  std::size_t known() const { return records_.size(); }
 
   // Another entry's requests, all of them.
   void OnReport(const std::string& entry, std::map<std::uint32_t, Usage> usage,
--- a/services/gateway/connection_pool.cc
+++ b/services/gateway/connection_pool.cc
@@ -80,6 +80,8 @@
       return true;
     });
   }
+  // A connection may come back after its server was dropped.
+  std::erase_if(idle_, [](const auto& item) { return item.second.empty(); });
 }
 
 }  // namespace balsam::gateway
--- a/services/gateway/gateway_node.cc
+++ b/services/gateway/gateway_node.cc
@@ -327,6 +327,7 @@
   }
   PollReports();
   context_.suspicions.DropExpired(now);
+  context_.selector.DropIdle(now);
   OfferRoom();
   context_.pool.CloseOld(now);
   if (context_.stopping) CheckStopped();
--- a/tests/libraries/base/bounded_log_sink_test.cc
+++ b/tests/libraries/base/bounded_log_sink_test.cc
@@ -6,6 +6,7 @@
 #include <unistd.h>
 
 #include <array>
+#include <climits>
 
 namespace balsam {
 namespace {
@@ -50,6 +51,18 @@
                            std::to_string(1000 - written) + "\nevent=later\n");
 }
 
+// Found by reading: a pipe that is ready takes PIPE_BUF bytes without waiting,
+// and a client's id may be longer than that. A reader that stops after the
+// first of two such lines made the writer wait.
+TEST_F(BoundedLogSinkTest, ALongLineIsCutToWhatAPipeTakesAtOnce) {
+  BoundedLogSink sink(ends_[1]);
+  const std::string line = std::string(5 * PIPE_BUF, 'x') + "\n";
+  EXPECT_TRUE(sink.Write("event", line, now_));
+  const std::string read = ReadAll();
+  EXPECT_EQ(read.size(), PIPE_BUF);
+  EXPECT_EQ(read.back(), '\n');
+}
+
 TEST_F(BoundedLogSinkTest, OneEventCannotCrowdOutTheOthers) {
   BoundedLogSink sink(ends_[1]);
   std::int64_t written = 0;
--- a/tests/libraries/dispatch/server_selector_test.cc
+++ b/tests/libraries/dispatch/server_selector_test.cc
@@ -57,6 +57,19 @@
   ServerSelector selector_{{}, 1};
 };
 
+// Found by reading: the end of a request at a server that was gone already
+// brought its record back, for ever.
+TEST_F(ServerSelectorTest, ServersThatAreGoneAreForgottenInTheEnd) {
+  const Demand demand = Generation(10, 10);
+  selector_.OnStart("a", demand);
+  selector_.OnResult("b", AttemptResult::kFailed, now_);
+  selector_.DropIdle(now_ + std::chrono::hours(1));
+  EXPECT_EQ(selector_.known(), 1U);
+  selector_.OnEnd("a", demand, false);
+  selector_.DropIdle(now_ + std::chrono::hours(1));
+  EXPECT_EQ(selector_.known(), 0U);
+}
+
 TEST_F(ServerSelectorTest, LeavingServersGetNothing) {
   Announce("a", true);
   directory_.OnRemoved("b", false, now_);
--- a/tests/platform/wire_dialect_test.cc
+++ b/tests/platform/wire_dialect_test.cc
@@ -49,6 +49,31 @@
   EXPECT_FALSE(facts.last_event.has_value());
 }
 
+// Found by reading: a negative count took load off the engine in the gateway's
+// books, and a huge one overflowed the time that it may take.
+TEST(WireDialectTest, TokenCountsThatNoRequestHasAreBounded) {
+  constexpr std::int64_t kMost = 1'000'000'000;
+  http1::RequestHead head;
+  head.fields.Add("Token-Usage", "-5000,9000000000000000000");
+  head.fields.Add("Length-Hint", "-1");
+  const auto facts = WireDialect().ReadRequest(head);
+  EXPECT_EQ(facts.prompt_tokens, 0);
+  EXPECT_EQ(facts.max_output_tokens, kMost);
+  EXPECT_EQ(facts.expected_output_tokens, 0);
+}
+
+TEST(WireDialectTest, TimesInRecordsAreBounded) {
+  const auto server = TryOr(
+      [] {
+        return WireDialect().ReadServer(
+            "i-1",
+            R"({"service":"s","addr":"10.0.0.1:80","zone":"z","state":"ready",
+                "slots":1,"coldLeftMs":1e300})");
+      },
+      [](const Error&) { return directory::BackendServer{}; });
+  EXPECT_EQ(server.cold_left, std::chrono::hours(24));
+}
+
 TEST(WireDialectTest, ABackendServerGetsTheClientsRequestWithoutItsKey) {
   gateway::DispatchOrder order;
   order.server_id = "i-7";
