Read the change as a newcomer: one copy of each, names, places

Written twice and now once: what a copy came to (dialect and move machine), listening at an address, seconds for histograms (four copies), rendezvous hashing of polls and plain hashing (the library's), a client's limits, the line and budget and workspace of a request. Named: gateways where "entries" could be the store's. Dropped: two accessors that nothing called. New: the log says once when no engine had room for a move (move_no_target, test ARunThatNoEngineHadRoomFor), so that the cause of such a loss is told from a full link.

--- a/libraries/explanation/cause.cc
+++ b/libraries/explanation/cause.cc
@@ -136,10 +136,13 @@
             "engine " + server + " left, and targets refused its copy",
             refused};
   }
+  if (const Index none = LastOf(story, "move_no_target", "server", server)) {
+    return {"no_target_for_copy",
+            "engine " + server + " left, and no other engine had room", none};
+  }
   return {"engine_left_before_copy",
           "engine " + server +
-              " was gone before the copy was complete: its "
-              "link was busy, or no target had room",
+              " was gone before the copy was complete: its link was busy",
           broken};
 }
 
--- a/libraries/http1/message_parser.cc
+++ b/libraries/http1/message_parser.cc
@@ -139,10 +139,6 @@
   head_complete_ = parser.is_header_done();
   complete_ = parser.is_done();
   if (!head_complete_) return taken;
-  framing_.chunked = parser.chunked();
-  if (const auto length = parser.content_length(); length.has_value()) {
-    framing_.content_length = *length;
-  }
   keep_alive_ = parser.keep_alive();
   return taken;
 }
--- a/libraries/http1/message_parser.h
+++ b/libraries/http1/message_parser.h
@@ -45,7 +45,6 @@
   bool complete() const { return complete_; }
   // Whether the connection may carry another message afterwards.
   bool keep_alive() const { return keep_alive_; }
-  const Framing& framing() const { return framing_; }
 
  protected:
   // Feeds Beast's parser, and notes how far it came.
@@ -58,7 +57,6 @@
   bool head_complete_ = false;
   bool complete_ = false;
   bool keep_alive_ = false;
-  Framing framing_;
 };
 
 class RequestParser : public MessageParser {
--- a/libraries/net/tcp_stream.cc
+++ b/libraries/net/tcp_stream.cc
@@ -8,6 +8,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <QHostAddress>
 #include <QPointer>
 #include <array>
 #include <cerrno>
@@ -207,4 +208,13 @@
          std::to_string(ntohs(address.sin_port));
 }
 
+Result<void> Listener::ListenAt(const std::string& ip, std::uint16_t port) {
+  if (!listen(QHostAddress(QString::fromStdString(ip)), port)) {
+    return balsam::Fail(ResultCode::kInvalidSettings,
+                        "cannot listen on " + ip + ':' + std::to_string(port) +
+                            ": " + errorString().toStdString());
+  }
+  return {};
+}
+
 }  // namespace balsam::net
--- a/libraries/net/tcp_stream.h
+++ b/libraries/net/tcp_stream.h
@@ -12,6 +12,8 @@
 #include <string>
 #include <string_view>
 
+#include "libraries/base/error.h"
+
 namespace balsam::net {
 
 enum class CloseReason {
@@ -85,6 +87,9 @@
  public:
   using QTcpServer::QTcpServer;
 
+  // Fails with kInvalidSettings and the reason.
+  Result<void> ListenAt(const std::string& ip, std::uint16_t port);
+
  Q_SIGNALS:
   void Accepted(int descriptor);
 
--- a/libraries/routing/route_table.cc
+++ b/libraries/routing/route_table.cc
@@ -1,11 +1,11 @@
 // Route lookup by host and longest prefix.
 #include "libraries/routing/route_table.h"
 
-#include <xxhash.h>
-
 #include <algorithm>
 #include <numeric>
 
+#include "libraries/membership/rendezvous.h"
+
 namespace balsam::routing {
 namespace {
 
@@ -94,8 +94,7 @@
       std::transform_reduce(route.services.begin(), route.services.end(),
                             std::uint64_t{0}, std::plus<>(), scaled);
   if (total == 0) return route.services.front().service;
-  std::uint64_t ticket =
-      XXH3_64bits(request_id.data(), request_id.size()) % total;
+  std::uint64_t ticket = membership::StableHash(request_id) % total;
   const auto chosen =
       std::ranges::find_if(route.services, [&](const auto& weighted) {
         const std::uint64_t weight = scaled(weighted);
--- a/libraries/telemetry/request_metrics.h
+++ b/libraries/telemetry/request_metrics.h
@@ -21,6 +21,11 @@
 
 namespace balsam::telemetry {
 
+// What histograms of time observe.
+inline double Seconds(std::chrono::nanoseconds duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
 // The instruments of one workspace and class; pointers stay valid.
 struct RequestInstruments {
   prometheus::Histogram* first_token = nullptr;
--- a/services/entry/caller_session.cc
+++ b/services/entry/caller_session.cc
@@ -10,15 +10,12 @@
 namespace {
 
 using std::chrono::milliseconds;
+using telemetry::Seconds;
 
 constexpr qint64 kPauseAboveBytes = 256 << 10;
 constexpr qint64 kContinueBelowBytes = 64 << 10;
 constexpr std::chrono::seconds kKeepAliveInterval{5};
 
-double Seconds(std::chrono::nanoseconds duration) {
-  return std::chrono::duration<double>(duration).count();
-}
-
 }  // namespace
 
 CallerSession::CallerSession(CallerRequest request, relay::Relay relay,
--- a/services/gateway/admission.cc
+++ b/services/gateway/admission.cc
@@ -1,11 +1,11 @@
 // Route, key, deadline, demand and fingerprint of a request.
 #include "services/gateway/admission.h"
 
-#include <xxhash.h>
-
 #include <algorithm>
 #include <string>
 
+#include "libraries/membership/rendezvous.h"
+
 namespace balsam::gateway {
 namespace {
 
@@ -35,7 +35,7 @@
   text += key;
   text += '\0';
   text += body;
-  return XXH3_64bits(text.data(), text.size());
+  return membership::StableHash(text);
 }
 
 dispatch::Demand DemandOf(const AdmittedRequest& request,
--- a/services/gateway/client_connection.cc
+++ b/services/gateway/client_connection.cc
@@ -39,9 +39,7 @@
 ClientConnection::~ClientConnection() = default;
 
 void ClientConnection::StartReadTimer() {
-  const routing::ClientLimits limits = context_.routes == nullptr
-                                           ? routing::ClientLimits{}
-                                           : context_.routes->limits();
+  const routing::ClientLimits limits = context_.ClientLimits();
   timer_.start(parser_started_ ? limits.head_timeout : limits.idle_timeout);
 }
 
@@ -59,12 +57,9 @@
 void ClientConnection::ParseInput() {
   if (parser_ == nullptr) {
     if (input_.empty()) return;
-    http1::ParseLimits limits;
-    if (context_.routes != nullptr) {
-      limits.head_bytes = context_.routes->limits().max_head_bytes;
-      limits.body_bytes = context_.routes->limits().max_body_bytes;
-    }
-    parser_ = std::make_unique<http1::RequestParser>(limits);
+    const routing::ClientLimits limits = context_.ClientLimits();
+    parser_ = std::make_unique<http1::RequestParser>(
+        http1::ParseLimits{limits.max_head_bytes, limits.max_body_bytes});
     parser_started_ = true;
     StartReadTimer();
   }
@@ -82,9 +77,7 @@
   if (!parser_->head_complete()) return;
   // A body may take its time, but not stand still.
   if (!had_head || taken > 0) {
-    timer_.start(context_.routes == nullptr
-                     ? routing::ClientLimits{}.idle_timeout
-                     : context_.routes->limits().idle_timeout);
+    timer_.start(context_.ClientLimits().idle_timeout);
   }
   const std::string* expect = parser_->head().fields.Find("Expect");
   if (expect != nullptr && !std::exchange(continue_sent_, true)) {
--- a/services/gateway/connection_pool.h
+++ b/services/gateway/connection_pool.h
@@ -1,4 +1,4 @@
-// Kept connections to backend servers. All entries share a server's limit of
+// Kept connections to backend servers. All gateways share a server's limit of
 // connections, so few idle ones are kept, and none is used near the time at
 // which the server closes it.
 #pragma once
--- a/services/gateway/dialect.h
+++ b/services/gateway/dialect.h
@@ -14,6 +14,7 @@
 #include "libraries/base/error.h"
 #include "libraries/directory/backend_directory.h"
 #include "libraries/http1/message_head.h"
+#include "libraries/migration/move_machine.h"
 #include "libraries/revisions/revisioned_map.h"
 #include "libraries/routing/configuration.h"
 
@@ -81,18 +82,7 @@
 
 // The answer to a call that copies a run's memory to another engine.
 struct CopyAnswer {
-  enum class Kind {
-    kCopied,
-    // The engine has no such run: it has ended or has not begun.
-    kNoSuchRun,
-    // Another copy of the run is under way.
-    kBusy,
-    // The target has no room or cannot be reached.
-    kNoRoom,
-    // Not an answer to such a call.
-    kInvalid,
-  };
-  Kind kind = Kind::kInvalid;
+  migration::CopyResult result = migration::CopyResult::kNoAnswer;
   // Names the copy; may be set with kNoRoom too.
   std::string handle;
   // Events that the run had made.
--- a/services/gateway/exchange.cc
+++ b/services/gateway/exchange.cc
@@ -83,12 +83,24 @@
     return;
   }
   request_ = std::get<AdmittedRequest>(std::move(admission));
-  context_.RetryBudgetOf(request_.service->name).OnFirstArrival(received_);
+  Budget().OnFirstArrival(received_);
   deadline_timer_.start(TimeLeft());
   if (TryDispatch()) return;
   WaitOrRefuse();
 }
 
+std::string Exchange::WorkspaceName() const {
+  return request_.workspace == nullptr ? "" : request_.workspace->name;
+}
+
+dispatch::WaitingLine<Exchange*>& Exchange::Line() {
+  return context_.waiting[request_.service->name];
+}
+
+retry::SharedRetryBudget& Exchange::Budget() const {
+  return context_.RetryBudgetOf(request_.service->name);
+}
+
 // --- Waiting for room ---
 
 milliseconds Exchange::TimeLeft() const {
@@ -97,11 +109,10 @@
 }
 
 milliseconds Exchange::ExpectedWait() {
-  const std::string& service = request_.service->name;
-  const std::int64_t ahead = context_.waiting[service].WorkAhead(
+  const std::int64_t ahead = Line().WorkAhead(
       request_.priority, [](const Exchange* other) { return other->work(); });
-  return context_.forecasts[service].TimeUntil(ahead + work(),
-                                               BootClock::now());
+  return context_.forecasts[request_.service->name].TimeUntil(ahead + work(),
+                                                              BootClock::now());
 }
 
 milliseconds Exchange::RetryAfter() {
@@ -128,24 +139,23 @@
         .With("id", facts_.id)
         .With("expected", expected)
         .With("longest", longest)
-        .With("line", context_.waiting[request_.service->name].size());
+        .With("line", Line().size());
     Answer(503, "no_room_in_time", RetryAfter());
     return;
   }
-  auto& line = context_.waiting[request_.service->name];
   LogEvent("waiting")
       .With("id", facts_.id)
       .With("expected", expected)
       .With("longest", longest)
-      .With("line", line.size());
+      .With("line", Line().size());
   waiting_ = true;
-  line.Join(this, request_.priority, received_ + objective - kTypicalStart,
-            BootClock::now() + longest);
+  Line().Join(this, request_.priority, received_ + objective - kTypicalStart,
+              BootClock::now() + longest);
 }
 
 void Exchange::LeaveLine() {
   if (!std::exchange(waiting_, false)) return;
-  context_.waiting[request_.service->name].Leave(this);
+  Line().Leave(this);
 }
 
 void Exchange::OnWaitExpired() {
@@ -161,7 +171,7 @@
   waiting_ = false;
   if (!attempt_.has_value()) {
     Instruments().queueing->Observe(
-        std::chrono::duration<double>(BootClock::now() - received_).count());
+        telemetry::Seconds(BootClock::now() - received_));
   }
   DispatchOrder order;
   order.last_event = answer_begun_ ? events_.last_event() : facts_.last_event;
@@ -176,7 +186,7 @@
                             const dispatch::Demand& demand,
                             DispatchOrder order) {
   order.server_id = server_id;
-  if (request_.workspace != nullptr) order.workspace = request_.workspace->name;
+  order.workspace = WorkspaceName();
   if (facts_.time_left.has_value()) order.time_left = TimeLeft();
   if (request_.engine() != nullptr) {
     order.urgency = std::clamp(request_.priority, 0, kLowestUrgency);
@@ -230,9 +240,8 @@
 
 void Exchange::SuspectIfBroken(OutboundConnection::End end) {
   using End = OutboundConnection::End;
-  const bool asked = move_ != nullptr && move_->stopping();
-  const bool broken =
-      end == End::kClosedUnanswered || (end == End::kBroken && !asked);
+  const bool broken = end == End::kClosedUnanswered ||
+                      (end == End::kBroken && !IsAskedToStop());
   if (!broken) return;
   // An engine that is taken away breaks off what it runs by no fault of it.
   const std::string& server_id = attempt_->server_id;
@@ -316,14 +325,13 @@
   state.sent_attempts = sent_attempts_;
   state.max_attempts = request_.route->max_attempts;
   state.time_left = TimeLeft() > milliseconds(0);
-  state.budget_left =
-      context_.RetryBudgetOf(request_.service->name).HasLeft(BootClock::now());
+  state.budget_left = Budget().HasLeft(BootClock::now());
   return retry::DecideNext(state);
 }
 
 void Exchange::TryAnother(AttemptEnd end) {
   if (end != AttemptEnd::kNotSent) {
-    context_.RetryBudgetOf(request_.service->name).TrySpend(BootClock::now());
+    Budget().TrySpend(BootClock::now());
   }
   context_.metrics.CountEvent("attempts_repeated_total");
   if (TryDispatch()) return;
@@ -372,8 +380,7 @@
   const bool may_give_up = request_.route->MayRepeat() && !attempt_->resumes &&
                            !answer_begun_ &&
                            sent_attempts_ + 1 < request_.route->max_attempts;
-  if (!may_give_up ||
-      !context_.RetryBudgetOf(request_.service->name).HasLeft(now)) {
+  if (!may_give_up || !Budget().HasLeft(now)) {
     return;
   }
   // Under load all servers are slow: what waits is given up only for a place.
@@ -457,23 +464,18 @@
   // Looked up once: the map is not for each event of a stream.
   if (instruments_ == nullptr) {
     instruments_ = &context_.metrics.For(
-        request_.workspace == nullptr ? "" : request_.workspace->name,
-        std::string(routing::NameOf(request_.route->kind)));
+        WorkspaceName(), std::string(routing::NameOf(request_.route->kind)));
   }
   return *instruments_;
 }
 
 void Exchange::CountFinished(std::string_view outcome, int status) {
-  const std::string workspace =
-      request_.workspace == nullptr ? "" : request_.workspace->name;
-  context_.metrics.CountOutcome(workspace, status, outcome);
+  context_.metrics.CountOutcome(WorkspaceName(), status, outcome);
   if (event_times_.first == BootTime{}) return;
-  const auto seconds = [](std::chrono::nanoseconds time) {
-    return std::chrono::duration<double>(time).count();
-  };
   telemetry::RequestInstruments& instruments = Instruments();
-  instruments.first_token->Observe(seconds(event_times_.first - received_));
-  instruments.stall->Observe(seconds(event_times_.stall));
+  instruments.first_token->Observe(
+      telemetry::Seconds(event_times_.first - received_));
+  instruments.stall->Observe(telemetry::Seconds(event_times_.stall));
   instruments.tokens->Increment(static_cast<double>(events_.events()));
 }
 
--- a/services/gateway/exchange.h
+++ b/services/gateway/exchange.h
@@ -81,6 +81,12 @@
     std::optional<std::chrono::nanoseconds> OnEvents(BootTime now);
   };
 
+  // Empty if the request is of no workspace.
+  std::string WorkspaceName() const;
+  // Of its service, which all its requests share.
+  dispatch::WaitingLine<Exchange*>& Line();
+  retry::SharedRetryBudget& Budget() const;
+
   // Waiting for room.
   std::chrono::milliseconds TimeLeft() const;
   // How long until there is room, behind those that wait already.
@@ -119,6 +125,8 @@
   // Moves of the run; see exchange_relay.cc.
   void MoveIfLeaving();
   void Resume(const GenerationMove::Continuation& continuation);
+  // The source was asked to stop the run, and closes its stream.
+  bool IsAskedToStop() const;
   void EndMove();
 
   // Final answers.
--- a/services/gateway/exchange_relay.cc
+++ b/services/gateway/exchange_relay.cc
@@ -97,8 +97,7 @@
   slow_timer_.stop();
   const BootTime now = BootClock::now();
   if (const auto pause = event_times_.OnEvents(now)) {
-    Instruments().between_tokens->Observe(
-        std::chrono::duration<double>(*pause).count());
+    Instruments().between_tokens->Observe(telemetry::Seconds(*pause));
   }
   if (!std::exchange(attempt_->began, true)) {
     context_.selector.OnFirstEvent(attempt_->server_id, attempt_->demand);
@@ -137,8 +136,7 @@
     DeliverBuffered();
     return;
   }
-  // The source closes the stream of a run that was asked to stop.
-  const bool asked = move_ != nullptr && move_->stopping();
+  const bool asked = IsAskedToStop();
   EndAttempt(asked ? AttemptResult::kServed : AttemptResult::kFailed);
   if (!asked) {
     LogEvent("stream_broken", LogEvent::Level::kWarning)
@@ -164,10 +162,7 @@
   const bool may_go_on = request_.route->MayRepeat() &&
                          sent_attempts_ < request_.route->max_attempts &&
                          TimeLeft() > milliseconds(0);
-  if (may_go_on &&
-      context_.RetryBudgetOf(request_.service->name)
-          .TrySpend(BootClock::now()) &&
-      TryDispatch()) {
+  if (may_go_on && Budget().TrySpend(BootClock::now()) && TryDispatch()) {
     return;
   }
   if (answer_begun_) {
@@ -243,6 +238,10 @@
   context_.selector.OnFirstEvent(continuation.server_id, continuation.demand);
 }
 
+bool Exchange::IsAskedToStop() const {
+  return move_ != nullptr && move_->stopping();
+}
+
 void Exchange::EndMove() {
   if (move_ == nullptr) return;
   move_->End();
--- a/services/gateway/gateway_context.h
+++ b/services/gateway/gateway_context.h
@@ -31,7 +31,7 @@
 
 // A request that crashed servers is refused for this long after the last time.
 inline constexpr std::chrono::milliseconds kSuspicionLifetime{30000};
-// Fingerprints told to other entries.
+// Fingerprints told to other gateways.
 inline constexpr std::size_t kMaxOwnCrashes = 16;
 // Label sets of the metrics, each about 3 KB of the process's memory.
 inline constexpr std::size_t kMaxMetricLabels = 200;
@@ -49,10 +49,15 @@
 
   retry::SharedRetryBudget& RetryBudgetOf(const std::string& service) {
     auto [found, added] = retry_budgets.try_emplace(service, retry_limits);
-    if (added) found->second.SetEntries(entries);
+    if (added) found->second.SetEntries(gateways);
     return found->second;
   }
 
+  // The defaults until a configuration is known.
+  routing::ClientLimits ClientLimits() const {
+    return routes == nullptr ? routing::ClientLimits{} : routes->limits();
+  }
+
   const Dialect& dialect;
   telemetry::RequestMetrics metrics{"gateway", kMaxMetricLabels};
   // Null until a configuration is known.
@@ -73,8 +78,8 @@
   execution::SuspicionTable suspicions{kSuspicionLifetime};
   // Those seen here, newest last; bounded by `kMaxOwnCrashes`.
   std::deque<std::uint64_t> own_crashes;
-  // Entries that share budgets, this one included.
-  std::size_t entries = 1;
+  // Gateways that share budgets, this one included.
+  std::size_t gateways = 1;
   std::string data_center;
   std::minstd_rand random;
   bool stopping = false;
--- a/services/gateway/gateway_node.cc
+++ b/services/gateway/gateway_node.cc
@@ -29,10 +29,6 @@
 // not: a watch can stay silent without a fault that shows.
 constexpr milliseconds kStoreBehindTime{8000};
 
-QHostAddress Address(const std::string& ip) {
-  return QHostAddress(QString::fromStdString(ip));
-}
-
 std::uint64_t RandomNumber() {
   std::random_device device;
   return (std::uint64_t{device()} << 32) | device();
@@ -52,7 +48,9 @@
       }),
       metrics_server_([this](const http1::RequestHead& head,
                              const std::string&) {
-        if (head.target != kMetricsPath) return PlainAnswer{404, {}, {}};
+        if (head.target != kMetricsPath) {
+          return PlainAnswer{404, "text/plain", {}};
+        }
         return PlainAnswer{200, "text/plain; version=0.0.4", CollectMetrics()};
       }),
       peers_({settings_.ip, settings_.peers, settings_.gossip_port}, context_,
@@ -84,11 +82,8 @@
 
 Result<void> GatewayNode::Start() {
   client_server_.setListenBacklogSize(512);
-  if (!client_server_.listen(Address(settings_.clients.ip),
-                             settings_.clients.port)) {
-    return Fail(ResultCode::kInvalidSettings,
-                "cannot listen on " + settings_.clients.ToString());
-  }
+  BOOST_LEAF_CHECK(
+      client_server_.ListenAt(settings_.clients.ip, settings_.clients.port));
   BOOST_LEAF_CHECK(readiness_server_.Listen(settings_.readiness));
   BOOST_LEAF_CHECK(peers_.Start());
   peers_.SetSeeds(settings_.seed_ips);
@@ -119,9 +114,6 @@
 
 std::string GatewayNode::CollectMetrics() {
   const BootTime now = BootClock::now();
-  const auto seconds_since = [now](BootTime then) {
-    return std::chrono::duration<double>(now - then).count();
-  };
   const bool configured = context_.routes != nullptr;
   std::size_t waiting = 0;
   for (const auto& [service, line] : context_.waiting) waiting += line.size();
@@ -132,7 +124,7 @@
       {"configuration_version",
        configured ? static_cast<double>(context_.routes->version()) : 0.0},
       {"configuration_age_seconds",
-       configured ? seconds_since(configured_) : 0.0},
+       configured ? telemetry::Seconds(now - configured_) : 0.0},
       {"directory_revision", static_cast<double>(replica_.revision())},
       {"store_reached", store_available_ ? 1.0 : 0.0},
       {"servers_ready", servers[directory::Life::kReady]},
@@ -308,10 +300,10 @@
 
 void GatewayNode::PollReports() {
   const BootTime now = BootClock::now();
-  std::vector<std::string> entries = peers_.Alive();
-  entries.push_back(settings_.ip);
+  std::vector<std::string> gateways = peers_.Alive();
+  gateways.push_back(settings_.ip);
   const bool urgent = !store_available_ || now < store_behind_until_;
-  report_poller_.Poll(settings_.ip, entries, urgent, now);
+  report_poller_.Poll(settings_.ip, gateways, urgent, now);
   std::erase_if(reported_leaving_, [&](const auto& item) {
     if (now - item.second <= kLeavingMemory) return false;
     const auto change = context_.directory.OnReportLapsed(item.first, now);
--- a/services/gateway/gateway_node.h
+++ b/services/gateway/gateway_node.h
@@ -1,5 +1,5 @@
 // Assembles a gateway: listeners, the replica of configuration and directory,
-// gossip with the other entries, and the requests that wait.
+// gossip with the other gateways, and the requests that wait.
 #pragma once
 
 #include <QObject>
@@ -43,7 +43,6 @@
   void OnStoreSnapshot(const std::vector<revisions::RevisionedEntry>& entries,
                        std::uint64_t store_revision);
   void OnStoreAvailable(bool available);
-  std::uint64_t known_revision() const { return replica_.revision(); }
 
   std::function<void()> on_stopped;
   // Calls made to the store so far, for the metrics; may be unset.
@@ -65,7 +64,7 @@
   // no gateway reached it all the while.
   bool MayHaveLapsed() const;
 
-  // An engine said that it leaves, here or (`by_peer`) to another entry.
+  // An engine said that it leaves, here or (`by_peer`) to another gateway.
   void OnReportedLeaving(const std::string& server_id, bool by_peer);
   void PollReports();
 
@@ -91,10 +90,10 @@
   std::set<ClientConnection*> clients_;
   QTimer tick_timer_;
   QTimer room_timer_;
-  // The store answered the last call.
-  bool store_available_ = false;
   // When the configuration in force was taken.
   BootTime configured_;
+  // The store answered the last call.
+  bool store_available_ = false;
   // When it was last seen to come back.
   BootTime store_returned_;
   // Until when it counts as behind: an engine told what it had not.
--- a/services/gateway/gateway_settings.h
+++ b/services/gateway/gateway_settings.h
@@ -20,7 +20,7 @@
   directory::Endpoint readiness;
   // Where metrics are served; port 0: nowhere.
   directory::Endpoint metrics;
-  // Where other entries connect, and where their datagrams arrive.
+  // Where other gateways connect, and where their datagrams arrive.
   directory::Endpoint peers;
   std::uint16_t gossip_port = 0;
   // Entries to find the others through; may be stale.
@@ -29,7 +29,7 @@
   directory::Endpoint store;
   // From the request to stop until the process is ended.
   std::chrono::milliseconds stop_grace{8000};
-  // The budget of further arrivals that all entries share.
+  // The budget of further arrivals that all gateways share.
   double retry_ratio = 0.1;
   double retry_slack = 0.0;
   std::chrono::milliseconds retry_window{10000};
--- a/services/gateway/generation_move.cc
+++ b/services/gateway/generation_move.cc
@@ -23,22 +23,6 @@
 // Time for the call that frees a copy; nothing waits for it.
 constexpr milliseconds kDropTime{1000};
 
-CopyResult ResultOf(CopyAnswer::Kind kind) {
-  switch (kind) {
-    case CopyAnswer::Kind::kCopied:
-      return CopyResult::kCopied;
-    case CopyAnswer::Kind::kNoSuchRun:
-      return CopyResult::kNoSuchRun;
-    case CopyAnswer::Kind::kBusy:
-      return CopyResult::kBusy;
-    case CopyAnswer::Kind::kNoRoom:
-      return CopyResult::kNoRoom;
-    case CopyAnswer::Kind::kInvalid:
-      return CopyResult::kNoAnswer;
-  }
-  return CopyResult::kNoAnswer;
-}
-
 }  // namespace
 
 GenerationMove::GenerationMove(GatewayContext& context,
@@ -176,6 +160,13 @@
                                                demand, BootClock::now());
   if (!choice.has_value()) {
     refused_targets_.clear();
+    if (!std::exchange(told_no_target_, true)) {
+      LogEvent("move_no_target")
+          .With("id", run_.request_id)
+          .With("server", run_.server_id)
+          .With("tokens", run_.demand.Tokens())
+          .With("since_notice", SinceNotice());
+    }
     Perform(machine_.OnTarget(false));
     return;
   }
@@ -209,7 +200,7 @@
     answer = context_.dialect.ReadCopyAnswer(reply.head.status, reply.body);
   }
   if (!answer.handle.empty()) handle_ = answer.handle;
-  if (answer.kind == CopyAnswer::Kind::kNoRoom) {
+  if (answer.result == CopyResult::kNoRoom) {
     refused_targets_.insert(target_id_);
     if (took > kRefusalTime) {
       context_.selector.OnResult(
@@ -225,7 +216,7 @@
       .With("events", answer.events)
       .With("took", took)
       .With("since_notice", SinceNotice());
-  Perform(machine_.OnCopyAnswer(ResultOf(answer.kind), took));
+  Perform(machine_.OnCopyAnswer(answer.result, took));
 }
 
 void GenerationMove::Resume(bool at_target) {
--- a/services/gateway/generation_move.h
+++ b/services/gateway/generation_move.h
@@ -91,6 +91,8 @@
   dispatch::Demand target_demand_;
   bool target_reserved_ = false;
   std::set<std::string> refused_targets_;
+  // The log says once that no target had room.
+  bool told_no_target_ = false;
   // Names the copy; empty until one was made.
   std::string handle_;
   // The copy that is under way; null if none is.
--- a/services/gateway/peer_exchange.cc
+++ b/services/gateway/peer_exchange.cc
@@ -105,7 +105,7 @@
   for (const std::string& ip : peers_.TakeSilent(now)) {
     LogEvent("peer_lost", LogEvent::Level::kWarning).With("peer", ip);
   }
-  CountEntries(now);
+  CountGateways(now);
 }
 
 gossip::Digest PeerExchange::MakeDigest(BootTime now) {
@@ -131,11 +131,11 @@
   return digest;
 }
 
-void PeerExchange::CountEntries(BootTime now) {
-  const std::size_t entries = peers_.Alive(now).size() + 1;
-  if (std::exchange(context_.entries, entries) == entries) return;
+void PeerExchange::CountGateways(BootTime now) {
+  const std::size_t gateways = peers_.Alive(now).size() + 1;
+  if (std::exchange(context_.gateways, gateways) == gateways) return;
   for (auto& [service, budget] : context_.retry_budgets) {
-    budget.SetEntries(entries);
+    budget.SetEntries(gateways);
   }
 }
 
--- a/services/gateway/peer_exchange.h
+++ b/services/gateway/peer_exchange.h
@@ -65,7 +65,7 @@
   void OnRound();
   gossip::Digest MakeDigest(BootTime now);
   // Counts the gateways that share budgets.
-  void CountEntries(BootTime now);
+  void CountGateways(BootTime now);
   void OnDatagrams();
   void OnDigest(const gossip::Digest& digest);
   void PullFrom(const std::string& ip);
--- a/services/gateway/plain_server.cc
+++ b/services/gateway/plain_server.cc
@@ -79,13 +79,7 @@
 }
 
 Result<void> PlainServer::Listen(const directory::Endpoint& endpoint) {
-  if (!server_.listen(QHostAddress(QString::fromStdString(endpoint.ip)),
-                      endpoint.port)) {
-    return Fail(ResultCode::kInvalidSettings,
-                "cannot listen on " + endpoint.ToString() + ": " +
-                    server_.errorString().toStdString());
-  }
-  return {};
+  return server_.ListenAt(endpoint.ip, endpoint.port);
 }
 
 void PlainServer::OnAccepted(int descriptor) {
--- a/services/gateway/report_poller.cc
+++ b/services/gateway/report_poller.cc
@@ -1,59 +1,41 @@
 // Sharing out engines by rendezvous hashing, and asking them.
 #include "services/gateway/report_poller.h"
 
-#include <xxhash.h>
-
-#include <algorithm>
-
 #include "libraries/base/log_event.h"
+#include "libraries/membership/rendezvous.h"
 
 namespace balsam::gateway {
-namespace {
-
-// Whether `own` ranks first among `entries` for `server_id`.
-bool IsAssigned(const std::string& own, const std::vector<std::string>& entries,
-                const std::string& server_id) {
-  const auto rank = [&](const std::string& entry) {
-    const std::string pair = entry + '/' + server_id;
-    return XXH3_64bits(pair.data(), pair.size());
-  };
-  return std::ranges::none_of(entries, [&](const std::string& entry) {
-    return rank(entry) > rank(own);
-  });
-}
-
-}  // namespace
-
 ReportPoller::ReportPoller(GatewayContext& context, Limits limits,
                            QObject* parent)
     : QObject(parent), context_(context), limits_(limits) {}
 
 void ReportPoller::Poll(const std::string& own_ip,
-                        const std::vector<std::string>& entries, bool urgent,
+                        const std::vector<std::string>& gateways, bool urgent,
                         BootTime now) {
   if (context_.routes == nullptr) return;
   const auto interval =
       urgent ? limits_.urgent_interval : limits_.calm_interval;
   std::map<std::string, BootTime> asked;
-  context_.directory.ForEach([&](const directory::BackendServer& server,
-                                 directory::Life life) {
-    if (life == directory::Life::kLeaving &&
-        !context_.directory.IsReportedOnly(server.id)) {
-      return;
-    }
-    const auto* service = context_.routes->FindService(server.service);
-    if (service == nullptr || !service->engine.has_value() ||
-        !service->engine->can_move || !IsAssigned(own_ip, entries, server.id)) {
-      return;
-    }
-    const auto before = asked_.find(server.id);
-    if (before != asked_.end() && now - before->second < interval) {
-      asked.insert(*before);
-      return;
-    }
-    asked[server.id] = now;
-    Ask(server, urgent ? service->health_path : std::string());
-  });
+  context_.directory.ForEach(
+      [&](const directory::BackendServer& server, directory::Life life) {
+        if (life == directory::Life::kLeaving &&
+            !context_.directory.IsReportedOnly(server.id)) {
+          return;
+        }
+        const auto* service = context_.routes->FindService(server.service);
+        if (service == nullptr || !service->engine.has_value() ||
+            !service->engine->can_move ||
+            membership::RendezvousFirst(server.id, gateways) != own_ip) {
+          return;
+        }
+        const auto before = asked_.find(server.id);
+        if (before != asked_.end() && now - before->second < interval) {
+          asked.insert(*before);
+          return;
+        }
+        asked[server.id] = now;
+        Ask(server, urgent ? service->health_path : std::string());
+      });
   asked_ = std::move(asked);
 }
 
--- a/services/gateway/report_poller.h
+++ b/services/gateway/report_poller.h
@@ -1,5 +1,5 @@
 // Asks engines for their reports, or for their health while the store is away,
-// so that one that leaves is noticed also then. The entries that are alive
+// so that one that leaves is noticed also then. The gateways that are alive
 // share the engines out among them and tell each other what they hear.
 #pragma once
 
@@ -20,7 +20,7 @@
 
  public:
   struct Limits {
-    // Between two reports of one engine, over all entries. Reports are priced,
+    // Between two reports of one engine, over all gateways. Reports are priced,
     // so they are rare while the store tells of changes by itself.
     std::chrono::milliseconds calm_interval{600};
     // The same while the store does not answer; an engine may be gone 1.5 s
@@ -32,9 +32,9 @@
   ReportPoller(GatewayContext& context, Limits limits,
                QObject* parent = nullptr);
 
-  // Asks the engines that are due. `entries`: the addresses of all entries
+  // Asks the engines that are due. `gateways`: the addresses of all
   // that are alive, this one's own included.
-  void Poll(const std::string& own_ip, const std::vector<std::string>& entries,
+  void Poll(const std::string& own_ip, const std::vector<std::string>& gateways,
             bool urgent, BootTime now);
 
   // The engine said that it leaves, or said so before and does not answer now.
--- a/services/sidecar/token_timer.cc
+++ b/services/sidecar/token_timer.cc
@@ -2,13 +2,7 @@
 #include "services/sidecar/token_timer.h"
 
 namespace balsam::sidecar {
-namespace {
-
-double Seconds(std::chrono::nanoseconds duration) {
-  return std::chrono::duration<double>(duration).count();
-}
-
-}  // namespace
+using telemetry::Seconds;
 
 void TokenTimer::OnDispatched(BootTime now) {
   instruments_->queueing->Observe(Seconds(now - queued_at_));
--- a/tests/documentation_test.cc
+++ b/tests/documentation_test.cc
@@ -50,8 +50,16 @@
     }
   }
 
-  const std::string page_ =
-      ReadAll(fs::path(BALSAM_SOURCE) / "docs/OPERATIONS.md");
+  // The part of the page that is about gateways; the product's other daemons
+  // have tables of their own before it.
+  static std::string GatewayPart() {
+    const std::string page =
+        ReadAll(fs::path(BALSAM_SOURCE) / "docs/OPERATIONS.md");
+    const std::size_t begin = page.find("\n# Gateways");
+    return begin == std::string::npos ? std::string() : page.substr(begin);
+  }
+
+  const std::string page_ = GatewayPart();
   const std::vector<std::string> gateway_ = {"services/gateway", "platform"};
 };
 
--- a/tests/libraries/dispatch/server_selector_test.cc
+++ b/tests/libraries/dispatch/server_selector_test.cc
@@ -3,9 +3,6 @@
 
 #include <gtest/gtest.h>
 
-#include "libraries/dispatch/waiting_line.h"
-#include "libraries/dispatch/work_forecast.h"
-
 namespace balsam::dispatch {
 namespace {
 
@@ -154,76 +151,6 @@
   EXPECT_EQ(Shares(Generation(100, 100)).count("a"), 0U);
 }
 
-TEST(WaitingLineTest, TheMostUrgentGoFirstThenTheOldest) {
-  WaitingLine<int> line;
-  const BootTime later = BootTime{} + std::chrono::seconds(10);
-  line.Join(1, 5, later, later);
-  line.Join(2, 0, later, later);
-  line.Join(3, 5, later, later);
-  line.Join(4, 0, later, later);
-  std::vector<int> offered;
-  line.Offer(BootTime{}, [&](int work) {
-    offered.push_back(work);
-    return work == 2;
-  });
-  EXPECT_EQ(offered, (std::vector<int>{2, 4, 1, 3}));
-  EXPECT_EQ(line.size(), 3U);
-  line.Leave(1);
-  EXPECT_EQ(line.size(), 2U);
-}
-
-// The pattern: a burst, after which all that waited would be a little late.
-TEST(WaitingLineTest, WhatIsLateAnywayLetsOthersBeOnTime) {
-  WaitingLine<int> line;
-  const BootTime start{};
-  const BootTime later = start + std::chrono::seconds(10);
-  line.Join(1, 1, start + milliseconds(100), later);
-  line.Join(2, 1, start + milliseconds(500), later);
-  line.Join(3, 1, start + milliseconds(600), later);
-  std::vector<int> offered;
-  line.Offer(start + milliseconds(300), [&](int work) {
-    offered.push_back(work);
-    return false;
-  });
-  EXPECT_EQ(offered, (std::vector<int>{2, 3, 1}));
-}
-
-TEST(WaitingLineTest, WorkAheadCountsWhatIsAtLeastAsUrgent) {
-  WaitingLine<int> line;
-  const BootTime later = BootTime{} + std::chrono::seconds(10);
-  line.Join(10, 0, later, later);
-  line.Join(20, 1, later, later);
-  line.Join(40, 2, later, later);
-  const auto size_of = [](int work) { return work; };
-  EXPECT_EQ(line.WorkAhead(0, size_of), 10);
-  EXPECT_EQ(line.WorkAhead(1, size_of), 30);
-  EXPECT_EQ(line.WorkAhead(9, size_of), 70);
-}
-
-// The pattern: twice the traffic of what the engines read. The forecast follows
-// the measured rate, so that what cannot be served in time is known at once.
-TEST(WorkForecastTest, FollowsTheRateOfTheLastSeconds) {
-  WorkForecast forecast;
-  BootTime now = BootTime{} + std::chrono::hours(1);
-  EXPECT_EQ(forecast.TimeUntil(1, now), WorkForecast::kWindow);
-  for (int i = 0; i < 40; ++i, now += milliseconds(100)) {
-    forecast.OnDone(700, now);
-  }
-  // 7,000 tokens a second.
-  EXPECT_NEAR(forecast.TimeUntil(14000, now).count(), 2000, 100);
-  EXPECT_GT(forecast.TimeUntil(28000, now),
-            LongestWait(milliseconds(1800), milliseconds(39000)));
-  now += WorkForecast::kWindow;
-  EXPECT_EQ(forecast.TimeUntil(1, now), WorkForecast::kWindow);
-}
-
-TEST(LongestWaitTest, KeepsTimeForTheWorkItself) {
-  EXPECT_EQ(LongestWait(milliseconds(1800), milliseconds(39000)),
-            milliseconds(1800));
-  EXPECT_EQ(LongestWait(milliseconds(100), milliseconds(200)),
-            milliseconds(60));
-}
-
 // The pattern: prompts in a burst. Engines that read much get no more, so the
 // order of who waits is kept where it can still be changed.
 TEST_F(ServerSelectorTest, EnginesWithMuchToReadGetNoFurtherPrompt) {
@@ -271,15 +198,5 @@
   }
 }
 
-TEST(WaitingLineTest, WaitingEndsInTime) {
-  WaitingLine<int> line;
-  const BootTime start{};
-  line.Join(1, 0, start, start + milliseconds(10));
-  line.Join(2, 0, start, start + milliseconds(20));
-  EXPECT_TRUE(line.TakeExpired(start + milliseconds(9)).empty());
-  EXPECT_EQ(line.TakeExpired(start + milliseconds(10)), (std::vector<int>{1}));
-  EXPECT_EQ(line.size(), 1U);
-}
-
 }  // namespace
 }  // namespace balsam::dispatch
--- a/tests/libraries/gossip/gossip_test.cc
+++ b/tests/libraries/gossip/gossip_test.cc
@@ -1,4 +1,4 @@
-// Digests, and the table of the other entries.
+// Digests, the table of the other entries, and how much is sent.
 #include <gtest/gtest.h>
 
 #include <map>
--- a/tests/platform/wire_dialect_test.cc
+++ b/tests/platform/wire_dialect_test.cc
@@ -127,18 +127,19 @@
 
 TEST(WireDialectTest, ReadsWhatACopyCameTo) {
   const WireDialect dialect;
-  using Kind = gateway::CopyAnswer::Kind;
+  using migration::CopyResult;
   const auto copied =
       dialect.ReadCopyAnswer(200, R"({"handle":"h-1","created":12})");
-  EXPECT_EQ(copied.kind, Kind::kCopied);
+  EXPECT_EQ(copied.result, CopyResult::kCopied);
   EXPECT_EQ(copied.handle, "h-1");
   EXPECT_EQ(copied.events, 12U);
-  EXPECT_EQ(dialect.ReadCopyAnswer(200, "{}").kind, Kind::kInvalid);
-  EXPECT_EQ(dialect.ReadCopyAnswer(200, "no json").kind, Kind::kInvalid);
-  EXPECT_EQ(dialect.ReadCopyAnswer(404, "").kind, Kind::kNoSuchRun);
-  EXPECT_EQ(dialect.ReadCopyAnswer(409, "").kind, Kind::kBusy);
+  EXPECT_EQ(dialect.ReadCopyAnswer(200, "{}").result, CopyResult::kNoAnswer);
+  EXPECT_EQ(dialect.ReadCopyAnswer(200, "no json").result,
+            CopyResult::kNoAnswer);
+  EXPECT_EQ(dialect.ReadCopyAnswer(404, "").result, CopyResult::kNoSuchRun);
+  EXPECT_EQ(dialect.ReadCopyAnswer(409, "").result, CopyResult::kBusy);
   const auto full = dialect.ReadCopyAnswer(503, R"({"handle":"h-2"})");
-  EXPECT_EQ(full.kind, Kind::kNoRoom);
+  EXPECT_EQ(full.result, CopyResult::kNoRoom);
   EXPECT_EQ(full.handle, "h-2");
 }
 
--- a/tests/services/gateway/explanation_test.cc
+++ b/tests/services/gateway/explanation_test.cc
@@ -139,6 +139,21 @@
   EXPECT_EQ(Explain().name, "engine_left_before_copy");
 }
 
+TEST_F(ExplanationTest, ARunThatNoEngineHadRoomFor) {
+  first_.on_request = [this](const auto& request) {
+    source_ = request.socket;
+    BeginStream(source_, 1, 2);
+  };
+  sink_.on_text = [this] {
+    Announce("i-2", second_, true);
+    TellLeaving("i-1", first_);
+    Break(source_);
+  };
+  Send(RequestKind::kStream, 1);
+  RunUntilEnd();
+  EXPECT_EQ(Explain().name, "no_target_for_copy");
+}
+
 TEST_F(ExplanationTest, ACopyThatFoundNoRoom) {
   bool refused = false;
   LoseRunAtCopy([&](const auto& request) {
