Walk the directory every 125 ms, and share engines out once

Every 25 ms each gateway walked the directory twice, and hashed each engine with each gateway for the polls. Ruled out: digests (at most 9 KB/s), and the data path (requests a gateway are the same at each size). Change: what concerns every server runs each 125 ms, half of the shortest interval of polls; which engines a gateway asks is hashed when the gateways or the engines change. Test: AnEngineIsSharedOutAnewWhenAGatewayIsLost.

--- a/services/gateway/gateway_node.cc
+++ b/services/gateway/gateway_node.cc
@@ -16,6 +16,9 @@
 
 // Between two looks at timers that need no more precision.
 constexpr milliseconds kTickInterval{25};
+// Between two walks over the whole directory, which may be thousands of
+// servers: two for each urgent report (ReportPoller::Limits).
+constexpr milliseconds kDirectoryInterval{125};
 // After a stop began, new connections may still come until the balancer has
 // missed readiness twice, asking once a second.
 constexpr milliseconds kBalancerDelay{2600};
@@ -314,15 +317,20 @@
 
 void GatewayNode::OnTick() {
   const BootTime now = BootClock::now();
+  if (now - directory_walked_ >= kDirectoryInterval) WalkDirectory(now);
+  context_.suspicions.DropExpired(now);
+  OfferRoom();
+  context_.pool.CloseOld(now);
+  if (context_.stopping) CheckStopped();
+}
+
+void GatewayNode::WalkDirectory(BootTime now) {
+  directory_walked_ = now;
   for (const auto& change : context_.directory.OnTime(now)) {
     OnServerChange(change);
   }
   PollReports();
-  context_.suspicions.DropExpired(now);
   context_.selector.DropIdle(now);
-  OfferRoom();
-  context_.pool.CloseOld(now);
-  if (context_.stopping) CheckStopped();
 }
 
 void GatewayNode::OfferRoom() {
--- a/services/gateway/gateway_node.h
+++ b/services/gateway/gateway_node.h
@@ -73,6 +73,8 @@
   void ListenForMetrics();
 
   void OnTick();
+  // What concerns every server and needs no short interval.
+  void WalkDirectory(BootTime now);
   void OfferRoom();
   void CheckStopped();
 
@@ -99,6 +101,7 @@
   // Until when it counts as behind: an engine told what it had not.
   BootTime store_behind_until_;
   BootTime stop_began_;
+  BootTime directory_walked_;
 };
 
 }  // namespace balsam::gateway
--- a/services/gateway/report_poller.cc
+++ b/services/gateway/report_poller.cc
@@ -15,7 +15,9 @@
   if (context_.routes == nullptr) return;
   const auto interval =
       urgent ? limits_.urgent_interval : limits_.calm_interval;
-  std::map<std::string, BootTime> asked;
+  const bool share_anew = gateways != gateways_;
+  gateways_ = gateways;
+  std::map<std::string, Engine> engines;
   context_.directory.ForEach(
       [&](const directory::BackendServer& server, directory::Life life) {
         if (life == directory::Life::kLeaving &&
@@ -24,19 +26,21 @@
         }
         const auto* service = context_.routes->FindService(server.service);
         if (service == nullptr || !service->engine.has_value() ||
-            !service->engine->can_move ||
-            membership::RendezvousFirst(server.id, gateways) != own_ip) {
+            !service->engine->can_move) {
           return;
         }
-        const auto before = asked_.find(server.id);
-        if (before != asked_.end() && now - before->second < interval) {
-          asked.insert(*before);
-          return;
+        const auto known = engines_.find(server.id);
+        Engine& engine = engines[server.id];
+        if (known != engines_.end()) engine = known->second;
+        if (known == engines_.end() || share_anew) {
+          engine.is_own =
+              membership::RendezvousFirst(server.id, gateways_) == own_ip;
         }
-        asked[server.id] = now;
+        if (!engine.is_own || now - engine.asked < interval) return;
+        engine.asked = now;
         Ask(server, urgent ? service->health_path : std::string());
       });
-  asked_ = std::move(asked);
+  engines_ = std::move(engines);
 }
 
 void ReportPoller::Ask(const directory::BackendServer& server,
--- a/services/gateway/report_poller.h
+++ b/services/gateway/report_poller.h
@@ -41,6 +41,13 @@
   std::function<void(const std::string& server_id)> on_leaving;
 
  private:
+  struct Engine {
+    // This gateway is the one that asks it.
+    bool is_own = false;
+    // Zero if it was not asked yet.
+    BootTime asked;
+  };
+
   // `health_path`: empty to ask for a report.
   void Ask(const directory::BackendServer& server,
            const std::string& health_path);
@@ -49,7 +56,10 @@
 
   GatewayContext& context_;
   Limits limits_;
-  std::map<std::string, BootTime> asked_;
+  // The gateways among which the engines are shared out, and how. Hashing all
+  // pairs anew each time would cost a large fleet most of its processor time.
+  std::vector<std::string> gateways_;
+  std::map<std::string, Engine> engines_;
 };
 
 }  // namespace balsam::gateway
--- a/tests/services/gateway/report_poller_test.cc
+++ b/tests/services/gateway/report_poller_test.cc
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "libraries/membership/rendezvous.h"
 #include "tests/services/gateway/exchange_fixture.h"
 
 namespace balsam::gateway {
@@ -80,6 +81,28 @@
   EXPECT_EQ(leaving_, std::vector<std::string>{"i-1"});
 }
 
+// Load: a sweep to 300 gateways, where a walk over the directory hashed every
+// pair of an engine and a gateway.
+TEST_F(ReportPollerTest, AnEngineIsSharedOutAnewWhenAGatewayIsLost) {
+  // One that goes before this gateway for this engine.
+  std::string other;
+  for (int i = 2; other.empty() && i < 100; ++i) {
+    const std::string ip = "127.0.0." + std::to_string(i);
+    if (membership::RendezvousFirst("i-1", {kOwnIp, ip}) == ip) other = ip;
+  }
+  ASSERT_FALSE(other.empty());
+  ScriptedEngine engine;
+  engine.on_request = [](const ScriptedEngine::Request& request) {
+    request.socket->write(
+        "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
+  };
+  Announce(engine.port());
+  poller_.Poll(kOwnIp, {kOwnIp, other}, true, BootClock::now());
+  PollUntilKnown();
+  EXPECT_EQ(leaving_, std::vector<std::string>{"i-1"});
+  EXPECT_EQ(engine.heads.size(), 1U);
+}
+
 TEST_F(ReportPollerTest, SilenceAloneIsNoLeaving) {
   Announce(ClosedPort());
   PollUntilKnown();
