--- a/tests/libraries/base/bounded_log_sink_test.cc
+++ b/tests/libraries/base/bounded_log_sink_test.cc
@@ -56,7 +56,7 @@
 // first of two such lines made the writer wait.
 TEST_F(BoundedLogSinkTest, ALongLineIsCutToWhatAPipeTakesAtOnce) {
   BoundedLogSink sink(ends_[1]);
-  const std::string line = std::string(5 * PIPE_BUF, 'x') + "\n";
+  const std::string line = std::string(std::size_t{5} * PIPE_BUF, 'x') + "\n";
   EXPECT_TRUE(sink.Write("event", line, now_));
   const std::string read = ReadAll();
   EXPECT_EQ(read.size(), PIPE_BUF);
