Let generations wait a sixth of their objective, and refuse the rest at once

More comes there than the engines' memory holds: a sixth of the engines is away or leaving at any time. Change: generations wait 0.15 of their objective at most; plain requests as before.

--- a/libraries/dispatch/work_forecast.cc
+++ b/libraries/dispatch/work_forecast.cc
@@ -8,7 +8,14 @@
 
 using std::chrono::milliseconds;
 
-constexpr double kObjectivesWaited = 1.0;
+// A plain request takes milliseconds once it has room, so it may wait for as
+// long as its objective.
+constexpr double kPlainObjectivesWaited = 1.0;
+// Whoever waits takes each place that comes free, so long lines at many
+// gateways leave no room for live runs that must move, and most of what leaves
+// the lines begins late. This much still bridges until the next few runs of a
+// fleet end.
+constexpr double kGenerationObjectivesWaited = 0.15;
 constexpr double kShareOfTimeLeft = 0.3;
 
 }  // namespace
@@ -34,9 +41,13 @@
   return std::chrono::duration_cast<milliseconds>(kWindow * windows);
 }
 
-milliseconds LongestWait(milliseconds objective, milliseconds time_left) {
+milliseconds LongestWait(WaitingKind kind, milliseconds objective,
+                         milliseconds time_left) {
+  const double objectives = kind == WaitingKind::kGeneration
+                                ? kGenerationObjectivesWaited
+                                : kPlainObjectivesWaited;
   return std::chrono::duration_cast<milliseconds>(
-      std::min(objective * kObjectivesWaited, time_left * kShareOfTimeLeft));
+      std::min(objective * objectives, time_left * kShareOfTimeLeft));
 }
 
 }  // namespace balsam::dispatch
--- a/libraries/dispatch/work_forecast.h
+++ b/libraries/dispatch/work_forecast.h
@@ -30,10 +30,12 @@
   std::int64_t total_ = 0;
 };
 
-// How long a request with this objective and time left may wait for room: long
-// enough to bridge a burst, and short against the time after which its client
-// leaves (platform: a stream without an event for four times its objective).
-std::chrono::milliseconds LongestWait(std::chrono::milliseconds objective,
+enum class WaitingKind { kPlain, kGeneration };
+
+// How long a request with this objective and time left may wait for room. Who
+// would wait longer is told at once when to come back.
+std::chrono::milliseconds LongestWait(WaitingKind kind,
+                                      std::chrono::milliseconds objective,
                                       std::chrono::milliseconds time_left);
 
 }  // namespace balsam::dispatch
--- a/services/gateway/exchange.cc
+++ b/services/gateway/exchange.cc
@@ -30,8 +30,6 @@
 constexpr milliseconds kMinRetryAfter{50};
 // From the dispatch of a generation to its first event, with some prompt ahead.
 constexpr milliseconds kTypicalStart{500};
-// Urgencies that engines know (platform).
-constexpr int kLowestUrgency = 9;
 
 // Statuses by which a client is told that its request never ran.
 bool PromisesNotRun(int status) {
@@ -131,7 +129,10 @@
     return;
   }
   const milliseconds objective = request_.route->latency_objective;
-  const milliseconds longest = dispatch::LongestWait(objective, TimeLeft());
+  const milliseconds longest = dispatch::LongestWait(
+      request_.engine() == nullptr ? dispatch::WaitingKind::kPlain
+                                   : dispatch::WaitingKind::kGeneration,
+      objective, TimeLeft());
   const milliseconds expected = ExpectedWait();
   if (expected > longest) {
     // Known now, so it is said now.
@@ -188,9 +189,6 @@
   order.server_id = server_id;
   order.workspace = WorkspaceName();
   if (facts_.time_left.has_value()) order.time_left = TimeLeft();
-  if (request_.engine() != nullptr) {
-    order.urgency = std::clamp(request_.priority, 0, kLowestUrgency);
-  }
   Attempt attempt;
   attempt.server_id = server_id;
   attempt.endpoint = endpoint;
