--- a/services/gateway/dialect.h
+++ b/services/gateway/dialect.h
@@ -49,8 +49,6 @@
   std::string server_id;
   std::string workspace;
   std::optional<std::chrono::milliseconds> time_left;
-  // 0 goes first; unset: the engine's own default.
-  std::optional<int> urgency;
   std::optional<MemorySource> memory;
   // The event after which the run goes on.
   std::optional<std::uint64_t> last_event;
--- a/tests/platform/wire_dialect_test.cc
+++ b/tests/platform/wire_dialect_test.cc
@@ -79,7 +79,6 @@
   order.server_id = "i-7";
   order.workspace = "w";
   order.time_left = milliseconds(1234);
-  order.urgency = 1;
   const auto head = WireDialect().ToBackend(ClientRequest(), order);
   EXPECT_EQ(head.method, "POST");
   EXPECT_EQ(head.target, "/a/b?c=d");
@@ -92,6 +91,9 @@
   EXPECT_EQ(head.fields.Find("Credential"), nullptr);
   EXPECT_EQ(head.fields.Find("Connection"), nullptr);
   EXPECT_EQ(head.fields.Find("Kv-From"), nullptr);
+  // An engine pushes out what is less urgent, also in the middle of an answer;
+  // what began is not to be pushed out. Urgency orders the gateways' lines.
+  EXPECT_EQ(head.fields.Find("Request-Priority"), nullptr);
 }
 
 class ForgedFieldTest : public testing::TestWithParam<const char*> {};
