Tell other gateways what failed, pass over broken engines, rest between watches

Change: failures of generations travel with the loads, two at most from each gateway, and an engine with three of late, more than it served here, gets nothing until they fade. Slow answers are not told.

Change: after an answer a gateway rests 8 ms for each other gateway, 200 ms at most.

--- a/libraries/dispatch/server_selector.cc
+++ b/libraries/dispatch/server_selector.cc
@@ -56,11 +56,33 @@
 }
 
 double ServerSelector::FailureShare(const std::string& id, BootTime now) const {
-  const auto found = records_.find(id);
-  if (found == records_.end()) return 0.0;
-  const Record& record = found->second;
-  return Faded(record.failures, record, now) /
-         (kPriorOutcomes + Faded(record.outcomes, record, now));
+  return FailureShare(id, UsageOf(id, now).failures, now);
+}
+
+double ServerSelector::FailureShare(const std::string& id,
+                                    std::int64_t others_failures,
+                                    BootTime now) const {
+  auto failures = static_cast<double>(others_failures);
+  double outcomes = kPriorOutcomes + failures;
+  if (const auto found = records_.find(id); found != records_.end()) {
+    const Record& record = found->second;
+    failures += Faded(record.failures, record, now);
+    outcomes += Faded(record.outcomes, record, now);
+  }
+  return failures / outcomes;
+}
+
+bool ServerSelector::IsBroken(const std::string& id,
+                              std::int64_t others_failures,
+                              BootTime now) const {
+  auto failures = static_cast<double>(others_failures);
+  double served = 0.0;
+  if (const auto found = records_.find(id); found != records_.end()) {
+    const Record& record = found->second;
+    failures += Faded(record.told_failures, record, now);
+    served = Faded(record.served, record, now);
+  }
+  return failures >= limits_.breaking_failures && failures > served;
 }
 
 Usage ServerSelector::UsageOf(const std::string& id, BootTime now) const {
@@ -90,6 +112,7 @@
   double load = static_cast<double>(usage.requests) / slots;
   if (engine != nullptr) {
     if (usage.requests >= slots) return std::nullopt;
+    if (IsBroken(server.id, usage.failures, now)) return std::nullopt;
     if (!demand.is_transfer &&
         usage.unread_prompt_tokens > limits_.max_unread_tokens) {
       return std::nullopt;
@@ -110,7 +133,7 @@
       0.0, demand.is_transfer ? kNoiseTransfer : kNoise);
   const bool elsewhere =
       !demand.data_center.empty() && server.data_center != demand.data_center;
-  return load + kFailureWeight * FailureShare(server.id, now) +
+  return load + kFailureWeight * FailureShare(server.id, usage.failures, now) +
          (elsewhere ? (demand.is_transfer ? kOtherDataCenterTransfer
                                           : kOtherDataCenter)
                     : 0.0) +
@@ -151,7 +174,9 @@
 }
 
 void ServerSelector::OnStart(const std::string& id, const Demand& demand) {
-  records_[id].own += {1, demand.Tokens(), demand.prompt_tokens};
+  Record& record = records_[id];
+  record.own += {1, demand.Tokens(), demand.prompt_tokens};
+  if (demand.Tokens() > 0) record.is_engine = true;
   ++usage_changes_;
 }
 
@@ -179,15 +204,25 @@
   Record& record = records_[id];
   record.failures = Faded(record.failures, record, now);
   record.outcomes = Faded(record.outcomes, record, now);
+  record.told_failures = Faded(record.told_failures, record, now);
+  record.served = Faded(record.served, record, now);
   record.faded_at = now;
   record.outcomes += 1.0;
   switch (result) {
     case AttemptResult::kServed:
+      record.served += 1.0;
       return;
     case AttemptResult::kRefused:
       record.paused_until = now + limits_.refused_pause;
       return;
     case AttemptResult::kFailed:
+      record.failures += 1.0;
+      if (record.is_engine) {
+        record.told_failures += 1.0;
+        ++usage_changes_;
+      }
+      return;
+    case AttemptResult::kSlow:
       record.failures += 1.0;
       return;
     case AttemptResult::kUnreachable:
@@ -235,10 +270,14 @@
   if (found != reports_.end()) found->second.at = now;
 }
 
-std::map<std::uint32_t, Usage> ServerSelector::OwnUsage() const {
+std::map<std::uint32_t, Usage> ServerSelector::OwnUsage(BootTime now) const {
   std::map<std::uint32_t, Usage> usage;
   for (const auto& [id, record] : records_) {
-    if (record.own.requests > 0) usage[ServerKey(id)] += record.own;
+    Usage own = record.own;
+    own.failures = std::min<std::int64_t>(
+        std::llround(Faded(record.told_failures, record, now)),
+        limits_.max_told_failures);
+    if (own != Usage{}) usage[ServerKey(id)] += own;
   }
   return usage;
 }
--- a/libraries/dispatch/server_selector.h
+++ b/libraries/dispatch/server_selector.h
@@ -38,18 +38,22 @@
   std::int64_t Tokens() const { return prompt_tokens + output_tokens; }
 };
 
-// Requests and tokens at one server.
+// Requests and tokens of one entry, or of several, at one server.
 struct Usage {
   std::int64_t requests = 0;
   std::int64_t tokens = 0;
   // Prompt tokens of requests that have produced nothing yet: they delay
   // whatever else the engine runs.
   std::int64_t unread_prompt_tokens = 0;
+  // Generations that failed there lately, faded. An engine that breaks off
+  // whatever it gets looks idle to everyone who has not tried it.
+  std::int64_t failures = 0;
 
   Usage& operator+=(const Usage& other) {
     requests += other.requests;
     tokens += other.tokens;
     unread_prompt_tokens += other.unread_prompt_tokens;
+    failures += other.failures;
     return *this;
   }
   bool operator==(const Usage&) const = default;
@@ -59,8 +63,11 @@
   kServed,
   // Said that it had no room.
   kRefused,
-  // Failed, broke off, or did not answer in time.
+  // Failed, broke off, or did not answer in a multiple of its objective.
   kFailed,
+  // Took longer than its objective. Counts as failed here, and is not told to
+  // other entries: under load that is true of many servers.
+  kSlow,
   // Could not be connected to.
   kUnreachable,
 };
@@ -85,6 +92,12 @@
     std::chrono::milliseconds unreachable_pause{1000};
     // For how long a server that had no room is passed over.
     std::chrono::milliseconds refused_pause{100};
+    // An engine with so many failures of late, more than it served here, gets
+    // nothing until some of them have faded: what it would lose is worth more
+    // than a try. One entry's word counts for two, since its own links may be
+    // the cause.
+    double breaking_failures = 3.0;
+    std::int64_t max_told_failures = 2;
     // Time in which the memory of a failure halves.
     std::chrono::milliseconds failure_half_life{2500};
     // Reports of another entry count no longer than this.
@@ -132,13 +145,14 @@
                        BootTime now);
   // It is alive, and what it reported holds.
   void OnEntryHeard(const std::string& entry, BootTime now);
-  std::map<std::uint32_t, Usage> OwnUsage() const;
-  // Counts up with each change of `OwnUsage`.
+  std::map<std::uint32_t, Usage> OwnUsage(BootTime now) const;
+  // Counts up with each change of `OwnUsage`, but for failures that fade.
   std::uint64_t usage_changes() const { return usage_changes_; }
 
   // Of this entry and all others.
   Usage UsageOf(const std::string& id, BootTime now) const;
-  // Between 0 and 1: the weight of failures among recent outcomes.
+  // Between 0 and 1: the weight of failures among recent outcomes, with those
+  // that other entries reported.
   double FailureShare(const std::string& id, BootTime now) const;
 
  private:
@@ -147,6 +161,12 @@
     // Sums of outcomes that fade with `failure_half_life`.
     double failures = 0.0;
     double outcomes = 0.0;
+    // Of `failures`, those of generations that others are told of.
+    double told_failures = 0.0;
+    // Of `outcomes`, those that were served.
+    double served = 0.0;
+    // Has run generations.
+    bool is_engine = false;
     BootTime faded_at;
     BootTime paused_until;
   };
@@ -156,6 +176,11 @@
   };
 
   double Faded(double value, const Record& record, BootTime now) const;
+  double FailureShare(const std::string& id, std::int64_t others_failures,
+                      BootTime now) const;
+  // Whether an engine is passed over for its failures.
+  bool IsBroken(const std::string& id, std::int64_t others_failures,
+                BootTime now) const;
   // Lower is better; nothing if the server has no room.
   std::optional<double> Score(const directory::BackendServer& server,
                               const routing::EngineTraits* engine,
--- a/libraries/gossip/digest.cc
+++ b/libraries/gossip/digest.cc
@@ -53,7 +53,8 @@
     update.load[used.at(0).get<std::uint32_t>()] = {
         used.at(1).get<std::int64_t>(),
         used.at(2).get<std::int64_t>() * kTokenUnit,
-        used.at(3).get<std::int64_t>() * kTokenUnit};
+        used.at(3).get<std::int64_t>() * kTokenUnit,
+        used.size() > 4 ? used.at(4).get<std::int64_t>() : 0};
   }
   return update;
 }
@@ -73,8 +74,10 @@
 std::string Encode(const LoadUpdate& update) {
   json load = json::array();
   for (const auto& [key, used] : update.load) {
-    load.push_back({key, used.requests, ToUnits(used.tokens),
-                    ToUnits(used.unread_prompt_tokens)});
+    json told = {key, used.requests, ToUnits(used.tokens),
+                 ToUnits(used.unread_prompt_tokens)};
+    if (used.failures > 0) told.push_back(used.failures);
+    load.push_back(std::move(told));
   }
   return ToCbor({kLoadLayout, update.sequence, update.whole, std::move(load)});
 }
--- a/services/gateway/exchange.cc
+++ b/services/gateway/exchange.cc
@@ -372,8 +372,10 @@
   if (!attempt_.has_value() || attempt_->connection == nullptr) return;
   const BootTime now = BootClock::now();
   if (!std::exchange(attempt_->reported_slow, true)) {
-    context_.selector.OnResult(attempt_->server_id, AttemptResult::kFailed,
-                               now);
+    const bool is_very_slow = !request_.route->MayRepeat();
+    context_.selector.OnResult(
+        attempt_->server_id,
+        is_very_slow ? AttemptResult::kFailed : AttemptResult::kSlow, now);
   }
   const bool may_give_up = request_.route->MayRepeat() && !attempt_->resumes &&
                            !answer_begun_ &&
--- a/services/gateway/gateway_node.cc
+++ b/services/gateway/gateway_node.cc
@@ -32,6 +32,15 @@
 // not: a watch can stay silent without a fault that shows.
 constexpr milliseconds kStoreBehindTime{8000};
 
+// Changes come in bursts, as when several engines leave at once, and each
+// answer of a watch is a priced call to every gateway: after one, the next is
+// put off a little and then brings all that came since. The time grows with the
+// number of gateways, so that their calls together do not.
+constexpr milliseconds kWatchPausePerGateway{8};
+// Far within the time in which a configuration has to be in force (platform:
+// 2 s and more), and a small part of an engine's notice.
+constexpr milliseconds kLongestWatchPause{200};
+
 std::uint64_t RandomNumber() {
   std::random_device device;
   return (std::uint64_t{device()} << 32) | device();
@@ -178,6 +187,12 @@
   for (const RevisionedEntry& entry : changes) OnEntry(entry);
 }
 
+milliseconds GatewayNode::WatchPause() const {
+  return std::min(
+      kLongestWatchPause,
+      kWatchPausePerGateway * static_cast<std::int64_t>(context_.gateways - 1));
+}
+
 void GatewayNode::OnStoreAvailable(bool available) {
   if (available == store_available_) return;
   store_available_ = available;
--- a/services/gateway/gateway_node.h
+++ b/services/gateway/gateway_node.h
@@ -44,6 +44,9 @@
                        std::uint64_t store_revision);
   void OnStoreAvailable(bool available);
 
+  // How long the store's client rests after each answer of a watch.
+  std::chrono::milliseconds WatchPause() const;
+
   std::function<void()> on_stopped;
   // Calls made to the store so far, for the metrics; may be unset.
   std::function<std::uint64_t()> store_calls;
--- a/services/gateway/peer_exchange.cc
+++ b/services/gateway/peer_exchange.cc
@@ -122,7 +122,7 @@
   const BootTime now = BootClock::now();
   const std::uint64_t changes = context_.selector.usage_changes();
   if (std::exchange(journaled_, changes) != changes) {
-    journal_.Update(context_.selector.OwnUsage());
+    journal_.Update(context_.selector.OwnUsage(now));
   }
   std::vector<std::string> peers = peers_.Alive(now);
   std::ranges::rotate(peers, std::ranges::upper_bound(peers, last_told_));
--- a/tests/libraries/dispatch/overload_test.cc
+++ b/tests/libraries/dispatch/overload_test.cc
@@ -231,7 +231,7 @@
 
   // All know all loads: what is shown here is not that they are old.
   void TellAll(std::size_t from) {
-    const auto usage = gateways_[from].selector.OwnUsage();
+    const auto usage = gateways_[from].selector.OwnUsage(now_);
     for (std::size_t to = 0; to < kGateways; ++to) {
       if (to == from) continue;
       gateways_[to].selector.OnReport(std::to_string(from), usage, now_);
--- a/tests/libraries/dispatch/server_selector_test.cc
+++ b/tests/libraries/dispatch/server_selector_test.cc
@@ -135,6 +135,50 @@
   EXPECT_EQ(Select(Generation(1000, 100)), "c");
 }
 
+// One entry's links may be the cause of all that failed for it.
+TEST_F(ServerSelectorTest, OneEntrysWordDoesNotBreakAnEngineForOthers) {
+  ServerSelector other({}, 2);
+  for (int i = 0; i < 9; ++i) {
+    for (const char* id : {"a", "b", "c"}) {
+      other.OnStart(id, Generation(100, 10));
+      other.OnEnd(id, Generation(100, 10), false);
+      other.OnResult(id, AttemptResult::kFailed, now_);
+    }
+  }
+  selector_.OnReport("entry-2", other.OwnUsage(now_), now_);
+  EXPECT_NE(Select(Generation(100, 10)), "");
+  selector_.OnReport("entry-3", other.OwnUsage(now_), now_);
+  EXPECT_EQ(Select(Generation(100, 10)), "");
+}
+
+TEST_F(ServerSelectorTest, ABrokenEngineIsTriedAgainAfterAWhile) {
+  for (const char* id : {"a", "b", "c"}) {
+    for (int i = 0; i < 4; ++i) {
+      selector_.OnStart(id, Generation(100, 10));
+      selector_.OnEnd(id, Generation(100, 10), false);
+      selector_.OnResult(id, AttemptResult::kFailed, now_);
+    }
+  }
+  EXPECT_EQ(Select(Generation(100, 10)), "");
+  now_ += ServerSelector::Limits{}.failure_half_life;
+  EXPECT_NE(Select(Generation(100, 10)), "");
+}
+
+// Under load many engines are slow, and passing over all would serve nobody.
+TEST_F(ServerSelectorTest, SlowEnginesAreNotBroken) {
+  for (const char* id : {"a", "b", "c"}) {
+    for (int i = 0; i < 9; ++i) {
+      selector_.OnStart(id, Generation(100, 10));
+      selector_.OnResult(id, AttemptResult::kSlow, now_);
+      selector_.OnEnd(id, Generation(100, 10), false);
+    }
+  }
+  EXPECT_NE(Select(Generation(100, 10)), "");
+  for (const auto& [key, usage] : selector_.OwnUsage(now_)) {
+    EXPECT_EQ(usage.failures, 0);
+  }
+}
+
 TEST_F(ServerSelectorTest, EachChangeOfTheOwnLoadIsCounted) {
   const Demand demand = Generation(3000, 10);
   std::uint64_t before = selector_.usage_changes();
--- a/tests/libraries/gossip/gossip_test.cc
+++ b/tests/libraries/gossip/gossip_test.cc
@@ -86,7 +86,7 @@
   LoadUpdate update;
   update.sequence = 9;
   update.whole = true;
-  update.load = {{dispatch::ServerKey("i-1"), {2, 3000, 400}},
+  update.load = {{dispatch::ServerKey("i-1"), {2, 3000, 400, 3}},
                  {dispatch::ServerKey("i-2"), {}}};
   const std::string bytes = Encode(update);
   const auto read = TryDecode<LoadUpdate>(bytes);
@@ -95,6 +95,7 @@
   EXPECT_TRUE(read->whole);
   EXPECT_EQ(read->load.at(dispatch::ServerKey("i-1")).unread_prompt_tokens,
             448);
+  EXPECT_EQ(read->load.at(dispatch::ServerKey("i-1")).failures, 3);
   EXPECT_EQ(read->load.at(dispatch::ServerKey("i-2")), dispatch::Usage{});
 }
 
--- a/tests/libraries/gossip/herd_test.cc
+++ b/tests/libraries/gossip/herd_test.cc
@@ -130,7 +130,7 @@
 
   void Tell(std::size_t from) {
     Entry& entry = entries_[from];
-    entry.journal.Update(entry.selector.OwnUsage());
+    entry.journal.Update(entry.selector.OwnUsage(now_));
     for (std::size_t tried = 0; tried + 1 < kEntries; ++tried) {
       const std::size_t to = (from + 1 + entry.next_peer) % kEntries;
       LoadUpdate update;
@@ -144,7 +144,7 @@
         update.load = std::move(news.load);
       } else {
         update.whole = true;
-        update.load = entry.selector.OwnUsage();
+        update.load = entry.selector.OwnUsage(now_);
       }
       const std::size_t bytes = Encode(update).size();
       if (!entry.allowance.TryTake(bytes, now_)) return;
