Say in the log why each server had no room for a refused request

Change: the choice of a server counts why others were passed over, and wait_too_long says so. Test: TellsWhyEachServerWasNotChosen.

--- a/libraries/dispatch/server_selector.cc
+++ b/libraries/dispatch/server_selector.cc
@@ -105,28 +105,40 @@
                                             BootTime now) {
   const auto record = records_.find(server.id);
   if (record != records_.end() && record->second.paused_until > now) {
+    ++census_.paused;
     return std::nullopt;
   }
   const Usage usage = UsageOf(server.id, now);
   const int slots = std::max(server.slots, 1);
   double load = static_cast<double>(usage.requests) / slots;
   if (engine != nullptr) {
-    if (usage.requests >= slots) return std::nullopt;
-    if (IsBroken(server.id, usage.failures, now)) return std::nullopt;
+    if (usage.requests >= slots) {
+      ++census_.without_slot;
+      return std::nullopt;
+    }
+    if (IsBroken(server.id, usage.failures, now)) {
+      ++census_.broken;
+      return std::nullopt;
+    }
     if (!demand.is_transfer &&
         usage.unread_prompt_tokens > limits_.max_unread_tokens) {
+      ++census_.reading;
       return std::nullopt;
     }
     const double room =
         limits_.memory_share * static_cast<double>(engine->memory_tokens);
     const auto tokens = static_cast<double>(usage.tokens + demand.Tokens());
     // An idle engine takes what fits it at all.
-    if (tokens > room && usage.requests > 0) return std::nullopt;
+    if (tokens > room && usage.requests > 0) {
+      ++census_.without_memory;
+      return std::nullopt;
+    }
     load =
         std::max(load, tokens / room) +
         static_cast<double>(usage.unread_prompt_tokens) / kPromptTokensAsLoad;
   } else if (usage.requests >=
              static_cast<std::int64_t>(slots * (1.0 + limits_.queue_share))) {
+    ++census_.without_slot;
     return std::nullopt;
   }
   std::uniform_real_distribution<double> noise(
@@ -145,9 +157,16 @@
     const routing::EngineTraits* engine, const Demand& demand, BootTime now) {
   std::optional<Choice> best;
   double best_score = std::numeric_limits<double>::max();
+  census_ = {};
   directory.ForEachOf(
       demand.service, [&](const BackendServer& server, Life life) {
-        if (life == Life::kLeaving || demand.excluded.contains(server.id)) {
+        ++census_.servers;
+        if (life == Life::kLeaving) {
+          ++census_.leaving;
+          return;
+        }
+        if (demand.excluded.contains(server.id)) {
+          ++census_.excluded;
           return;
         }
         std::optional<double> score = Score(server, engine, demand, now);
--- a/libraries/dispatch/server_selector.h
+++ b/libraries/dispatch/server_selector.h
@@ -112,6 +112,24 @@
     directory::Endpoint endpoint;
   };
 
+  // Why servers of a service were not chosen.
+  struct Census {
+    int servers = 0;
+    int leaving = 0;
+    // Tried before by the same request.
+    int excluded = 0;
+    // Refused, or could not be reached, a moment ago.
+    int paused = 0;
+    // Passed over for their failures.
+    int broken = 0;
+    int without_slot = 0;
+    int without_memory = 0;
+    // With too many prompt tokens to read.
+    int reading = 0;
+
+    bool operator==(const Census&) const = default;
+  };
+
   // Nothing if no server of the service has room now.
   std::optional<Choice> Select(const directory::BackendDirectory& directory,
                                const routing::EngineTraits* engine,
@@ -121,6 +139,9 @@
                   const routing::EngineTraits* engine,
                   const Demand& demand) const;
 
+  // Of the last call of `Select`.
+  const Census& census() const { return census_; }
+
   // This entry's requests.
   void OnStart(const std::string& id, const Demand& demand);
   // Its prompt has been read: the first event came.
@@ -181,7 +202,7 @@
   // Whether an engine is passed over for its failures.
   bool IsBroken(const std::string& id, std::int64_t others_failures,
                 BootTime now) const;
-  // Lower is better; nothing if the server has no room.
+  // Lower is better; nothing if the server has no room, which is counted.
   std::optional<double> Score(const directory::BackendServer& server,
                               const routing::EngineTraits* engine,
                               const Demand& demand, BootTime now);
@@ -191,6 +212,7 @@
   std::map<std::string, Record> records_;
   std::map<std::string, Report> reports_;
   std::uint64_t usage_changes_ = 0;
+  Census census_;
 };
 
 }  // namespace balsam::dispatch
--- a/services/gateway/exchange.cc
+++ b/services/gateway/exchange.cc
@@ -136,11 +136,20 @@
   const milliseconds expected = ExpectedWait();
   if (expected > longest) {
     // Known now, so it is said now.
+    const dispatch::ServerSelector::Census& census = context_.selector.census();
     LogEvent("wait_too_long")
         .With("id", facts_.id)
         .With("expected", expected)
         .With("longest", longest)
-        .With("line", Line().size());
+        .With("line", Line().size())
+        .With("servers", census.servers)
+        .With("leaving", census.leaving)
+        .With("excluded", census.excluded)
+        .With("paused", census.paused)
+        .With("broken", census.broken)
+        .With("without_slot", census.without_slot)
+        .With("without_memory", census.without_memory)
+        .With("reading", census.reading);
     Answer(503, "no_room_in_time", RetryAfter());
     return;
   }
--- a/tests/libraries/dispatch/server_selector_test.cc
+++ b/tests/libraries/dispatch/server_selector_test.cc
@@ -135,6 +135,31 @@
   EXPECT_EQ(Select(Generation(1000, 100)), "c");
 }
 
+// What the log says of a refusal has to add up.
+TEST_F(ServerSelectorTest, TellsWhyEachServerWasNotChosen) {
+  Announce("leaving", true);
+  Announce("broken", false);
+  selector_.OnReport("entry-2",
+                     {{ServerKey("a"), {1, 9900, 0}},
+                      {ServerKey("b"), {1, 100, 7000}},
+                      {ServerKey("c"), {4, 100, 0}},
+                      {ServerKey("broken"), {0, 0, 0, 2}}},
+                     now_);
+  selector_.OnReport("entry-3", {{ServerKey("broken"), {0, 0, 0, 2}}}, now_);
+  EXPECT_EQ(Select(Generation(1000, 100)), "");
+  ServerSelector::Census expected;
+  expected.servers = 5;
+  expected.leaving = 1;
+  expected.broken = 1;
+  expected.without_slot = 1;
+  expected.without_memory = 1;
+  expected.reading = 1;
+  EXPECT_EQ(selector_.census(), expected);
+  // Each call counts anew.
+  EXPECT_EQ(Select(Generation(1000, 100)), "");
+  EXPECT_EQ(selector_.census(), expected);
+}
+
 // One entry's links may be the cause of all that failed for it.
 TEST_F(ServerSelectorTest, OneEntrysWordDoesNotBreakAnEngineForOthers) {
   ServerSelector other({}, 2);
