Take a peer's load also before its first digest, and look for news cheaply

Cause, found by reading: a gateway that had just started dropped the load of a peer whose digest came after it, and was then told changes only: for up to 3 s it took engines for idle that the others had filled. And at 300 peers each tick would have made a list of news for each of them.

--- a/libraries/gossip/load_journal.cc
+++ b/libraries/gossip/load_journal.cc
@@ -31,6 +31,12 @@
   }
 }
 
+bool LoadJournal::HasNewsFor(const std::string& peer, BootTime now) const {
+  const auto told = told_.find(peer);
+  return told == told_.end() || told->second.change < last_change_ ||
+         now - told->second.refreshed >= kRefreshInterval;
+}
+
 LoadJournal::News LoadJournal::NewsFor(const std::string& peer,
                                        BootTime now) const {
   const auto told = told_.find(peer);
--- a/libraries/gossip/load_journal.h
+++ b/libraries/gossip/load_journal.h
@@ -29,7 +29,9 @@
 
     bool empty() const { return !whole && load.empty(); }
   };
-  // What `peer` has not been told.
+  // Whether there is something that `peer` has not been told.
+  bool HasNewsFor(const std::string& peer, BootTime now) const;
+  // What that is.
   News NewsFor(const std::string& peer, BootTime now) const;
   // It was sent all of `NewsFor`.
   void OnTold(const std::string& peer, BootTime now);
--- a/libraries/gossip/peer_table.cc
+++ b/libraries/gossip/peer_table.cc
@@ -51,12 +51,14 @@
 
 bool PeerTable::OnLoadUpdate(const std::string& ip, std::uint64_t sequence,
                              BootTime now) {
+  if (ip == own_ip_) return false;
+  Learn(ip, now);
   const auto found = peers_.find(ip);
   if (found == peers_.end()) return false;
   Peer& peer = found->second;
-  if (!peer.reported_alive || sequence <= peer.sequence) return false;
+  if (sequence <= peer.sequence) return false;
   peer.sequence = sequence;
-  peer.heard = now;
+  if (peer.reported_alive) peer.heard = now;
   return true;
 }
 
--- a/libraries/gossip/peer_table.h
+++ b/libraries/gossip/peer_table.h
@@ -35,8 +35,9 @@
   enum class News { kNone, kJoined, kRestarted };
   // Takes a digest; an older one of the same life changes nothing.
   News OnDigest(const Digest& digest, BootTime now);
-  // Takes the load of a peer that is known by a digest; false if it is not, or
-  // if something newer came before.
+  // A peer told its load; false if something newer came before. The load of one
+  // that was not heard yet counts, too, since it is told only once; it is alive
+  // from its first digest on.
   bool OnLoadUpdate(const std::string& ip, std::uint64_t sequence,
                     BootTime now);
   // Peers that fell silent since the last call.
--- a/services/gateway/peer_exchange.cc
+++ b/services/gateway/peer_exchange.cc
@@ -127,8 +127,8 @@
   std::vector<std::string> peers = peers_.Alive(now);
   std::ranges::rotate(peers, std::ranges::upper_bound(peers, last_told_));
   for (const std::string& ip : peers) {
+    if (!journal_.HasNewsFor(ip, now)) continue;
     gossip::LoadJournal::News news = journal_.NewsFor(ip, now);
-    if (news.empty()) continue;
     const std::string bytes = gossip::Encode(
         gossip::LoadUpdate{++sequence_, news.whole, std::move(news.load)});
     if (!load_allowance_.TryTake(bytes.size(), now)) return;
@@ -211,6 +211,8 @@
     LogEvent("peer_heard")
         .With("peer", digest.ip)
         .With("incarnation", digest.incarnation);
+  }
+  if (news == gossip::PeerTable::News::kRestarted) {
     // Nothing that it ran before is known to run any more, and it lost what it
     // was told.
     context_.selector.OnReport(digest.ip, {}, now);
--- a/tests/libraries/gossip/load_journal_test.cc
+++ b/tests/libraries/gossip/load_journal_test.cc
@@ -18,6 +18,7 @@
   // What `peer` is told now.
   LoadJournal::News Tell(const std::string& peer) {
     LoadJournal::News news = journal_.NewsFor(peer, now_);
+    EXPECT_EQ(journal_.HasNewsFor(peer, now_), !news.empty());
     if (!news.empty()) journal_.OnTold(peer, now_);
     return news;
   }
