Give live runs that must move room beyond that of new requests

Ruled out: the choice of data centre. Change: for a move an engine may be expected to be filled to 1.05 of its memory, for a new request to 0.92 as before. Test: ALiveRunFindsAPlaceWhereANewRequestDoesNot.

--- a/libraries/dispatch/server_selector.cc
+++ b/libraries/dispatch/server_selector.cc
@@ -125,8 +125,9 @@
       ++census_.reading;
       return std::nullopt;
     }
-    const double room =
-        limits_.memory_share * static_cast<double>(engine->memory_tokens);
+    const double share = demand.is_transfer ? limits_.transfer_memory_share
+                                            : limits_.memory_share;
+    const double room = share * static_cast<double>(engine->memory_tokens);
     const auto tokens = static_cast<double>(usage.tokens + demand.Tokens());
     // An idle engine takes what fits it at all.
     if (tokens > room && usage.requests > 0) {
--- a/libraries/dispatch/server_selector.h
+++ b/libraries/dispatch/server_selector.h
@@ -82,6 +82,9 @@
     // Share of an engine's memory that generations may be expected to fill in
     // the end. They do not end together, so it is rarely full at any moment.
     double memory_share = 0.92;
+    // The same for live runs that move. They hold less now than in the end, and
+    // one that finds no place is lost, where a new request can come again.
+    double transfer_memory_share = 1.05;
     // An engine with more prompt tokens to read than this gets no further
     // prompt: it is busy for most of a second, and another engine, or a more
     // urgent request, may come first meanwhile.
--- a/tests/libraries/dispatch/server_selector_test.cc
+++ b/tests/libraries/dispatch/server_selector_test.cc
@@ -135,6 +135,22 @@
   EXPECT_EQ(Select(Generation(1000, 100)), "c");
 }
 
+// The pattern: engines are reclaimed while all others are full.
+TEST_F(ServerSelectorTest, ALiveRunFindsAPlaceWhereANewRequestDoesNot) {
+  for (const char* id : {"a", "b", "c"}) {
+    selector_.OnStart(id, Generation(8000, 1000));
+    selector_.OnFirstEvent(id, Generation(8000, 1000));
+  }
+  Demand demand = Generation(1000, 200);
+  EXPECT_EQ(Select(demand), "");
+  demand.is_transfer = true;
+  EXPECT_NE(Select(demand), "");
+  // Not without bound.
+  Demand large = Generation(2000, 200);
+  large.is_transfer = true;
+  EXPECT_EQ(Select(large), "");
+}
+
 // What the log says of a refusal has to add up.
 TEST_F(ServerSelectorTest, TellsWhyEachServerWasNotChosen) {
   Announce("leaving", true);
