--- a/tests/libraries/dispatch/overload_test.cc
+++ b/tests/libraries/dispatch/overload_test.cc
@@ -96,7 +96,7 @@
     BootTime noticed;
   };
   struct Request {
-    std::size_t gateway;
+    std::size_t gateway = 0;
     BootTime arrived;
     // Null while it waits.
     Engine* engine = nullptr;
@@ -119,7 +119,9 @@
   }
 
   void Arrive(std::size_t gateway) {
-    auto request = std::make_unique<Request>(Request{gateway, now_});
+    auto request = std::make_unique<Request>();
+    request->gateway = gateway;
+    request->arrived = now_;
     if (!TryStart(*request)) {
       gateways_[gateway].line.Join(
           request.get(), 0, now_ + kObjective - kReading,
--- a/tests/platform/store_client_test.cc
+++ b/tests/platform/store_client_test.cc
@@ -22,7 +22,6 @@
 
 using gateway::PlainAnswer;
 using gateway::PlainServer;
-using revisions::RevisionedEntry;
 using std::chrono::milliseconds;
 
 // Ends a test that hangs; no test relies on it.
