Heed what engines say in any answer, and bound answers that never end

By reading: chunk sizes, chunk extensions, trailers, interim answers and the body of a failure were held or followed without bound.

Change: - Dialect::ReadNotice reads both from the head of any answer, through the pool of connections: streams, failures, health, reports and copies alike. A word of leaving in an answer is final for the incarnation; it holds while the store lists the engine as ready, however long. Others are told as for a report, and their word lapses there as before. - An engine that asked for time gets no request, run that moves, or poll until then; each gateway keeps its own word. Where all of a service rest, a request is refused at once with the earliest end. A rest is capped at ten minutes; dates and other text are ignored with a line. - MessageParser ends a message whose next line does not end within 64 KiB; OutboundConnection ends one with over 16 interim answers, and calls with over 8 MiB; a failure's body over 256 KiB is no answer.

Ruled out: passing a rest on to the others, since it is meant for the machine that was answered.

--- a/libraries/directory/backend_directory.cc
+++ b/libraries/directory/backend_directory.cc
@@ -44,7 +44,10 @@
                          server.born.has_value() &&
                          entry.server.born != server.born;
   const Life before = entry.life;
-  if (restarted) entry.reported_leaving = false;
+  if (restarted) {
+    entry.reported_leaving = false;
+    entry.leaving_is_final = false;
+  }
   if (entry.reported_leaving) life = Life::kLeaving;
   entry.announced = true;
   entry.server = server;
@@ -74,11 +77,12 @@
 }
 
 std::optional<ServerChange> BackendDirectory::OnReportedLeaving(
-    std::string_view id, BootTime now) {
+    std::string_view id, bool is_final, BootTime now) {
   const auto found = entries_.find(id);
   if (found == entries_.end()) return std::nullopt;
   Entry& entry = found->second;
   entry.reported_leaving = true;
+  entry.leaving_is_final = entry.leaving_is_final || is_final;
   if (entry.life == Life::kLeaving) return std::nullopt;
   entry.life = Life::kLeaving;
   entry.since = now;
@@ -98,7 +102,8 @@
 bool BackendDirectory::IsReportedOnly(std::string_view id) const {
   const auto found = entries_.find(id);
   return found != entries_.end() && found->second.reported_leaving &&
-         found->second.announced && !found->second.server.leaving;
+         !found->second.leaving_is_final && found->second.announced &&
+         !found->second.server.leaving;
 }
 
 std::vector<ServerChange> BackendDirectory::OnTime(BootTime now) {
@@ -114,7 +119,10 @@
   }
   std::erase_if(entries_, [&](const auto& item) {
     const Entry& entry = item.second;
-    if (entry.life != Life::kLeaving ||
+    // While the store lists it as ready, only what is remembered here keeps
+    // requests away from it.
+    const bool only_remembered = entry.announced && !entry.server.leaving;
+    if (entry.life != Life::kLeaving || only_remembered ||
         now - entry.since < limits_.memory_of_leaving) {
       return false;
     }
--- a/libraries/directory/backend_directory.h
+++ b/libraries/directory/backend_directory.h
@@ -97,11 +97,13 @@
                                         bool may_have_lapsed, BootTime now);
   // The server itself, or another entry that asked it, says that it leaves.
   // Holds against entries that still call it ready, for this incarnation.
+  // `is_final`: it said so in an answer, which it never takes back; else the
+  // word lapses where it is not heard again.
   std::optional<ServerChange> OnReportedLeaving(std::string_view id,
-                                                BootTime now);
+                                                bool is_final, BootTime now);
   // Nobody has heard for a while that it leaves: the store's word holds again.
   std::optional<ServerChange> OnReportLapsed(std::string_view id, BootTime now);
-  // Whether it counts as leaving by reports alone.
+  // Whether it counts as leaving by reports alone, which may lapse.
   bool IsReportedOnly(std::string_view id) const;
   // Ends graces that have run out.
   std::vector<ServerChange> OnTime(BootTime now);
@@ -130,6 +132,8 @@
     BootTime since;
     // Said by the server itself; an entry in the store may be older.
     bool reported_leaving = false;
+    // Implies `reported_leaving`; no report that lapses changes it.
+    bool leaving_is_final = false;
     // The store holds its entry.
     bool announced = true;
   };
--- a/libraries/dispatch/server_selector.cc
+++ b/libraries/dispatch/server_selector.cc
@@ -66,6 +66,7 @@
     const routing::EngineTraits* engine, const Demand& demand,
     BootTime now) const {
   const Record& record = RecordOf(server.id);
+  if (record.rests_until > now) return &PassedOver::resting;
   if (record.paused_until > now) return &PassedOver::paused;
   const int slots = std::max(server.slots, 1);
   if (engine == nullptr) {
@@ -195,6 +196,28 @@
   if (result == AttemptResult::kFailed && record.is_engine) ++usage_changes_;
 }
 
+void ServerSelector::OnRestAsked(const std::string& id, BootTime until) {
+  BootTime& rests_until = records_[id].rests_until;
+  rests_until = std::max(rests_until, until);
+}
+
+std::optional<BootTime> ServerSelector::EarliestEndOfRest(
+    const directory::BackendDirectory& directory, const Demand& demand,
+    BootTime now) const {
+  std::optional<BootTime> earliest;
+  bool all_rest = true;
+  directory.ForEachOf(
+      demand.service, [&](const BackendServer& server, Life life) {
+        if (life == Life::kLeaving || demand.excluded.contains(server.id)) {
+          return;
+        }
+        const BootTime end = RecordOf(server.id).rests_until;
+        all_rest = all_rest && end > now;
+        earliest = std::min(earliest.value_or(end), end);
+      });
+  return all_rest ? earliest : std::nullopt;
+}
+
 void ServerSelector::Forget(const std::string& id) {
   records_.erase(id);
   ++usage_changes_;
@@ -203,7 +226,8 @@
 void ServerSelector::DropIdle(BootTime now) {
   std::erase_if(records_, [&](const auto& item) {
     const Record& record = item.second;
-    return record.own.requests == 0 && record.outcomes.IsForgotten(now);
+    return record.own.requests == 0 && record.rests_until <= now &&
+           record.outcomes.IsForgotten(now);
   });
   reports_.DropOld(now);
 }
--- a/libraries/dispatch/server_selector.h
+++ b/libraries/dispatch/server_selector.h
@@ -80,6 +80,8 @@
     int excluded = 0;
     // Refused, or could not be reached, a moment ago.
     int paused = 0;
+    // Asked for time without requests.
+    int resting = 0;
     // Failed too often lately.
     int broken = 0;
     int without_slot = 0;
@@ -109,6 +111,16 @@
   // `began`: whether `OnFirstEvent` was called.
   void OnEnd(const std::string& id, const Demand& demand, bool began);
   void OnResult(const std::string& id, AttemptResult result, BootTime now);
+  // The server wants no request of this entry before `until`.
+  void OnRestAsked(const std::string& id, BootTime until);
+  bool IsResting(const std::string& id, BootTime now) const {
+    return RecordOf(id).rests_until > now;
+  }
+  // When the first of the servers that the request may go to has rested;
+  // nothing if one of them does not rest, or if there is none.
+  std::optional<BootTime> EarliestEndOfRest(
+      const directory::BackendDirectory& directory, const Demand& demand,
+      BootTime now) const;
   // A server began a new incarnation or is gone: nothing of before holds.
   void Forget(const std::string& id);
   // Drops what is known of servers that have no request here and gave no result
@@ -138,6 +150,8 @@
     // It has run generations.
     bool is_engine = false;
     BootTime paused_until;
+    // By the server's own word.
+    BootTime rests_until;
   };
 
   // Counts what keeps a server from being chosen; null if nothing does.
--- a/libraries/explanation/cause.cc
+++ b/libraries/explanation/cause.cc
@@ -62,6 +62,7 @@
        "the server's answer broke off after the client had "
        "its beginning"},
       {"event_gap", "the engine that went on skipped an event"},
+      {"event_too_long", "the engine sent what is no event, without end"},
   };
   return kReasons;
 }
--- a/libraries/http1/message_parser.cc
+++ b/libraries/http1/message_parser.cc
@@ -136,6 +136,10 @@
 std::size_t MessageParser::FeedAndNote(Parser& parser, std::string_view input,
                                        std::string& body) {
   const std::size_t taken = Feed(parser, input, body, error_);
+  if (error_ == ParseError::kNone && !parser.is_done() &&
+      input.size() - taken > line_bytes_) {
+    error_ = ParseError::kMalformed;
+  }
   head_complete_ = parser.is_header_done();
   complete_ = parser.is_done();
   if (!head_complete_) return taken;
@@ -148,7 +152,8 @@
 };
 
 RequestParser::RequestParser(const ParseLimits& limits)
-    : implementation_(std::make_unique<Implementation>(limits, head_)) {}
+    : MessageParser(limits.line_bytes),
+      implementation_(std::make_unique<Implementation>(limits, head_)) {}
 RequestParser::~RequestParser() = default;
 
 std::size_t RequestParser::Consume(std::string_view input, std::string& body) {
@@ -173,7 +178,8 @@
 };
 
 ResponseParser::ResponseParser(const ParseLimits& limits, bool to_head_request)
-    : implementation_(std::make_unique<Implementation>(limits, head_)) {
+    : MessageParser(limits.line_bytes),
+      implementation_(std::make_unique<Implementation>(limits, head_)) {
   implementation_->skip(to_head_request);
 }
 ResponseParser::~ResponseParser() = default;
--- a/libraries/http1/message_parser.h
+++ b/libraries/http1/message_parser.h
@@ -26,6 +26,9 @@
 struct ParseLimits {
   std::size_t head_bytes = 16 << 10;
   std::uint64_t body_bytes = 4 << 20;
+  // Bytes that may wait for the end of their line: chunk sizes, their
+  // extensions and trailers have no length of their own.
+  std::size_t line_bytes = 64 << 10;
 };
 
 // What both directions share. A parser reads one message.
@@ -52,6 +55,9 @@
   std::size_t FeedAndNote(Parser& parser, std::string_view input,
                           std::string& body);
 
+  explicit MessageParser(std::size_t line_bytes) : line_bytes_(line_bytes) {}
+
+  std::size_t line_bytes_;
   ParseError error_ = ParseError::kNone;
   bool started_ = false;
   bool head_complete_ = false;
--- a/services/gateway/connection_pool.cc
+++ b/services/gateway/connection_pool.cc
@@ -33,7 +33,12 @@
     last.connection->Abort();
     last.connection->deleteLater();
   }
-  return new OutboundConnection(endpoint, limits_.timeouts, this);
+  auto* connection = new OutboundConnection(endpoint, limits_.timeouts, this);
+  connection->on_answer_head = [this,
+                                server_id](const http1::ResponseHead& head) {
+    if (on_answer_head) on_answer_head(server_id, head);
+  };
+  return connection;
 }
 
 void ConnectionPool::Release(const std::string& server_id,
--- a/services/gateway/connection_pool.h
+++ b/services/gateway/connection_pool.h
@@ -5,6 +5,7 @@
 
 #include <QObject>
 #include <chrono>
+#include <functional>
 #include <map>
 #include <string>
 #include <vector>
@@ -43,6 +44,11 @@
   void Drop(const std::string& server_id);
   void CloseOld(BootTime now);
 
+  // The head of an answer of a server, to whatever it was asked.
+  std::function<void(const std::string& server_id,
+                     const http1::ResponseHead& head)>
+      on_answer_head;
+
  private:
   struct Idle {
     OutboundConnection* connection;
--- a/services/gateway/dialect.h
+++ b/services/gateway/dialect.h
@@ -66,6 +66,16 @@
   bool is_encoded = false;
 };
 
+// What any answer of a backend server may say besides, whatever was asked:
+// streams, failures, health and reports alike.
+struct ServerNotice {
+  // It leaves. Holds for this incarnation, whatever the store says.
+  bool leaving = false;
+  // It wants no request from this gateway for so long; unset if it does not
+  // say.
+  std::optional<std::chrono::milliseconds> rest;
+};
+
 // A call to a backend server's own interface.
 struct BackendCall {
   http1::RequestHead head;
@@ -103,6 +113,7 @@
   virtual http1::RequestHead ToBackend(const http1::RequestHead& client,
                                        const DispatchOrder& order) const = 0;
   virtual AnswerFacts ReadAnswer(const http1::ResponseHead& head) const = 0;
+  virtual ServerNotice ReadNotice(const http1::ResponseHead& head) const = 0;
   // The head of an answer of the gateway's own.
   virtual http1::ResponseHead OwnAnswer(
       int status, const std::string& request_id,
--- a/services/gateway/exchange.cc
+++ b/services/gateway/exchange.cc
@@ -109,8 +109,13 @@
 milliseconds Exchange::ExpectedWait() {
   const std::int64_t ahead = Line().WorkAhead(
       request_.priority, [](const Exchange* other) { return other->work(); });
-  return context_.forecasts[request_.service->name].TimeUntil(ahead + work(),
-                                                              BootClock::now());
+  const BootTime now = BootClock::now();
+  const milliseconds expected =
+      context_.forecasts[request_.service->name].TimeUntil(ahead + work(), now);
+  const auto rest = context_.selector.EarliestEndOfRest(context_.directory,
+                                                        request_.demand, now);
+  if (!rest.has_value()) return expected;
+  return std::max(expected, std::chrono::ceil<milliseconds>(*rest - now));
 }
 
 milliseconds Exchange::RetryAfter() {
@@ -145,6 +150,7 @@
         .With("leaving", passed_over.leaving)
         .With("excluded", passed_over.excluded)
         .With("paused", passed_over.paused)
+        .With("resting", passed_over.resting)
         .With("broken", passed_over.broken)
         .With("without_slot", passed_over.without_slot)
         .With("without_memory", passed_over.without_memory)
--- a/services/gateway/exchange.h
+++ b/services/gateway/exchange.h
@@ -120,6 +120,8 @@
   // Relaying; see exchange_relay.cc.
   void OnHead(const http1::ResponseHead& head);
   void OnBody(std::string_view bytes);
+  // What came cannot be an answer to this request.
+  void RejectAnswer(std::string_view reason);
   void RelayEvents(std::string_view bytes);
   void DeliverBuffered();
   void OnStreamEnded(OutboundConnection::End end);
--- a/services/gateway/exchange_relay.cc
+++ b/services/gateway/exchange_relay.cc
@@ -46,13 +46,7 @@
       http1::IsSuccess(head.status) &&
       (facts.request_id.empty() || !facts.is_sealed || facts.is_encoded);
   if (foreign || unusable) {
-    LogEvent("answer_rejected", LogEvent::Level::kWarning)
-        .With("id", facts_.id)
-        .With("server", attempt_->server_id)
-        .With("status", head.status)
-        .With("reason", foreign ? "names_another_request" : "not_signed");
-    attempt_->connection->Abort();
-    OnEnd(OutboundConnection::End::kBroken);
+    RejectAnswer(foreign ? "names_another_request" : "not_signed");
     return;
   }
   attempt_->streaming = http1::IsSuccess(head.status) &&
@@ -63,6 +57,16 @@
   MoveIfLeaving();
 }
 
+void Exchange::RejectAnswer(std::string_view reason) {
+  LogEvent("answer_rejected", LogEvent::Level::kWarning)
+      .With("id", facts_.id)
+      .With("server", attempt_->server_id)
+      .With("status", attempt_->head.status)
+      .With("reason", reason);
+  attempt_->connection->Abort();
+  OnEnd(OutboundConnection::End::kBroken);
+}
+
 void Exchange::OnBody(std::string_view bytes) {
   if (attempt_->streaming) {
     RelayEvents(bytes);
@@ -72,8 +76,11 @@
     sink_.WriteBody(bytes);
   } else {
     attempt_->body += bytes;
-    if (attempt_->body.size() > kMaxBufferedAnswer &&
-        http1::IsSuccess(attempt_->head.status)) {
+    if (attempt_->body.size() > kMaxBufferedAnswer) {
+      if (!http1::IsSuccess(attempt_->head.status)) {
+        RejectAnswer("failure_too_long");
+        return;
+      }
       answer_begun_ = true;
       sink_.BeginBody(attempt_->head);
       sink_.WriteBody(std::exchange(attempt_->body, {}));
@@ -85,12 +92,20 @@
 void Exchange::RelayEvents(std::string_view bytes) {
   const std::string events = events_.Take(bytes);
   if (events_.fault() != migration::EventStream::Fault::kNone) {
-    LogEvent("event_gap", LogEvent::Level::kError)
+    const bool too_long =
+        events_.fault() == migration::EventStream::Fault::kTooLong;
+    const std::string_view fault = too_long ? "event_too_long" : "event_gap";
+    LogEvent(fault, LogEvent::Level::kError)
         .With("id", facts_.id)
         .With("server", attempt_->server_id)
         .With("after", events_.last_event().value_or(0));
+    ++sent_attempts_;
     EndAttempt(AttemptResult::kFailed);
-    BreakOff("event_gap");
+    if (answer_begun_) {
+      BreakOff(fault);
+    } else {
+      Answer(502, fault);
+    }
     return;
   }
   if (events.empty()) return;
--- a/services/gateway/gateway_node.cc
+++ b/services/gateway/gateway_node.cc
@@ -70,6 +70,10 @@
   context_.on_room = [this] {
     if (!room_timer_.isActive()) room_timer_.start(0);
   };
+  context_.pool.on_answer_head = [this](const std::string& server_id,
+                                        const http1::ResponseHead& head) {
+    OnAnswerHead(server_id, head);
+  };
   report_poller_.on_leaving = [this](const std::string& server_id) {
     OnReportedLeaving(server_id, false);
   };
@@ -301,11 +305,35 @@
   return {context_.exchanges.begin(), context_.exchanges.end()};
 }
 
+void GatewayNode::OnAnswerHead(const std::string& server_id,
+                               const http1::ResponseHead& head) {
+  const ServerNotice notice = context_.dialect.ReadNotice(head);
+  if (notice.leaving) OnSaidLeaving(server_id);
+  if (!notice.rest.has_value()) return;
+  LogEvent("server_rests")
+      .With("server", server_id)
+      .With("status", head.status)
+      .With("rest", *notice.rest);
+  context_.selector.OnRestAsked(server_id, BootClock::now() + *notice.rest);
+}
+
+void GatewayNode::OnSaidLeaving(const std::string& server_id) {
+  const auto change =
+      context_.directory.OnReportedLeaving(server_id, true, BootClock::now());
+  // Each answer says it again; the first is news, and what the store or a
+  // report told before is made final without a line.
+  if (!change.has_value()) return;
+  LogEvent("answer_said_leaving").With("server", server_id);
+  OnServerChange(*change);
+  peers_.TellLeaving(server_id);
+}
+
 void GatewayNode::OnReportedLeaving(const std::string& server_id,
                                     bool by_peer) {
   const BootTime now = BootClock::now();
   reported_leaving_.insert_or_assign(server_id, now);
-  const auto change = context_.directory.OnReportedLeaving(server_id, now);
+  const auto change =
+      context_.directory.OnReportedLeaving(server_id, false, now);
   if (change.has_value()) {
     store_behind_until_ = now + kStoreBehindTime;
     OnServerChange(*change);
--- a/services/gateway/gateway_node.h
+++ b/services/gateway/gateway_node.h
@@ -67,7 +67,13 @@
   // no gateway reached it all the while.
   bool MayHaveLapsed() const;
 
-  // An engine said that it leaves, here or (`by_peer`) to another gateway.
+  // What any answer of a server says of the server itself.
+  void OnAnswerHead(const std::string& server_id,
+                    const http1::ResponseHead& head);
+  // An engine said in an answer that it leaves.
+  void OnSaidLeaving(const std::string& server_id);
+  // An engine's report or health says that it leaves, here or (`by_peer`) to
+  // another gateway.
   void OnReportedLeaving(const std::string& server_id, bool by_peer);
   void PollReports();
 
--- a/services/gateway/outbound_connection.cc
+++ b/services/gateway/outbound_connection.cc
@@ -7,6 +7,9 @@
 namespace {
 
 constexpr http1::ParseLimits kAnswerLimits{64 << 10, std::uint64_t{1} << 40};
+// A server that sends more interim answers than this will not come to the
+// final one.
+constexpr int kMaxInterimAnswers = 16;
 
 std::optional<std::chrono::milliseconds> KeepAliveTimeout(
     const http1::FieldList& fields) {
@@ -49,6 +52,7 @@
   parser_ = std::make_unique<http1::ResponseParser>(kAnswerLimits,
                                                     request_->is_head_request);
   head_reported_ = false;
+  interim_answers_ = 0;
   written_ = false;
   if (request_->answer_time.has_value()) {
     answer_timer_.start(*request_->answer_time);
@@ -71,7 +75,10 @@
   request.on_head = [answer](const http1::ResponseHead& head) {
     answer->head = head;
   };
-  request.on_body = [answer](std::string_view body) { answer->body += body; };
+  request.on_body = [this, answer](std::string_view body) {
+    answer->body += body;
+    if (answer->body.size() > kMaxCallAnswer) Finish(End::kBroken);
+  };
   request.on_end = [answer, on_answer = std::move(on_answer)](End end) {
     answer->end = end;
     on_answer(*answer);
@@ -116,6 +123,10 @@
   }
   if (parser_->head_complete() && !head_reported_) {
     if (parser_->head().status / 100 == 1) {
+      if (++interim_answers_ > kMaxInterimAnswers) {
+        Finish(End::kBroken);
+        return;
+      }
       // An interim answer: the final one follows.
       parser_ = std::make_unique<http1::ResponseParser>(
           kAnswerLimits, request_->is_head_request);
@@ -124,6 +135,10 @@
     }
     head_reported_ = true;
     idle_limit_ = KeepAliveTimeout(parser_->head().fields);
+    if (on_answer_head) {
+      on_answer_head(parser_->head());
+      if (!self || request_ != request) return;
+    }
     request->on_head(parser_->head());
     if (!self || request_ != request) return;
   }
--- a/services/gateway/outbound_connection.h
+++ b/services/gateway/outbound_connection.h
@@ -50,6 +50,10 @@
     return "";
   }
 
+  // Bytes of the body of an answer that is handed over whole. The longest are a
+  // page of the store and the changes that a peer lacks, of a few MB at most.
+  static constexpr std::size_t kMaxCallAnswer = 8 << 20;
+
   struct Timeouts {
     // From the request for a connection until it stands.
     std::chrono::milliseconds connect{400};
@@ -80,8 +84,9 @@
 
   // Sends a request; none may be under way. Connects first if need be.
   void Send(Request request);
-  // Sends a request whose answer is short, and hands it over whole. `on_answer`
-  // is called once, unless the call is aborted.
+  // Sends a request whose answer is short, and hands it over whole; one that is
+  // longer than `kMaxCallAnswer` is broken. `on_answer` is called once, unless
+  // the call is aborted.
   void Call(std::string bytes, std::chrono::milliseconds answer_time,
             std::function<void(const Answer&)> on_answer);
   // Ends whatever is under way without a callback; the peer sees a close.
@@ -99,6 +104,9 @@
     return idle_limit_;
   }
 
+  // The head of any final answer came; called before the request's `on_head`.
+  // Belongs to whoever keeps the connection, and outlives requests.
+  std::function<void(const http1::ResponseHead&)> on_answer_head;
   // The idle connection was closed by the peer or got bytes unasked.
   std::function<void()> on_idle_closed;
 
@@ -122,6 +130,8 @@
   // Received and not yet parsed.
   std::string input_;
   bool head_reported_ = false;
+  // Interim answers to this request.
+  int interim_answers_ = 0;
   bool written_ = false;
   // An answer ended in a way that forbids another request.
   bool spoiled_ = false;
--- a/services/gateway/report_poller.cc
+++ b/services/gateway/report_poller.cc
@@ -36,7 +36,10 @@
           engine.is_own =
               membership::RendezvousFirst(server.id, gateways_) == own_ip;
         }
-        if (!engine.is_own || now - engine.asked < interval) return;
+        if (!engine.is_own || now - engine.asked < interval ||
+            context_.selector.IsResting(server.id, now)) {
+          return;
+        }
         engine.asked = now;
         Ask(server, urgent ? service->health_path : std::string());
       });
--- a/tests/libraries/dispatch/server_selector_test.cc
+++ b/tests/libraries/dispatch/server_selector_test.cc
@@ -279,6 +279,42 @@
 
 // The pattern: prompts in a burst. Engines that read much get no more, so the
 // order of who waits is kept where it can still be changed.
+// Load: engines that are full refuse for seconds, and each gateway goes on
+// asking them, since a refusal alone is forgotten in a tenth of one.
+TEST_F(ServerSelectorTest, AServerThatAskedForTimeGetsNothingUntilItIsOver) {
+  const Demand demand = Generation(100, 100);
+  selector_.OnRestAsked("a", now_ + milliseconds(2000));
+  // An earlier end does not cut a longer rest short.
+  selector_.OnRestAsked("a", now_ + milliseconds(500));
+  now_ += milliseconds(1999);
+  EXPECT_FALSE(Shares(demand).contains("a"));
+  EXPECT_EQ(selector_.passed_over().resting, 1);
+  EXPECT_FALSE(
+      selector_.EarliestEndOfRest(directory_, demand, now_).has_value());
+  now_ += milliseconds(1);
+  EXPECT_TRUE(Shares(demand).contains("a"));
+}
+
+TEST_F(ServerSelectorTest, WhereAllRestTheFirstToHaveRestedIsTold) {
+  const BootTime first = now_ + milliseconds(700);
+  selector_.OnRestAsked("a", now_ + milliseconds(2000));
+  selector_.OnRestAsked("b", first);
+  selector_.OnRestAsked("c", now_ + milliseconds(1000));
+  Demand demand = Generation(100, 100);
+  EXPECT_EQ(selector_.EarliestEndOfRest(directory_, demand, now_), first);
+  // What cannot go there does not wait for it.
+  demand.excluded.insert("b");
+  EXPECT_EQ(selector_.EarliestEndOfRest(directory_, demand, now_),
+            now_ + milliseconds(1000));
+}
+
+TEST_F(ServerSelectorTest, ARestOutlivesTheMemoryOfOutcomes) {
+  selector_.OnRestAsked("a", now_ + std::chrono::minutes(5));
+  now_ += std::chrono::minutes(4);
+  selector_.DropIdle(now_);
+  EXPECT_TRUE(selector_.IsResting("a", now_));
+}
+
 TEST_F(ServerSelectorTest, EnginesWithMuchToReadGetNoFurtherPrompt) {
   engine_.memory_tokens = 100000;
   const Demand prompt = Generation(6500, 10);
--- a/tests/platform/wire_dialect_test.cc
+++ b/tests/platform/wire_dialect_test.cc
@@ -127,6 +127,55 @@
   EXPECT_EQ(head.fields.Find("Response-Seal"), nullptr);
 }
 
+struct RestCase {
+  const char* value;
+  std::optional<milliseconds> rest;
+};
+
+void PrintTo(const RestCase& value, std::ostream* out) { *out << value.value; }
+
+class RestTest : public testing::TestWithParam<RestCase> {};
+
+TEST_P(RestTest, HasADefinedOutcome) {
+  http1::ResponseHead head;
+  head.status = 503;
+  head.fields.Add("Retry-After", GetParam().value);
+  EXPECT_EQ(WireDialect().ReadNotice(head).rest, GetParam().rest);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Values, RestTest,
+    testing::Values(RestCase{"2", milliseconds(2000)},
+                    RestCase{"0.25", milliseconds(250)},
+                    RestCase{"0.0001", milliseconds(1)},
+                    RestCase{"0", milliseconds(0)},
+                    RestCase{"-3", milliseconds(0)},
+                    RestCase{"1e300", std::chrono::minutes(10)},
+                    RestCase{"99999999999999999999", std::chrono::minutes(10)},
+                    RestCase{"", std::nullopt}, RestCase{"soon", std::nullopt},
+                    RestCase{"2s", std::nullopt}, RestCase{"nan", std::nullopt},
+                    RestCase{"inf", std::nullopt},
+                    RestCase{"Fri, 04 Dec 2026 09:00:00 GMT", std::nullopt}));
+
+TEST(WireDialectTest, OnlyARefusalAsksForTime) {
+  http1::ResponseHead head;
+  head.status = 200;
+  head.fields.Add("Retry-After", "2");
+  EXPECT_FALSE(WireDialect().ReadNotice(head).rest.has_value());
+}
+
+TEST(WireDialectTest, AnyAnswerMaySayThatItsServerLeaves) {
+  for (const int status : {200, 404, 421, 500, 503}) {
+    http1::ResponseHead head;
+    head.status = status;
+    EXPECT_FALSE(WireDialect().ReadNotice(head).leaving);
+    head.fields.Add("server-leaving", "1");
+    EXPECT_TRUE(WireDialect().ReadNotice(head).leaving);
+    head.fields.Set("Server-Leaving", "0");
+    EXPECT_FALSE(WireDialect().ReadNotice(head).leaving);
+  }
+}
+
 TEST(WireDialectTest, ReadsWhatACopyCameTo) {
   const WireDialect dialect;
   using migration::CopyResult;
