Let six gateways watch the store, and find out who is alive by asking

And who is alive was known by hearing everyone directly, which at 103 gateways takes longer than the silence that counts as death.

Change: - membership::WatchDuty: the first six by a common rank watch; the others stand by and learn changes from peers. While too few reach the store, one more steps in each 100 ms. - News of a revision goes to four gateways at once, who tell four each. - gossip::PeerTable asks one peer in each round and passes on who is suspected, lost or back (after SWIM); what an entry sends does not grow with the fleet.

Ruled out: passing on when each peer was last heard.

Tests: membership_scale_test (5, 24, 103, 380 entries, 5% of datagrams lost), watch_duty_test, and the table's own. Three tests of the table were replaced, since the time of silence is no figure of it any more: who gives no sign of life is still lost within 2 s (SilenceIsNoticedOnceAndHealed), a load is still a sign of life.

At 380 entries a quarter that dies at once is known after 2 s, not within.

--- a/libraries/gossip/digest.h
+++ b/libraries/gossip/digest.h
@@ -15,6 +15,21 @@
 
 namespace balsam::gossip {
 
+// What an entry knows of another one, passed on.
+struct PeerNews {
+  // In the order in which one overrides another of the same standing.
+  enum class State : std::uint8_t { kAlive, kSuspected, kLost };
+
+  // A dotted IPv4 address.
+  std::string ip;
+  // Counts up whenever an older word of the entry is to be overridden: it was
+  // heard again, or what it says of itself changed.
+  std::uint32_t standing = 0;
+  State state = State::kAlive;
+  // It reached the store all the while lately.
+  bool reaches_store = false;
+};
+
 // Its sender is known by the address that it comes from.
 struct Digest {
   // Counts up with each digest of one process.
@@ -25,8 +40,12 @@
   std::uint64_t revision = 0;
   // It reached the store all the while lately.
   bool reaches_store = false;
-  // Addresses of other entries heard from.
-  std::vector<std::string> peers;
+  // Of the sender, as in news of it.
+  std::uint32_t standing = 0;
+  // The sender wants a digest in return, at once.
+  bool wants_answer = false;
+  // Of other entries.
+  std::vector<PeerNews> news;
   // Backend servers that said, when asked, that they leave.
   std::vector<std::string> leaving_servers;
   // Fingerprints of requests that crashed servers, with the crashes seen.
@@ -46,9 +65,11 @@
 using Message = std::variant<Digest, LoadUpdate>;
 
 // CBOR (RFC 8949).
+std::string Encode(const std::vector<PeerNews>& list);
 std::string Encode(const Digest& digest);
 std::string Encode(const LoadUpdate& update);
 // Fails with kInvalidPeerMessage.
 Result<Message> Decode(std::string_view bytes);
+Result<std::vector<PeerNews>> DecodeNews(std::string_view bytes);
 
 }  // namespace balsam::gossip
--- a/libraries/gossip/peer_table.cc
+++ b/libraries/gossip/peer_table.cc
@@ -1,124 +1,286 @@
-// Liveness of peers and the choice of whom to tell.
+// Liveness of peers, the news of it, and the choice of whom to tell.
 #include "libraries/gossip/peer_table.h"
 
 #include <algorithm>
+#include <bit>
+#include <utility>
+
+#include "libraries/membership/rendezvous.h"
 
 namespace balsam::gossip {
 namespace {
 
-// Silent addresses that are tried in one round.
-constexpr std::size_t kSilentTried = 2;
+using State = PeerNews::State;
 
-}  // namespace
+// News is told in so many digests for each doubling of the fleet; in SWIM's
+// analysis three leave less than one entry in a thousand without it.
+constexpr std::size_t kTellingsPerDoubling = 3;
+// A round that comes this late was not late alone: this process stood still,
+// and what it did not hear meanwhile tells nothing.
+constexpr std::chrono::milliseconds kStoodStill{600};
 
-bool PeerTable::IsAlive(const Peer& peer, BootTime now) const {
-  return peer.heard != BootTime{} && now - peer.heard < limits_.silence;
+bool Overrides(const PeerNews& news, std::uint32_t standing, State state) {
+  if (news.standing != standing) return news.standing > standing;
+  return news.state > state;
 }
 
-void PeerTable::Learn(const std::string& ip, BootTime now) {
-  if (ip.empty() || ip == own_ip_) return;
+}  // namespace
+
+PeerTable::Peer* PeerTable::Learn(const std::string& ip, BootTime now) {
+  if (ip.empty() || ip == own_ip_) return nullptr;
   const auto [found, added] = peers_.try_emplace(ip);
-  if (added) found->second.learned = now;
+  if (added) {
+    found->second.since = now;
+    learned_ = true;
+  }
+  return &found->second;
 }
 
 void PeerTable::SetSeeds(const std::vector<std::string>& ips, BootTime now) {
   for (auto& [ip, peer] : peers_) peer.is_seed = false;
   for (const std::string& ip : ips) {
-    Learn(ip, now);
-    if (const auto found = peers_.find(ip); found != peers_.end()) {
-      found->second.is_seed = true;
-    }
+    if (Peer* peer = Learn(ip, now); peer != nullptr) peer->is_seed = true;
   }
 }
 
+void PeerTable::SetReachesStore(bool reaches_store) {
+  if (std::exchange(own_reaches_store_, reaches_store) == reaches_store) return;
+  ++own_standing_;
+}
+
+void PeerTable::SetState(Peer& peer, State state, BootTime now) {
+  if (IsAlive(peer) && state == State::kLost) peer.lost_untold = true;
+  if (state == State::kAlive) peer.lost_untold = false;
+  peer.state = state;
+  peer.since = now;
+}
+
+void PeerTable::Tell(Peer& peer) {
+  peer.left_to_tell = kTellingsPerDoubling * std::bit_width(peers_.size() + 1);
+}
+
+void PeerTable::OnHeard(Peer& peer, BootTime now) {
+  peer.heard = now;
+  if (peer.state == State::kAlive) return;
+  // Overrides whatever said that it is away.
+  ++peer.standing;
+  SetState(peer, State::kAlive, now);
+  Tell(peer);
+}
+
 PeerTable::News PeerTable::OnDigest(const std::string& ip, const Digest& digest,
                                     BootTime now) {
-  if (ip == own_ip_) return News::kNone;
-  Learn(ip, now);
-  Peer& peer = peers_[ip];
-  const bool restarted = peer.incarnation != digest.incarnation;
-  if (!restarted && digest.sequence <= peer.sequence) return News::kNone;
-  const bool joined = !peer.reported_alive;
-  const bool known = peer.incarnation != 0;
-  peer.incarnation = digest.incarnation;
-  peer.sequence = digest.sequence;
-  peer.reaches_store = digest.reaches_store;
-  peer.heard = now;
-  peer.reported_alive = true;
-  for (const std::string& named : digest.peers) Learn(named, now);
+  Peer* peer = Learn(ip, now);
+  if (peer == nullptr) return News::kNone;
+  const bool joined = !IsAlive(*peer);
+  OnHeard(*peer, now);
+  if (digest.standing > peer->standing) {
+    peer->standing = digest.standing;
+    peer->reaches_store = digest.reaches_store;
+    Tell(*peer);
+  }
+  for (const PeerNews& news : digest.news) OnNews(news, now);
+  const bool restarted = peer->incarnation != digest.incarnation;
+  if (!restarted && digest.sequence <= peer->sequence) return News::kNone;
+  const bool known = peer->incarnation != 0;
+  peer->incarnation = digest.incarnation;
+  peer->sequence = digest.sequence;
+  // Of the same standing, or of one that its sender has not heard of.
+  peer->reaches_store = digest.reaches_store;
   if (restarted && known) return News::kRestarted;
   return joined ? News::kJoined : News::kNone;
 }
 
 bool PeerTable::OnLoadUpdate(const std::string& ip, std::uint64_t sequence,
                              BootTime now) {
-  if (ip == own_ip_) return false;
-  Learn(ip, now);
-  const auto found = peers_.find(ip);
-  if (found == peers_.end()) return false;
-  Peer& peer = found->second;
-  if (sequence <= peer.sequence) return false;
-  peer.sequence = sequence;
-  if (peer.reported_alive) peer.heard = now;
+  Peer* peer = Learn(ip, now);
+  if (peer == nullptr || sequence <= peer->sequence) return false;
+  peer->sequence = sequence;
+  if (IsAlive(*peer)) OnHeard(*peer, now);
   return true;
 }
 
-std::vector<std::string> PeerTable::TakeSilent(BootTime now) {
-  std::vector<std::string> silent;
+void PeerTable::OnNewsOfSelf(const PeerNews& news) {
+  const bool is_wrong = news.state != State::kAlive ||
+                        news.reaches_store != own_reaches_store_;
+  if (news.standing > own_standing_) own_standing_ = news.standing;
+  if (is_wrong && news.standing == own_standing_) ++own_standing_;
+}
+
+void PeerTable::OnNews(const PeerNews& news, BootTime now) {
+  if (news.ip == own_ip_) {
+    OnNewsOfSelf(news);
+    return;
+  }
+  Peer* peer = Learn(news.ip, now);
+  if (peer == nullptr || !Overrides(news, peer->standing, peer->state)) return;
+  peer->standing = news.standing;
+  Tell(*peer);
+  if (news.state != State::kAlive && now - peer->heard < limits_.recent) {
+    ++peer->standing;
+    SetState(*peer, State::kAlive, now);
+    return;
+  }
+  peer->reaches_store = news.reaches_store;
+  if (news.state != peer->state) SetState(*peer, news.state, now);
+}
+
+void PeerTable::OnList(const std::vector<PeerNews>& list, BootTime now) {
+  for (const PeerNews& news : list) OnNews(news, now);
+}
+
+std::vector<std::string> PeerTable::TakeLost(BootTime now) {
+  const bool stood_still =
+      last_round_ != BootTime{} && now - last_round_ > kStoodStill;
+  last_round_ = now;
+  if (stood_still) asked_.clear();
+  if (const auto found = peers_.find(asked_);
+      found != peers_.end() && asked_rounds_ >= limits_.rounds_asked) {
+    Peer& peer = found->second;
+    if (peer.state == State::kAlive && peer.heard < asked_since_) {
+      SetState(peer, State::kSuspected, now);
+      Tell(peer);
+    }
+    asked_.clear();
+  }
+  std::vector<std::string> lost;
   for (auto& [ip, peer] : peers_) {
-    if (!peer.reported_alive || IsAlive(peer, now)) continue;
-    peer.reported_alive = false;
-    peer.learned = now;
-    silent.push_back(ip);
+    if (peer.state == State::kSuspected) {
+      if (stood_still) peer.since = now;
+      if (now - peer.since >= limits_.suspicion_time) {
+        SetState(peer, State::kLost, now);
+        Tell(peer);
+      }
+    }
+    if (std::exchange(peer.lost_untold, false)) lost.push_back(ip);
   }
   std::erase_if(peers_, [&](const auto& item) {
     const Peer& peer = item.second;
-    return !peer.is_seed && !IsAlive(peer, now) &&
-           now - std::max(peer.heard, peer.learned) > limits_.memory;
+    return !peer.is_seed && !IsAlive(peer) &&
+           now - peer.since > limits_.memory;
   });
-  return silent;
+  return lost;
 }
 
-std::vector<std::string> PeerTable::Targets(BootTime now, std::size_t most) {
-  std::vector<std::string> targets = AliveAfter(last_target_, now);
+std::vector<std::string> PeerTable::NextTargets(std::size_t most) {
+  std::vector<std::string> targets = AliveAfter(last_target_);
   if (targets.size() > most) targets.resize(most);
   if (!targets.empty()) last_target_ = targets.back();
+  return targets;
+}
+
+std::vector<std::string> PeerTable::Targets(std::size_t most) {
+  std::vector<std::string> targets = NextTargets(most);
   std::vector<std::string> silent;
   for (const auto& [ip, peer] : peers_) {
-    if (!IsAlive(peer, now)) silent.push_back(ip);
+    if (!IsAlive(peer)) silent.push_back(ip);
   }
-  std::ranges::shuffle(silent, random_);
-  if (silent.size() > kSilentTried) silent.resize(kSilentTried);
-  std::ranges::copy(silent, std::back_inserter(targets));
+  std::ranges::sample(silent, std::back_inserter(targets), 1, random_);
   return targets;
 }
 
-std::vector<std::string> PeerTable::Alive(BootTime now) const {
+std::optional<std::string> PeerTable::TakeAsked(BootTime now) {
+  const auto found = peers_.find(asked_);
+  const bool still_silent = found != peers_.end() && IsAlive(found->second) &&
+                            found->second.heard < asked_since_;
+  if (!still_silent) {
+    std::vector<std::string> next;
+    std::ranges::sample(Alive(), std::back_inserter(next), 1, random_);
+    if (next.empty()) return std::nullopt;
+    asked_ = next.front();
+    asked_since_ = now;
+    asked_rounds_ = 0;
+  }
+  ++asked_rounds_;
+  return asked_;
+}
+
+std::vector<PeerNews> PeerTable::TakeNews(std::size_t readers) {
+  std::vector<std::pair<std::size_t, const std::string*>> untold;
+  for (const auto& [ip, peer] : peers_) {
+    if (peer.left_to_tell > 0) untold.emplace_back(peer.left_to_tell, &ip);
+  }
+  // What was told least goes first.
+  const std::size_t most = std::min(untold.size(), limits_.told_news);
+  std::ranges::partial_sort(untold, untold.begin() + static_cast<long>(most),
+                            std::greater<>());
+  untold.resize(most);
+  std::vector<PeerNews> told;
+  for (const auto& [left, ip] : untold) {
+    Peer& peer = peers_[*ip];
+    peer.left_to_tell -= std::min(readers, left);
+    told.push_back({*ip, peer.standing, peer.state, peer.reaches_store});
+  }
+  return told;
+}
+
+std::vector<PeerNews> PeerTable::List() const {
+  std::vector<PeerNews> list;
+  for (const auto& [ip, peer] : peers_) {
+    if (!IsAlive(peer)) continue;
+    list.push_back({ip, peer.standing, peer.state, peer.reaches_store});
+  }
+  list.push_back({own_ip_, own_standing_, State::kAlive, own_reaches_store_});
+  return list;
+}
+
+std::optional<std::string> PeerTable::TakeListSource(BootTime now) {
+  const auto wait =
+      learned_ ? limits_.list_while_learning : limits_.list_in_any_case;
+  if (now - list_asked_ < wait) return std::nullopt;
+  std::vector<std::string> source;
+  std::ranges::sample(Alive(), std::back_inserter(source), 1, random_);
+  if (source.empty()) return std::nullopt;
+  list_asked_ = now;
+  learned_ = false;
+  return source.front();
+}
+
+std::vector<std::string> PeerTable::Alive() const {
   std::vector<std::string> alive;
   for (const auto& [ip, peer] : peers_) {
-    if (IsAlive(peer, now)) alive.push_back(ip);
+    if (IsAlive(peer)) alive.push_back(ip);
   }
   return alive;
 }
 
-std::vector<std::string> PeerTable::AliveAfter(const std::string& last,
-                                               BootTime now) const {
-  std::vector<std::string> alive = Alive(now);
+std::vector<std::string> PeerTable::AliveAfter(const std::string& last) const {
+  std::vector<std::string> alive = Alive();
   std::ranges::rotate(alive, std::ranges::upper_bound(alive, last));
   return alive;
 }
 
-std::vector<std::string> PeerTable::Named(BootTime now) {
-  std::vector<std::string> named = Alive(now);
-  std::ranges::shuffle(named, random_);
-  if (named.size() > limits_.named_peers) named.resize(limits_.named_peers);
-  return named;
+bool PeerTable::IsAlive(const std::string& ip) const {
+  const auto found = peers_.find(ip);
+  return found != peers_.end() && IsAlive(found->second);
+}
+
+bool PeerTable::AnyReachesStore() const {
+  return std::ranges::any_of(peers_, [](const auto& item) {
+    return IsAlive(item.second) && item.second.reaches_store;
+  });
 }
 
-bool PeerTable::AnyReachesStore(BootTime now) const {
-  return std::ranges::any_of(peers_, [&](const auto& item) {
-    return IsAlive(item.second, now) && item.second.reaches_store;
+template <typename Counts>
+std::size_t PeerTable::RankedBefore(std::string_view key,
+                                    Counts&& counts) const {
+  std::vector<std::string> ranked = {own_ip_};
+  for (const auto& [ip, peer] : peers_) {
+    if (counts(peer)) ranked.push_back(ip);
+  }
+  const auto order = membership::RendezvousOrder(key, std::move(ranked));
+  return static_cast<std::size_t>(std::ranges::find(order, own_ip_) -
+                                  order.begin());
+}
+
+std::size_t PeerTable::StoreReachersBefore(std::string_view key) const {
+  return RankedBefore(key, [](const Peer& peer) {
+    return IsAlive(peer) && peer.reaches_store;
   });
 }
 
+std::size_t PeerTable::PeersBefore(std::string_view key) const {
+  return RankedBefore(key, [](const Peer& peer) { return IsAlive(peer); });
+}
+
 }  // namespace balsam::gossip
--- a/libraries/gossip/peer_table.h
+++ b/libraries/gossip/peer_table.h
@@ -1,10 +1,14 @@
 // The other entries: found through seeds, which may be stale, and through what
-// peers say of each other; alive while they are heard.
+// peers say of each other. Who is away is found out by asking one peer in each
+// round, and told on as news, so that what an entry sends and how soon it knows
+// do not depend on the size of the fleet (A. Das, I. Gupta, A. Motivala: SWIM,
+// DSN 2002; here a suspicion is also refuted by whoever hears the suspected).
 #pragma once
 
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -17,64 +21,127 @@
 class PeerTable {
  public:
   struct Limits {
-    // A peer that is not heard for this long is taken to be away.
-    std::chrono::milliseconds silence{1500};
+    // A peer that was asked in so many rounds and gave no sign of life is
+    // suspected. Datagrams are lost, and each suspicion is told to all.
+    int rounds_asked = 4;
+    // A suspected peer is lost unless someone hears it within this time, which
+    // is enough for the word to go round and back.
+    std::chrono::milliseconds suspicion_time{600};
+    // Whoever heard a peer this lately does not believe that it is away.
+    std::chrono::milliseconds recent{300};
     // An address that does not answer is forgotten after this time, unless it
     // is a seed.
     std::chrono::milliseconds memory{20000};
-    // Addresses named in one digest: a new one is known everywhere within a
-    // few rounds.
-    std::size_t named_peers = 4;
+    // News in one digest.
+    std::size_t told_news = 16;
+    // A list of all is asked for this long after the last one if there were new
+    // addresses since; news alone would take long where many join at once.
+    std::chrono::milliseconds list_while_learning{200};
+    // And after this time in any case, so that parts of a fleet that lost each
+    // other meet again.
+    std::chrono::milliseconds list_in_any_case{10000};
   };
 
   PeerTable(std::string own_ip, Limits limits, std::uint64_t seed)
       : own_ip_(std::move(own_ip)), limits_(limits), random_(seed) {}
 
   void SetSeeds(const std::vector<std::string>& ips, BootTime now);
+  // Whether this entry reached the store all the while lately.
+  void SetReachesStore(bool reaches_store);
 
   enum class News { kNone, kJoined, kRestarted };
-  // Takes a digest; an older one of the same life changes nothing.
+  // Takes a digest; an older one of the same life changes nothing but is a sign
+  // of life.
   News OnDigest(const std::string& ip, const Digest& digest, BootTime now);
   // A peer told its load; false if something newer came before. The load of one
   // that was not heard yet counts, too, since it is told only once; it is alive
   // from its first digest on.
   bool OnLoadUpdate(const std::string& ip, std::uint64_t sequence,
                     BootTime now);
-  // Peers that fell silent since the last call.
-  std::vector<std::string> TakeSilent(BootTime now);
+  // Takes all that another entry knows of.
+  void OnList(const std::vector<PeerNews>& list, BootTime now);
+  // Peers that were lost since the last call, which is to be made each round.
+  std::vector<std::string> TakeLost(BootTime now);
 
-  // Up to `most` addresses to send this round's digest to: peers that are
-  // alive, each in its turn; and a few of those that have not been heard.
-  std::vector<std::string> Targets(BootTime now, std::size_t most);
-  std::vector<std::string> Alive(BootTime now) const;
+  // Up to `most` addresses to send this round's digest to, each alive one in
+  // its turn; and one of those that have not been heard.
+  std::vector<std::string> Targets(std::size_t most);
+  // The same without one that was not heard.
+  std::vector<std::string> NextTargets(std::size_t most);
+  // A peer to be asked for a digest in this round, the last one again unless it
+  // was heard since; nothing if there is none.
+  std::optional<std::string> TakeAsked(BootTime now);
+  // The news to tell in a digest that goes to so many readers.
+  std::vector<PeerNews> TakeNews(std::size_t readers);
+  // Another entry to ask for its list; nothing if it is not time.
+  std::optional<std::string> TakeListSource(BootTime now);
+  std::vector<PeerNews> List() const;
+
+  std::vector<std::string> Alive() const;
   // The same, beginning with the one behind `last`: who was not reached in one
   // round goes first in the next.
-  std::vector<std::string> AliveAfter(const std::string& last,
-                                      BootTime now) const;
+  std::vector<std::string> AliveAfter(const std::string& last) const;
+  bool IsAlive(const std::string& ip) const;
   // Whether any peer that is alive reached the store all the while lately.
-  bool AnyReachesStore(BootTime now) const;
-  // Alive addresses to name to others.
-  std::vector<std::string> Named(BootTime now);
+  bool AnyReachesStore() const;
+  // How many of those rank before this entry for `key`; how many of all that
+  // are alive do.
+  std::size_t StoreReachersBefore(std::string_view key) const;
+  std::size_t PeersBefore(std::string_view key) const;
+
+  std::uint32_t own_standing() const { return own_standing_; }
+  bool own_reaches_store() const { return own_reaches_store_; }
 
  private:
   struct Peer {
+    // Of its last digest; zero if none came.
     std::uint64_t incarnation = 0;
     std::uint64_t sequence = 0;
+    // What is known, by others too. An address that was only named is lost with
+    // a standing of zero, which any news overrides.
+    std::uint32_t standing = 0;
+    PeerNews::State state = PeerNews::State::kLost;
     bool reaches_store = false;
-    // Zero if it was never heard.
+    // Since when it is suspected or lost.
+    BootTime since;
+    // When it was last heard by this entry itself; zero if it never was.
     BootTime heard;
-    BootTime learned;
     bool is_seed = false;
-    bool reported_alive = false;
+    // Datagrams that are still to carry its news.
+    std::size_t left_to_tell = 0;
+    // `TakeLost` has to return it.
+    bool lost_untold = false;
   };
 
-  bool IsAlive(const Peer& peer, BootTime now) const;
-  void Learn(const std::string& ip, BootTime now);
+  static bool IsAlive(const Peer& peer) {
+    return peer.state != PeerNews::State::kLost;
+  }
+  Peer* Learn(const std::string& ip, BootTime now);
+  // It was heard by this entry itself.
+  void OnHeard(Peer& peer, BootTime now);
+  void OnNews(const PeerNews& news, BootTime now);
+  void OnNewsOfSelf(const PeerNews& news);
+  void SetState(Peer& peer, PeerNews::State state, BootTime now);
+  // Of the peers for which `counts` holds.
+  template <typename Counts>
+  std::size_t RankedBefore(std::string_view key, Counts&& counts) const;
+  // Its news is to be told as often as the fleet's size asks for.
+  void Tell(Peer& peer);
 
   std::string own_ip_;
   Limits limits_;
   std::minstd_rand random_;
   std::map<std::string, Peer> peers_;
+  std::uint32_t own_standing_ = 1;
+  bool own_reaches_store_ = false;
+  // The peer that is being asked, since when, and in how many rounds.
+  std::string asked_;
+  BootTime asked_since_;
+  int asked_rounds_ = 0;
+  BootTime last_round_;
+  // When the list was last asked for, and whether an address was new since.
+  BootTime list_asked_;
+  bool learned_ = true;
   // The last peer whose turn it was.
   std::string last_target_;
 };
--- a/libraries/gossip/send_allowance.h
+++ b/libraries/gossip/send_allowance.h
@@ -16,15 +16,18 @@
   explicit SendAllowance(double bytes_per_second)
       : bytes_per_second_(bytes_per_second), left_(bytes_per_second) {}
 
-  // How many of `wanted` messages of `bytes` each may be sent now. One always
-  // may, so that a process is heard at all.
-  std::size_t Take(std::size_t bytes, std::size_t wanted, BootTime now) {
+  // How many messages of `bytes` each may be sent now. One always may, so that
+  // a process is heard at all.
+  std::size_t Affordable(std::size_t bytes, BootTime now) {
     Refill(now);
-    const double affordable = std::max(left_ / static_cast<double>(bytes), 1.0);
-    const std::size_t sent =
-        std::min(wanted, static_cast<std::size_t>(affordable));
-    left_ -= static_cast<double>(sent * bytes);
-    return sent;
+    return static_cast<std::size_t>(
+        std::max(left_ / static_cast<double>(bytes), 1.0));
+  }
+
+  // So much is sent whatever is left; later messages make up for it.
+  void Spend(std::size_t bytes, BootTime now) {
+    Refill(now);
+    left_ -= static_cast<double>(bytes);
   }
 
   // Takes one message, if it may be sent now.
--- a/services/gateway/gateway_node.cc
+++ b/services/gateway/gateway_node.cc
@@ -178,10 +178,12 @@
 
 void GatewayNode::OnStoreChanges(const std::vector<RevisionedEntry>& changes,
                                  std::uint64_t store_revision) {
+  const std::uint64_t before = replica_.revision();
   for (const RevisionedEntry& entry : changes) {
     if (replica_.Apply(entry)) OnEntry(entry);
   }
   replica_.AdvanceTo(store_revision);
+  if (replica_.revision() > before) peers_.TellNews();
 }
 
 void GatewayNode::OnStoreSnapshot(const std::vector<RevisionedEntry>& entries,
@@ -193,7 +195,9 @@
 milliseconds GatewayNode::WatchPause() const {
   return std::min(
       kLongestWatchPause,
-      kWatchPausePerGateway * static_cast<std::int64_t>(context_.gateways - 1));
+      kWatchPausePerGateway *
+          static_cast<std::int64_t>(
+              std::min(context_.gateways, watch_duty_.limits().watchers) - 1));
 }
 
 void GatewayNode::OnStoreAvailable(bool available) {
@@ -205,6 +209,16 @@
       .With("revision", replica_.revision());
 }
 
+void GatewayNode::OnStoreLeftToOthers() {
+  store_available_ = false;
+  LogEvent("store_left_to_others").With("revision", replica_.revision());
+}
+
+bool GatewayNode::IsOnWatchDuty() {
+  return watch_duty_.IsOn(peers_.WatchersBefore(), peers_.GatewaysBefore(),
+                          BootClock::now());
+}
+
 bool GatewayNode::ReachesStore() const {
   return store_available_ && BootClock::now() - store_returned_ >= kReturnTime;
 }
@@ -345,7 +359,9 @@
   const BootTime now = BootClock::now();
   std::vector<std::string> gateways = peers_.Alive();
   gateways.push_back(settings_.ip);
-  const bool urgent = !store_available_ || now < store_behind_until_;
+  const bool urgent =
+      (!store_available_ && !peers_.AnyReachesStore()) ||
+      now < store_behind_until_;
   report_poller_.Poll(settings_.ip, gateways, urgent, now);
   std::erase_if(reported_leaving_, [&](const auto& item) {
     if (now - item.second <= kLeavingMemory) return false;
--- a/services/gateway/gateway_node.h
+++ b/services/gateway/gateway_node.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "libraries/base/error.h"
+#include "libraries/membership/watch_duty.h"
 #include "libraries/revisions/revisioned_map.h"
 #include "services/gateway/client_connection.h"
 #include "services/gateway/gateway_context.h"
@@ -43,6 +44,12 @@
   void OnStoreSnapshot(const std::vector<revisions::RevisionedEntry>& entries,
                        std::uint64_t store_revision);
   void OnStoreAvailable(bool available);
+  // The store's client stands by, since enough other gateways watch.
+  void OnStoreLeftToOthers();
+  // Whether the store's client is to watch.
+  bool IsOnWatchDuty();
+  // All changes up to this revision are known.
+  std::uint64_t known_revision() const { return replica_.revision(); }
 
   // How long the store's client rests after each answer of a watch.
   std::chrono::milliseconds WatchPause() const;
@@ -105,6 +112,7 @@
   BootTime configured_;
   // The store answered the last call.
   bool store_available_ = false;
+  membership::WatchDuty watch_duty_{{}};
   // When it was last seen to come back.
   BootTime store_returned_;
   // Until when it counts as behind: an engine told what it had not.
--- a/services/gateway/peer_exchange.cc
+++ b/services/gateway/peer_exchange.cc
@@ -16,15 +16,15 @@
 
 using std::chrono::milliseconds;
 
-// Between two rounds of digests.
-constexpr milliseconds kDigestInterval{150};
+// Between two rounds of digests; in each, one peer is asked whether it lives.
+constexpr milliseconds kDigestInterval{100};
 // Between two looks at what changed of the load. Changes of one moment share a
 // message, and are known elsewhere before the next request comes.
 constexpr milliseconds kLoadInterval{20};
 // Of all digests but urgent ones, which are rare, and of loads. Together the
 // bound on a node's control traffic (docs/CAPACITY.md), less what pulled
 // changes take.
-constexpr double kDigestBytesPerSecond = 4000.0;
+constexpr double kDigestBytesPerSecond = 3000.0;
 constexpr double kLoadBytesPerSecond = 5000.0;
 // Fingerprints of requests that crashed servers in one digest; all have their
 // turn within a few.
@@ -34,7 +34,16 @@
 constexpr milliseconds kLeavingTold{1000};
 // A peer answers a pull within this time, or another one is asked.
 constexpr milliseconds kPullTime{1000};
+// Time for the connection of a pull: gateways are milliseconds apart, and one
+// that does not answer is left for another.
+constexpr milliseconds kPullConnectTime{200};
+// Gateways that are told at once of news, and tell as many: five steps reach
+// hundreds, and a digest in turn the few that were missed.
+constexpr std::size_t kNewsReaders = 4;
 constexpr std::string_view kChangesTarget = "/changes?after=";
+constexpr std::string_view kListTarget = "/gateways";
+// By which gateways are ranked to watch the store.
+constexpr std::string_view kWatcherRank = "store";
 
 QHostAddress Address(const std::string& ip) {
   return QHostAddress(QString::fromStdString(ip));
@@ -81,24 +90,31 @@
   const bool is_news =
       told_leaving_.insert_or_assign(server_id, BootClock::now()).second;
   // Each tenth of a second counts for what runs there.
-  if (is_news) SendDigest(true);
+  if (is_news) SendDigest(peers_.Alive(), false);
 }
 
-std::vector<std::string> PeerExchange::Alive() const {
-  return peers_.Alive(BootClock::now());
+std::size_t PeerExchange::WatchersBefore() const {
+  return peers_.StoreReachersBefore(kWatcherRank);
 }
 
-bool PeerExchange::AnyReachesStore() const {
-  return peers_.AnyReachesStore(BootClock::now());
+std::size_t PeerExchange::GatewaysBefore() const {
+  return peers_.PeersBefore(kWatcherRank);
 }
 
-void PeerExchange::SendDigest(bool urgent) {
+void PeerExchange::TellNews() {
+  SendDigest(peers_.NextTargets(kNewsReaders), false);
+}
+
+void PeerExchange::SendDigest(const std::vector<std::string>& readers,
+                              bool wants_answer) {
+  if (readers.empty()) return;
   const BootTime now = BootClock::now();
-  const std::string bytes = gossip::Encode(MakeDigest(now));
-  const std::size_t alive = peers_.Alive(now).size();
-  const std::size_t most =
-      urgent ? alive : digest_allowance_.Take(bytes.size(), alive, now);
-  for (const std::string& ip : peers_.Targets(now, most)) {
+  gossip::Digest digest = MakeDigest(readers.size(), now);
+  digest.wants_answer = wants_answer;
+  const std::string bytes = gossip::Encode(digest);
+  digest_bytes_ = bytes.size();
+  digest_allowance_.Spend(bytes.size() * readers.size(), now);
+  for (const std::string& ip : readers) {
     socket_.writeDatagram(bytes.data(), static_cast<qint64>(bytes.size()),
                           Address(ip), identity_.gossip_port);
   }
@@ -109,12 +125,19 @@
   std::erase_if(told_leaving_, [now](const auto& item) {
     return now - item.second > kLeavingTold;
   });
-  SendDigest(false);
-  for (const std::string& ip : peers_.TakeSilent(now)) {
-    LogEvent("peer_lost", LogEvent::Level::kWarning).With("peer", ip);
+  peers_.SetReachesStore(reaches_store());
+  for (const std::string& ip : peers_.TakeLost(now)) {
+    LogEvent("peer_lost", LogEvent::Level::kWarning)
+        .With("peer", ip)
+        .With("alive", peers_.Alive().size());
     load_journal_.Forget(ip);
   }
-  CountGateways(now);
+  if (const auto asked = peers_.TakeAsked(now)) SendDigest({*asked}, true);
+  const std::size_t most = digest_allowance_.Affordable(
+      std::max<std::size_t>(digest_bytes_, 1), now);
+  SendDigest(peers_.Targets(most), false);
+  if (const auto source = peers_.TakeListSource(now)) PullList(*source);
+  CountGateways();
 }
 
 void PeerExchange::SendLoad() {
@@ -123,7 +146,7 @@
   if (std::exchange(journaled_changes_, changes) != changes) {
     load_journal_.Update(context_.selector.OwnUsage(now));
   }
-  for (const std::string& ip : peers_.AliveAfter(last_told_, now)) {
+  for (const std::string& ip : peers_.AliveAfter(last_told_)) {
     if (!load_journal_.HasNewsFor(ip, now)) continue;
     gossip::LoadJournal::News news = load_journal_.NewsFor(ip, now);
     const std::string bytes = gossip::Encode(
@@ -136,13 +159,14 @@
   }
 }
 
-gossip::Digest PeerExchange::MakeDigest(BootTime now) {
+gossip::Digest PeerExchange::MakeDigest(std::size_t readers, BootTime now) {
   gossip::Digest digest;
   digest.incarnation = incarnation_;
   digest.sequence = ++sequence_;
   digest.revision = replica_.revision();
-  digest.reaches_store = reaches_store();
-  digest.peers = peers_.Named(now);
+  digest.reaches_store = peers_.own_reaches_store();
+  digest.standing = peers_.own_standing();
+  digest.news = peers_.TakeNews(readers);
   for (const auto& [server_id, heard] : told_leaving_) {
     digest.leaving_servers.push_back(server_id);
   }
@@ -157,8 +181,8 @@
   return digest;
 }
 
-void PeerExchange::CountGateways(BootTime now) {
-  const std::size_t gateways = peers_.Alive(now).size() + 1;
+void PeerExchange::CountGateways() {
+  const std::size_t gateways = peers_.Alive().size() + 1;
   if (std::exchange(context_.gateways, gateways) == gateways) return;
   for (auto& [service, budget] : context_.retry_budgets) {
     budget.SetEntries(gateways);
@@ -221,36 +245,71 @@
   for (const auto& [fingerprint, crashes] : digest.crashes) {
     context_.suspicions.Learn(fingerprint, crashes, now);
   }
+  if (digest.wants_answer) SendDigest({sender}, false);
   if (digest.revision > replica_.revision()) PullFrom(sender);
 }
 
-void PeerExchange::PullFrom(const std::string& ip) {
-  if (pull_ != nullptr) return;
-  pull_ = new OutboundConnection({ip, identity_.changes.port}, {}, this);
+OutboundConnection* PeerExchange::Pull(
+    const std::string& ip, const std::string& target,
+    std::function<void(const std::string& body)> on_body,
+    std::function<void()> on_end) {
+  auto* connection = new OutboundConnection({ip, identity_.changes.port},
+                                            {kPullConnectTime}, this);
   http1::RequestHead head;
   head.method = "GET";
-  head.target =
-      std::string(kChangesTarget) + std::to_string(replica_.revision());
+  head.target = target;
   head.fields.Add("Host", identity_.changes.ToString());
   head.fields.Add("Connection", "close");
-  pull_->Call(http1::Serialize(head, {}), kPullTime,
-              [this, ip](const OutboundConnection::Answer& answer) {
-                std::exchange(pull_, nullptr)->deleteLater();
-                OnPulled(ip, answer);
-              });
+  connection->Call(
+      http1::Serialize(head, {}), kPullTime,
+      [connection, ip, on_body = std::move(on_body),
+       on_end = std::move(on_end)](const OutboundConnection::Answer& answer) {
+        connection->deleteLater();
+        on_end();
+        if (answer.end == OutboundConnection::End::kComplete) {
+          on_body(answer.body);
+          return;
+        }
+        LogEvent("pull_failed", LogEvent::Level::kWarning)
+            .With("peer", ip)
+            .With("end", OutboundConnection::NameOf(answer.end));
+      });
+  return connection;
 }
 
-void PeerExchange::OnPulled(const std::string& ip,
-                            const OutboundConnection::Answer& answer) {
-  if (answer.end != OutboundConnection::End::kComplete) {
-    LogEvent("pull_failed", LogEvent::Level::kWarning)
-        .With("peer", ip)
-        .With("end", OutboundConnection::NameOf(answer.end));
-    return;
-  }
+void PeerExchange::PullList(const std::string& ip) {
+  if (list_pull_ != nullptr) return;
+  list_pull_ = Pull(
+      ip, std::string(kListTarget),
+      [this, ip](const std::string& body) {
+        TryOr(
+            [&]() -> Result<bool> {
+              BOOST_LEAF_AUTO(list, gossip::DecodeNews(body));
+              peers_.OnList(list, BootClock::now());
+              return true;
+            },
+            [&](const Error& error) {
+              LogEvent("list_refused", LogEvent::Level::kWarning)
+                  .With("peer", ip)
+                  .With("reason", error.detail);
+              return false;
+            });
+      },
+      [this] { list_pull_ = nullptr; });
+}
+
+void PeerExchange::PullFrom(const std::string& ip) {
+  if (pull_ != nullptr) return;
+  pull_ = Pull(
+      ip, std::string(kChangesTarget) + std::to_string(replica_.revision()),
+      [this, ip](const std::string& body) { OnChanges(ip, body); },
+      [this] { pull_ = nullptr; });
+}
+
+void PeerExchange::OnChanges(const std::string& ip, const std::string& body) {
   TryOr(
       [&]() -> Result<bool> {
-        BOOST_LEAF_AUTO(set, gossip::DecodeChangeSet(answer.body));
+        BOOST_LEAF_AUTO(set, gossip::DecodeChangeSet(body));
         LogEvent("changes_from_peer")
             .With("peer", ip)
             .With("changes", set.changes.size())
@@ -267,6 +326,9 @@
 }
 
 PlainAnswer PeerExchange::AnswerPull(const http1::RequestHead& head) const {
+  if (head.target == kListTarget) {
+    return {200, "application/cbor", gossip::Encode(peers_.List())};
+  }
   if (!head.target.starts_with(kChangesTarget)) return {404, "text/plain", {}};
   const std::string_view number =
       std::string_view(head.target).substr(kChangesTarget.size());
--- a/services/gateway/peer_exchange.h
+++ b/services/gateway/peer_exchange.h
@@ -45,10 +45,16 @@
   void TellLeaving(const std::string& server_id);
 
   // Addresses of the gateways that are heard, without this one's own.
-  std::vector<std::string> Alive() const;
+  std::vector<std::string> Alive() const { return peers_.Alive(); }
   // Whether any gateway that is heard reached the store all the while lately:
   // then the store was not away, whatever this gateway's own path to it did.
-  bool AnyReachesStore() const;
+  bool AnyReachesStore() const { return peers_.AnyReachesStore(); }
+  // How many gateways that reach the store rank before this one to watch it.
+  std::size_t WatchersBefore() const;
+  // How many do, whether they reach it or not.
+  std::size_t GatewaysBefore() const;
+  // The replica has something new: tells a few gateways, who tell others.
+  void TellNews();
   std::uint64_t incarnation() const { return incarnation_; }
 
   // Another gateway heard that a server leaves.
@@ -61,23 +67,27 @@
   std::function<bool()> reaches_store;
 
  private:
-  // Sends a digest to peers in their turn, as many as the allowance lets, and
-  // notices those that fell silent.
+  // Sends a digest to peers in their turn, as many as the allowance lets, asks
+  // one for its own, and notices those that were lost.
   void OnRound();
-  // `urgent`: to all peers, whatever the allowance.
-  void SendDigest(bool urgent);
+  void SendDigest(const std::vector<std::string>& readers, bool wants_answer);
   // Tells peers what changed of this gateway's load, as far as the allowance
   // lets; the others have their turn before these next time.
   void SendLoad();
-  gossip::Digest MakeDigest(BootTime now);
+  gossip::Digest MakeDigest(std::size_t readers, BootTime now);
   // Counts the gateways that share budgets.
-  void CountGateways(BootTime now);
+  void CountGateways();
   void OnDatagrams();
   void OnMessage(const gossip::Digest& digest, const std::string& sender);
   void OnMessage(const gossip::LoadUpdate& update, const std::string& sender);
+  // Asks `ip` for all gateways that it knows of.
+  void PullList(const std::string& ip);
   void PullFrom(const std::string& ip);
-  void OnPulled(const std::string& ip,
-                const OutboundConnection::Answer& answer);
+  // Calls a peer; `on_body` gets the body of a whole answer.
+  OutboundConnection* Pull(const std::string& ip, const std::string& target,
+                           std::function<void(const std::string& body)> on_body,
+                           std::function<void()> on_end);
+  void OnChanges(const std::string& ip, const std::string& body);
   PlainAnswer AnswerPull(const http1::RequestHead& head) const;
 
   Identity identity_;
@@ -102,6 +112,9 @@
   std::map<std::string, BootTime> told_leaving_;
   // The pull that is under way; null if none is.
   OutboundConnection* pull_ = nullptr;
+  OutboundConnection* list_pull_ = nullptr;
+  // Bytes of the last digest.
+  std::size_t digest_bytes_ = 0;
 };
 
 }  // namespace balsam::gateway
