--- a/libraries/dispatch/load_reports.cc
+++ b/libraries/dispatch/load_reports.cc
@@ -34,11 +34,15 @@
   std::erase_if(sums_, [&](const auto& item) {
     return now - item.second.heard > kSumLifetime;
   });
+  std::erase_if(unanswered_, [&](const auto& item) {
+    return now - item.second > kUnansweredTime;
+  });
 }
 
 void LoadReports::TakeSum(std::uint32_t server, const Usage& usage,
                           BootTime now) {
   sums_[server] = {usage, now};
+  unanswered_.erase(server);
 }
 
 std::optional<BootTime> LoadReports::SumHeard(std::uint32_t server) const {
@@ -49,9 +53,15 @@
 
 void LoadReports::DropServer(std::uint32_t server) {
   sums_.erase(server);
+  unanswered_.erase(server);
   for (auto& [entry, report] : reports_) report.usage.erase(server);
 }
 
+bool LoadReports::IsUnanswered(std::uint32_t server, BootTime now) const {
+  const auto found = unanswered_.find(server);
+  return found != unanswered_.end() && now - found->second <= kUnansweredTime;
+}
+
 Usage LoadReports::UsageOf(std::string_view server_id, BootTime now) const {
   const std::uint32_t server = ServerKey(server_id);
   const auto sum = sums_.find(server);
--- a/libraries/dispatch/load_reports.h
+++ b/libraries/dispatch/load_reports.h
@@ -36,10 +36,20 @@
   // (gossip::LoadJournal).
   static constexpr std::chrono::milliseconds kSumLifetime{6000};
 
+  // How long a keeper that did not answer is taken to be away; another one
+  // takes its books over soon after.
+  static constexpr std::chrono::milliseconds kUnansweredTime{1500};
+
   // The keeper of a server's book told the sum over all entries but this one.
   void TakeSum(std::uint32_t server, const Usage& usage, BootTime now);
   // When it last did.
   std::optional<BootTime> SumHeard(std::uint32_t server) const;
+  // The keeper was asked and did not answer.
+  void OnUnanswered(std::uint32_t server, BootTime now) {
+    unanswered_.insert_or_assign(server, now);
+  }
+  // Whether that is so of late, and nothing was heard since.
+  bool IsUnanswered(std::uint32_t server, BootTime now) const;
   // This entry keeps the server's book now; another one does.
   void DropSum(std::uint32_t server) { sums_.erase(server); }
   template <typename IsOwn>
@@ -76,6 +86,8 @@
   std::chrono::milliseconds lifetime_;
   std::map<std::string, Report> reports_;
   std::map<std::uint32_t, Sum> sums_;
+  // When a question about a server was last left without an answer.
+  std::map<std::uint32_t, BootTime> unanswered_;
 };
 
 }  // namespace balsam::dispatch
--- a/libraries/dispatch/server_selector.cc
+++ b/libraries/dispatch/server_selector.cc
@@ -38,6 +38,9 @@
 constexpr double kNoiseCandidate = 0.3;
 // Added for one that had no room when it was last told of.
 constexpr double kOldWordPenalty = 2.0;
+// Added for a server whose load nobody could tell when asked: one that is known
+// to have room goes first.
+constexpr double kUnansweredPenalty = 1.0;
 // A server that lapsed is chosen only where no ready one has room.
 constexpr double kLapsedPenalty = 100.0;
 
@@ -114,7 +117,10 @@
          (elsewhere ? (demand.is_transfer ? kOtherDataCenterTransfer
                                           : kOtherDataCenter)
                     : 0.0) +
-         (server.cold_until > now ? kColdPenalty : 0.0) + spread(random_);
+         (server.cold_until > now ? kColdPenalty : 0.0) +
+         (reports_.IsUnanswered(ServerKey(server.id), now) ? kUnansweredPenalty
+                                                           : 0.0) +
+         spread(random_);
 }
 
 bool ServerSelector::IsOldWord(const BackendServer& server, Obstacle obstacle,
--- a/libraries/gossip/change_set.cc
+++ b/libraries/gossip/change_set.cc
@@ -1,4 +1,5 @@
-// An array of the revision and the changes; a removed entry has no value.
+// An array of the revision, the changes, and whether they are all entries; a
+// removed entry has no value.
 #include "libraries/gossip/change_set.h"
 
 #include <nlohmann/json.hpp>
@@ -17,7 +18,8 @@
     changes.push_back(std::move(item));
   }
   std::string bytes;
-  json::to_cbor(json::array({set.revision, std::move(changes)}), bytes);
+  json::to_cbor(json::array({set.revision, std::move(changes), set.is_whole}),
+                bytes);
   return bytes;
 }
 
@@ -26,6 +28,7 @@
   try {
     ChangeSet set;
     set.revision = message.at(0).get<std::uint64_t>();
+    set.is_whole = message.at(2).get<bool>();
     for (const json& item : message.at(1)) {
       RevisionedEntry entry{item.at(0).get<std::string>(),
                             item.at(1).get<std::uint64_t>(), std::nullopt};
--- a/libraries/gossip/change_set.h
+++ b/libraries/gossip/change_set.h
@@ -16,6 +16,9 @@
   // All changes up to this revision are known once these are applied.
   std::uint64_t revision = 0;
   std::vector<revisions::RevisionedEntry> changes;
+  // These are all entries that there are, and not what changed: the sender does
+  // not remember every deletion that the reader lacks.
+  bool is_whole = false;
 };
 
 // CBOR (RFC 8949).
--- a/libraries/gossip/peer_table.cc
+++ b/libraries/gossip/peer_table.cc
@@ -204,7 +204,8 @@
     std::vector<std::string> next;
     std::ranges::sample(Alive(), std::back_inserter(next), 1, random_);
     if (next.empty()) return std::nullopt;
-    asked_ = next.front();
+    const std::string doubted = std::exchange(ask_next_, {});
+    asked_ = IsAlive(doubted) ? doubted : next.front();
     asked_since_ = now;
     asked_rounds_ = 0;
   }
--- a/libraries/gossip/peer_table.h
+++ b/libraries/gossip/peer_table.h
@@ -71,6 +71,8 @@
   // A peer to be asked for a digest in this round, the last one again unless it
   // was heard since; nothing if there is none.
   std::optional<std::string> TakeAsked(BootTime now);
+  // This peer did not answer something else: it is asked before others.
+  void AskNext(const std::string& ip) { ask_next_ = ip; }
   // The news to tell in a digest that goes to so many readers.
   std::vector<PeerNews> TakeNews(std::size_t readers);
   // Another entry to ask for its list; nothing if it is not time.
@@ -140,6 +142,8 @@
   std::string asked_;
   BootTime asked_since_;
   int asked_rounds_ = 0;
+  // The peer to ask when that is settled; empty: any.
+  std::string ask_next_;
   BootTime last_round_;
   // When a list was last asked for, and how many more are to be soon.
   BootTime list_asked_;
--- a/libraries/revisions/revisioned_map.cc
+++ b/libraries/revisions/revisioned_map.cc
@@ -8,7 +8,9 @@
 namespace balsam::revisions {
 
 bool RevisionedMap::Apply(const RevisionedEntry& entry) {
-  AdvanceTo(entry.revision);
+  revision_ = std::max(revision_, entry.revision);
+  const auto found = entries_.find(entry.key);
+  if (found == entries_.end() && entry.revision <= complete_) return false;
   Entry& known = entries_[entry.key];
   if (entry.revision <= known.revision) return false;
   known = {entry.revision, entry.value};
@@ -35,6 +37,7 @@
   std::erase_if(changes,
                 [this](const RevisionedEntry& entry) { return !Apply(entry); });
   AdvanceTo(store_revision);
+  history_from_ = std::max(history_from_, store_revision);
   return changes;
 }
 
@@ -49,6 +52,14 @@
   return changes;
 }
 
+std::vector<RevisionedEntry> RevisionedMap::All() const {
+  std::vector<RevisionedEntry> all = ChangesAfter(0);
+  std::erase_if(all, [](const RevisionedEntry& entry) {
+    return !entry.value.has_value();
+  });
+  return all;
+}
+
 const std::string* RevisionedMap::Find(std::string_view key) const {
   const auto found = entries_.find(key);
   if (found == entries_.end() || !found->second.value.has_value()) {
@@ -59,6 +70,7 @@
 
 void RevisionedMap::AdvanceTo(std::uint64_t revision) {
   revision_ = std::max(revision_, revision);
+  complete_ = std::max(complete_, revision);
 }
 
 }  // namespace balsam::revisions
--- a/services/gateway/gateway_node.cc
+++ b/services/gateway/gateway_node.cc
@@ -84,6 +84,9 @@
   peers_.on_changes = [this](const auto& changes, std::uint64_t revision) {
     OnStoreChanges(changes, revision);
   };
+  peers_.on_snapshot = [this](const auto& entries, std::uint64_t revision) {
+    OnStoreSnapshot(entries, revision);
+  };
   peers_.reaches_store = [this] { return ReachesStore(); };
   room_timer_.setSingleShot(true);
   connect(&room_timer_, &QTimer::timeout, this, &GatewayNode::OfferRoom);
@@ -189,8 +192,12 @@
 
 void GatewayNode::OnStoreSnapshot(const std::vector<RevisionedEntry>& entries,
                                   std::uint64_t store_revision) {
+  // One that is older than what is known tells nothing.
+  if (store_revision < replica_.revision()) return;
+  const std::uint64_t before = replica_.revision();
   const auto changes = replica_.ApplySnapshot({}, entries, store_revision);
   for (const RevisionedEntry& entry : changes) OnEntry(entry);
+  if (store_revision > before) peers_.TellNews();
 }
 
 milliseconds GatewayNode::WatchPause() const {
--- a/services/gateway/peer_exchange.cc
+++ b/services/gateway/peer_exchange.cc
@@ -280,6 +280,10 @@
   auto question = questions_.extract(number);
   if (question.empty()) return;
   const std::set<std::uint32_t>& unanswered = question.mapped().unanswered;
+  for (const std::uint32_t server : unanswered) {
+    context_.selector.reports().OnUnanswered(server, BootClock::now());
+    peers_.AskNext(keepers_.KeeperOf(server));
+  }
   if (!unanswered.empty()) {
     LogEvent("load_unanswered", LogEvent::Level::kWarning)
         .With("servers", unanswered.size())
@@ -466,8 +470,13 @@
         LogEvent("changes_from_peer")
             .With("peer", ip)
             .With("changes", set.changes.size())
+            .With("whole", set.is_whole ? 1 : 0)
             .With("revision", set.revision);
-        on_changes(set.changes, set.revision);
+        if (set.is_whole) {
+          on_snapshot(set.changes, set.revision);
+        } else {
+          on_changes(set.changes, set.revision);
+        }
         return true;
       },
       [&](const Error& error) {
@@ -491,9 +500,11 @@
   if (error != std::errc() || end != number.data() + number.size()) {
     return {400, "text/plain", {}};
   }
-  return {200, "application/cbor",
-          gossip::Encode(gossip::ChangeSet{replica_.revision(),
-                                           replica_.ChangesAfter(after)})};
+  gossip::ChangeSet set;
+  set.revision = replica_.revision();
+  set.is_whole = !replica_.HasHistoryAfter(after);
+  set.changes = set.is_whole ? replica_.All() : replica_.ChangesAfter(after);
+  return {200, "application/cbor", gossip::Encode(set)};
 }
 
 }  // namespace balsam::gateway
--- a/services/gateway/peer_exchange.h
+++ b/services/gateway/peer_exchange.h
@@ -65,6 +65,10 @@
   std::function<void(const std::vector<revisions::RevisionedEntry>& changes,
                      std::uint64_t revision)>
       on_changes;
+  // The same where a peer told all entries that there are.
+  std::function<void(const std::vector<revisions::RevisionedEntry>& entries,
+                     std::uint64_t revision)>
+      on_snapshot;
   // Whether this gateway reached the store all the while lately.
   std::function<bool()> reaches_store;
 
--- a/tests/libraries/dispatch/server_selector_test.cc
+++ b/tests/libraries/dispatch/server_selector_test.cc
@@ -279,6 +279,25 @@
 
 // The pattern: prompts in a burst. Engines that read much get no more, so the
 // order of who waits is kept where it can still be changed.
+// Load: a fifth of the gateways lose power, and with them the books of a fifth
+// of the engines. What was last told of these looks idle to everyone at once.
+TEST_F(ServerSelectorTest, AServerOfWhichNobodyTellsIsChosenLast) {
+  const Demand demand = Generation(1000, 100);
+  for (const char* id : {"b", "c"}) {
+    selector_.reports().TakeSum(ServerKey(id), {2, 5000, 0}, now_);
+  }
+  EXPECT_EQ(Select(demand), "a");
+  selector_.reports().OnUnanswered(ServerKey("a"), now_);
+  EXPECT_NE(Select(demand), "a");
+  // It is better than none.
+  Demand only = demand;
+  only.excluded = {"b", "c"};
+  EXPECT_EQ(Select(only), "a");
+  // Its new keeper tells of it.
+  selector_.reports().TakeSum(ServerKey("a"), {}, now_);
+  EXPECT_EQ(Select(demand), "a");
+}
+
 // Load: engines that are full refuse for seconds, and each gateway goes on
 // asking them, since a refusal alone is forgotten in a tenth of one.
 TEST_F(ServerSelectorTest, AServerThatAskedForTimeGetsNothingUntilItIsOver) {
--- a/tests/libraries/gossip/gossip_test.cc
+++ b/tests/libraries/gossip/gossip_test.cc
@@ -272,6 +272,19 @@
   EXPECT_GT(table_.own_standing(), 100U);
 }
 
+TEST_F(PeerTableTest, WhoDidNotAnswerSomethingElseIsAskedFirst) {
+  for (int i = 0; i < 50; ++i) {
+    table_.OnDigest("10.0.1." + std::to_string(i), MakeDigest(1, 1), now_);
+  }
+  now_ += milliseconds(1);
+  table_.AskNext("10.0.1.7");
+  EXPECT_EQ(table_.TakeAsked(now_), "10.0.1.7");
+  now_ += milliseconds(1);
+  table_.OnDigest("10.0.1.7", MakeDigest(1, 2), now_);
+  table_.AskNext("10.0.1.99");
+  EXPECT_NE(table_.TakeAsked(now_), "10.0.1.99");
+}
+
 // A process that was frozen hears its peers again only after its first round.
 TEST_F(PeerTableTest, AProcessThatStoodStillSuspectsNobody) {
   table_.OnDigest("10.0.0.1", MakeDigest(1, 1), now_);
--- a/tests/libraries/revisions/revisioned_map_test.cc
+++ b/tests/libraries/revisions/revisioned_map_test.cc
@@ -39,6 +39,31 @@
   EXPECT_EQ(map.revision(), 9U);
 }
 
+// A process that has just started asked a peer that is cut off from the store,
+// and its answer comes after the store's.
+TEST(RevisionedMapTest, WhatWasDeletedBeforeASnapshotDoesNotComeBack) {
+  RevisionedMap map;
+  map.ApplySnapshot({}, {{"a", 3, "x"}}, 10);
+  EXPECT_FALSE(map.Apply({"left", 5, "x"}));
+  EXPECT_EQ(map.Find("left"), nullptr);
+  EXPECT_TRUE(map.Apply({"new", 11, "x"}));
+  // Changes of one batch come in any order.
+  EXPECT_TRUE(map.Apply({"c", 14, "x"}));
+  EXPECT_TRUE(map.Apply({"b", 13, "x"}));
+}
+
+TEST(RevisionedMapTest, ASnapshotRemembersNoDeletionsBeforeIt) {
+  RevisionedMap map;
+  EXPECT_TRUE(map.HasHistoryAfter(0));
+  map.ApplySnapshot({}, {{"a", 3, "x"}}, 10);
+  EXPECT_FALSE(map.HasHistoryAfter(9));
+  EXPECT_TRUE(map.HasHistoryAfter(10));
+  map.Apply({"a", 12, std::nullopt});
+  map.Apply({"b", 13, "y"});
+  EXPECT_EQ(map.All().size(), 1U);
+  EXPECT_EQ(map.ChangesAfter(10).size(), 2U);
+}
+
 RC_GTEST_PROP(RevisionedMapPropertyTest, ReplicasAgreeInAnyOrder, ()) {
   const auto count = *rc::gen::inRange<std::size_t>(1, 30);
   std::vector<RevisionedEntry> history;
--- /dev/null
+++ b/tests/services/gateway/gateway_node_fixture.h
@@ -0,0 +1,143 @@
+// A whole gateway on loopback addresses, with engines that act by script and
+// clients that write and read bytes.
+#pragma once
+
+#include <gtest/gtest.h>
+
+#include <QTcpSocket>
+#include <algorithm>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "platform/wire_dialect.h"
+#include "services/gateway/gateway_node.h"
+#include "tests/services/gateway/event_loop.h"
+#include "tests/services/gateway/scripted_engine.h"
+
+namespace balsam::gateway {
+
+class GatewayNodeTest : public testing::Test {
+ protected:
+  // Another process may take a port between its choice and its use.
+  void SetUp() override {
+    constexpr int kTries = 20;
+    for (int tries = 0; tries < kTries && !StartNode(); ++tries) {
+    }
+    ASSERT_NE(node_, nullptr);
+    for (ScriptedEngine* engine : {&first_, &second_}) {
+      engine->on_request = [](const auto& request) { Reply(request, ""); };
+    }
+  }
+
+  bool StartNode() {
+    GatewaySettings settings;
+    settings.node = "entry-1";
+    settings.ip = "127.0.0.1";
+    settings.clients = {settings.ip, FreePort()};
+    settings.readiness = {settings.ip, FreePort()};
+    settings.peers = {settings.ip, FreePort()};
+    settings.gossip_port = FreePort();
+    settings.retry_slack = 50.0;
+    client_port_ = settings.clients.port;
+    node_ = std::make_unique<GatewayNode>(settings, dialect_);
+    const bool started = TryOr(
+        [&]() -> Result<bool> {
+          BOOST_LEAF_CHECK(node_->Start());
+          return true;
+        },
+        [](const Error&) { return false; });
+    if (!started) node_.reset();
+    return started;
+  }
+
+  // Writes a configuration with one plain route, and an entry for each engine.
+  void Publish(const std::vector<const ScriptedEngine*>& engines) {
+    std::vector<revisions::RevisionedEntry> entries = {
+        ConfigurationEntry(1, true)};
+    for (std::size_t i = 0; i < engines.size(); ++i) {
+      entries.push_back(EntryOf(i, *engines[i], 1));
+    }
+    node_->OnStoreSnapshot(entries, revision_);
+  }
+
+  // `is_public`: the route needs no key; else one that nobody has.
+  revisions::RevisionedEntry ConfigurationEntry(int version, bool is_public) {
+    const nlohmann::json configuration = {
+        {"version", version},
+        {"routes",
+         {{{"name", "r"},
+           {"host", "h"},
+           {"prefix", "/"},
+           {"kind", kind_},
+           {"service", "s"},
+           {"timeoutMs", timeout_.count()},
+           {"goalMs", objective_.count()},
+           {"attempts", attempts_},
+           {"public", is_public}}}},
+        {"tenants",
+         {{{"name", "w"}, {"apiKeys", {"k-" + std::to_string(version)}}}}},
+        {"services", {{{"name", "s"}, {"healthPath", "/health"}}}}};
+    return {"op/config", ++revision_, configuration.dump()};
+  }
+
+  // `born`: when the incarnation began.
+  revisions::RevisionedEntry EntryOf(std::size_t number,
+                                     const ScriptedEngine& engine, int born) {
+    const nlohmann::json entry = {
+        {"service", "s"},
+        {"addr", "127.0.0.1:" + std::to_string(engine.port())},
+        {"zone", "z"},
+        {"slots", 8},
+        {"state", "ready"},
+        {"born", born}};
+    return {"servers/i-" + std::to_string(number), ++revision_, entry.dump()};
+  }
+
+  static void Reply(const ScriptedEngine::Request& request,
+                    const std::string& fields,
+                    const std::string& status = "200 OK") {
+    const std::string text = "HTTP/1.1 " + status +
+                             "\r\nRequest-Id: r-1\r\nResponse-Seal: s\r\n" +
+                             fields + "Content-Length: 2\r\n\r\nok";
+    request.socket->write(text.data(), static_cast<qint64>(text.size()));
+  }
+
+  // Sends a request and returns the head of its answer.
+  std::string Ask() {
+    QTcpSocket client;
+    client.connectToHost("127.0.0.1", client_port_);
+    client.write(
+        "GET /x HTTP/1.1\r\nHost: h\r\nRequest-Id: r-1\r\n"
+        "Connection: close\r\n\r\n");
+    std::string answer;
+    EXPECT_TRUE(RunUntil([&] {
+      answer += client.readAll().toStdString();
+      return client.state() == QAbstractSocket::UnconnectedState;
+    }));
+    return answer.substr(0, answer.find("\r\n\r\n"));
+  }
+  // The status line's code.
+  int StatusOfAsk() { return std::stoi(Ask().substr(9, 3)); }
+
+  static std::size_t Requests(const ScriptedEngine& engine) {
+    return static_cast<std::size_t>(std::ranges::count_if(
+        engine.heads,
+        [](const std::string& head) { return head.starts_with("GET /x"); }));
+  }
+
+  // Of the route that is published.
+  std::string kind_ = "readonly";
+  int attempts_ = 1;
+  std::chrono::milliseconds timeout_{15000};
+  std::chrono::milliseconds objective_{10000};
+  platform::WireDialect dialect_;
+  ScriptedEngine first_;
+  ScriptedEngine second_;
+  std::unique_ptr<GatewayNode> node_;
+  std::uint16_t client_port_ = 0;
+  std::uint64_t revision_ = 0;
+};
+
+}  // namespace balsam::gateway
--- a/tests/services/gateway/peer_exchange_test.cc
+++ b/tests/services/gateway/peer_exchange_test.cc
@@ -29,6 +29,9 @@
       for (const RevisionedEntry& entry : changes) replica.Apply(entry);
       replica.AdvanceTo(revision);
     };
+    exchange.on_snapshot = [this](const auto& entries, std::uint64_t revision) {
+      replica.ApplySnapshot({}, entries, revision);
+    };
   }
 
   platform::WireDialect dialect;
@@ -89,6 +92,20 @@
   EXPECT_EQ(second_->replica.revision(), 8U);
 }
 
+// Found by a test of restarts: a gateway that had just started knew from the
+// store what there is, and not what was deleted before. One that took its
+// changes from it went on with a server that had left.
+TEST_F(PeerExchangeTest, AGatewayThatHasJustStartedHidesNoDeletion) {
+  second_->replica.Apply({"left", 5, "server"});
+  second_->replica.Apply({"stays", 6, "server"});
+  second_->replica.AdvanceTo(8);
+  // The store deleted "left" at 9.
+  first_->replica.ApplySnapshot({}, {{"stays", 6, "server"}}, 10);
+  RunUntilChangesAreKnown();
+  EXPECT_EQ(second_->replica.Find("left"), nullptr);
+  EXPECT_NE(second_->replica.Find("stays"), nullptr);
+}
+
 // Found by an incident (inc-3489): gateways that the store turned away took the
 // removal of an engine, which their peers had seen on a sound store, for an
 // entry that had lapsed, and did not move what ran there.
