Keep each book twice, ask who has been alive for a while, and two answers do

Change: two gateways keep each book, told by all; a gateway is asked only when it has been alive for 2 s, and answers nothing before; where a keeper is silent, the other one is asked for 1.5 s. Nobody is spared the question by an unasked sum. Two answers are enough. A prompt goes where no more than 9,000 tokens are to be read with it, or none are.

Ruled out: the engines' own reports, some hundred ms old and priced.

--- a/libraries/dispatch/server_selector.cc
+++ b/libraries/dispatch/server_selector.cc
@@ -88,8 +88,9 @@
   if (record.outcomes.IsBroken(usage.failures, now)) {
     return &PassedOver::broken;
   }
-  if (!demand.is_transfer &&
-      usage.unread_prompt_tokens > limits_.max_unread_tokens) {
+  if (!demand.is_transfer && usage.unread_prompt_tokens > 0 &&
+      usage.unread_prompt_tokens + demand.prompt_tokens >
+          limits_.max_unread_tokens) {
     return &PassedOver::reading;
   }
   const auto tokens = static_cast<double>(usage.tokens + demand.Tokens());
--- a/libraries/dispatch/server_selector.h
+++ b/libraries/dispatch/server_selector.h
@@ -49,10 +49,11 @@
     // The same for live runs that move. They hold less now than in the end, and
     // one that finds no place is lost, where a new request can come again.
     double transfer_memory_share = 1.05;
-    // An engine with more prompt tokens to read than this gets no further
-    // prompt: it is busy for most of a second, and another engine, or a more
-    // urgent request, may come first meanwhile.
-    std::int64_t max_unread_tokens = 6000;
+    // A prompt is not given to an engine that would have more to read than
+    // this, itself included, unless it has nothing to read: it would take
+    // longer than the 1.2 s that most objectives leave (platform: chunks of 112
+    // tokens, each of 8 ms, between steps of 7 ms and more).
+    std::int64_t max_unread_tokens = 9000;
     // Requests beyond its slots that a plain server is given to queue.
     double queue_share = 1.0;
     // For how long a server that cannot be connected to is passed over.
--- a/libraries/gossip/part_journal.h
+++ b/libraries/gossip/part_journal.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <vector>
 
 #include "libraries/base/boot_clock.h"
 #include "libraries/dispatch/usage.h"
@@ -21,18 +22,20 @@
   // So often that a server has nothing any more.
   static constexpr int kZeroTellings = 3;
 
-  using KeeperOf = std::function<const std::string&(std::uint32_t server)>;
+  // Sorted, without duplicates.
+  using KeepersOf =
+      std::function<std::vector<std::string>(std::uint32_t server)>;
 
   // What each keeper is to be told now, given this entry's whole load; it
   // counts as told.
   std::map<std::string, dispatch::UsageByServer> TakeNews(
-      const dispatch::UsageByServer& load, const KeeperOf& keeper_of,
+      const dispatch::UsageByServer& load, const KeepersOf& keepers_of,
       BootTime now);
 
  private:
   struct Told {
     dispatch::Usage usage;
-    std::string keeper;
+    std::vector<std::string> keepers;
     BootTime at;
     // Tellings of zero in a row.
     int zeros = 0;
--- a/libraries/gossip/peer_table.cc
+++ b/libraries/gossip/peer_table.cc
@@ -55,6 +55,7 @@
 void PeerTable::SetState(Peer& peer, State state, BootTime now) {
   if (IsAlive(peer) && state == State::kLost) peer.lost_untold = true;
   if (state == State::kAlive) peer.lost_untold = false;
+  if (!IsAlive(peer) && state != State::kLost) peer.alive_since = now;
   peer.state = state;
   peer.since = now;
 }
@@ -96,6 +97,7 @@
   peer->reaches_store = digest.reaches_store;
   if (restarted && known) {
     peer->load_sequence = 0;
+    peer->alive_since = now;
     return News::kRestarted;
   }
   return joined ? News::kJoined : News::kNone;
@@ -275,6 +277,15 @@
   return alive;
 }
 
+std::vector<std::string> PeerTable::AliveFor(std::chrono::milliseconds time,
+                                             BootTime now) const {
+  std::vector<std::string> alive;
+  for (const auto& [ip, peer] : peers_) {
+    if (IsAlive(peer) && now - peer.alive_since >= time) alive.push_back(ip);
+  }
+  return alive;
+}
+
 bool PeerTable::IsAlive(const std::string& ip) const {
   const auto found = peers_.find(ip);
   return found != peers_.end() && IsAlive(found->second);
--- a/libraries/gossip/peer_table.h
+++ b/libraries/gossip/peer_table.h
@@ -84,6 +84,9 @@
   // round goes first in the next.
   std::vector<std::string> AliveAfter(const std::string& last) const;
   bool IsAlive(const std::string& ip) const;
+  // Those that have been alive, in one life as far as is known, for so long.
+  std::vector<std::string> AliveFor(std::chrono::milliseconds time,
+                                    BootTime now) const;
   // Whether any peer that is alive reached the store all the while lately.
   bool AnyReachesStore() const;
   // How many of those rank before this entry for `key`; how many of all that
@@ -108,6 +111,8 @@
     bool reaches_store = false;
     // Since when it is suspected or lost.
     BootTime since;
+    // Since when it is alive.
+    BootTime alive_since;
     // When it was last heard by this entry itself; zero if it never was.
     BootTime heard;
     bool is_seed = false;
--- a/libraries/membership/keepers.cc
+++ b/libraries/membership/keepers.cc
@@ -9,9 +9,6 @@
 namespace balsam::membership {
 
 bool Keepers::SetMembers(std::vector<std::string> members) {
-  if (std::ranges::find(members, own_) == members.end()) {
-    members.push_back(own_);
-  }
   std::ranges::sort(members);
   if (members == members_) return false;
   members_ = std::move(members);
@@ -19,12 +16,20 @@
   return true;
 }
 
-const std::string& Keepers::KeeperOf(std::uint32_t key) {
+const Keepers::Pair& Keepers::KeepersOf(std::uint32_t key) {
   const auto [found, added] = keepers_.try_emplace(key);
-  if (added) {
-    found->second = *std::ranges::max_element(
-        members_, {},
-        [key](const std::string& member) { return StableHash(member, key); });
+  if (!added) return found->second;
+  std::array<std::pair<std::uint64_t, const std::string*>, 2> best{};
+  for (const std::string& member : members_) {
+    std::pair<std::uint64_t, const std::string*> ranked(StableHash(member, key),
+                                                        &member);
+    if (ranked.first >= best[0].first) std::swap(ranked, best[0]);
+    if (ranked.second != nullptr && ranked.first >= best[1].first) {
+      best[1] = ranked;
+    }
+  }
+  for (std::size_t i = 0; i < best.size(); ++i) {
+    if (best[i].second != nullptr) found->second[i] = *best[i].second;
   }
   return found->second;
 }
--- a/libraries/membership/keepers.h
+++ b/libraries/membership/keepers.h
@@ -1,8 +1,10 @@
-// Which member of a fleet keeps the book of what: by rendezvous hashing, so
+// Which members of a fleet keep the book of what: by rendezvous hashing, so
 // that members that know of each other agree, and one that comes or goes moves
-// only its own part.
+// only its own part. Two keep each book, so that one is complete when the other
+// dies.
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <string>
 #include <unordered_map>
@@ -12,20 +14,23 @@
 
 class Keepers {
  public:
-  explicit Keepers(std::string own) : members_({own}), own_(std::move(own)) {}
+  // The one that is asked, and the one that stands in for it; empty where there
+  // are fewer members.
+  using Pair = std::array<std::string, 2>;
 
-  // All that are alive, this one included; true if they changed.
+  // True if the members changed.
   bool SetMembers(std::vector<std::string> members);
-  // The member that keeps the book of `key`.
-  const std::string& KeeperOf(std::uint32_t key);
-  bool IsOwn(std::uint32_t key) { return KeeperOf(key) == own_; }
+  const Pair& KeepersOf(std::uint32_t key);
+  bool Keeps(const std::string& member, std::uint32_t key) {
+    const Pair& keepers = KeepersOf(key);
+    return keepers[0] == member || keepers[1] == member;
+  }
 
  private:
-  // Sorted; never empty.
+  // Sorted.
   std::vector<std::string> members_;
-  std::string own_;
   // As far as they were asked for since the members changed.
-  std::unordered_map<std::uint32_t, std::string> keepers_;
+  std::unordered_map<std::uint32_t, Pair> keepers_;
 };
 
 }  // namespace balsam::membership
--- a/services/gateway/exchange.cc
+++ b/services/gateway/exchange.cc
@@ -201,6 +201,7 @@
   if (may_ask) {
     if (BootClock::now() < asks_again_) return Placement::kNoRoom;
     rounds_asked_ = 0;
+    untold_.clear();
     return AskLoads();
   }
   const auto choice = context_.selector.Select(
@@ -222,8 +223,9 @@
     std::ranges::transform(candidates, std::back_inserter(ids),
                            &dispatch::ServerSelector::Choice::id);
     asking_ =
-        context_.ask_loads(ids, [self = QPointer<Exchange>(this), candidates] {
-          if (self) self->OnLoadsKnown(candidates);
+        context_.ask_loads(ids, [self = QPointer<Exchange>(this), candidates](
+                                    const std::set<std::uint32_t>& untold) {
+          if (self) self->OnLoadsKnown(candidates, untold);
         });
     if (asking_) return Placement::kAsking;
     const auto choice =
@@ -233,17 +235,29 @@
     SendTo(*choice);
     return Placement::kSent;
   }
+  if (const auto choice = context_.selector.SelectAmong(
+          untold_, context_.directory, request_.engine(), request_.demand,
+          now)) {
+    SendTo(*choice);
+    return Placement::kSent;
+  }
   asks_again_ = now + kAskInterval;
   return Placement::kNoRoom;
 }
 
 void Exchange::OnLoadsKnown(
-    const std::vector<dispatch::ServerSelector::Choice>& candidates) {
+    const std::vector<dispatch::ServerSelector::Choice>& candidates,
+    const std::set<std::uint32_t>& untold) {
   asking_ = false;
   if (finished_) return;
+  const BootTime now = BootClock::now();
+  std::vector<dispatch::ServerSelector::Choice> told;
+  for (const auto& candidate : candidates) {
+    const bool is_untold = untold.contains(dispatch::ServerKey(candidate.id));
+    (is_untold ? untold_ : told).push_back(candidate);
+  }
   const auto choice = context_.selector.SelectAmong(
-      candidates, context_.directory, request_.engine(), request_.demand,
-      BootClock::now());
+      told, context_.directory, request_.engine(), request_.demand, now);
   if (choice.has_value()) {
     LeaveLine();
     SendTo(*choice);
--- a/services/gateway/exchange.h
+++ b/services/gateway/exchange.h
@@ -102,7 +102,8 @@
   Placement AskLoads();
   // The loads of those are known.
   void OnLoadsKnown(
-      const std::vector<dispatch::ServerSelector::Choice>& candidates);
+      const std::vector<dispatch::ServerSelector::Choice>& candidates,
+      const std::set<std::uint32_t>& untold);
   void SendTo(const dispatch::ServerSelector::Choice& choice);
 
   // Waiting for room.
@@ -179,6 +180,8 @@
   // turn; and no sooner than when again.
   bool asking_ = false;
   int rounds_asked_ = 0;
+  // Servers that it was not told of in any round: better than none.
+  std::vector<dispatch::ServerSelector::Choice> untold_;
   BootTime asks_again_;
   // The answer's head has been written to the client.
   bool answer_begun_ = false;
--- a/services/gateway/gateway_context.h
+++ b/services/gateway/gateway_context.h
@@ -37,6 +37,9 @@
 // Label sets of the metrics, each about 3 KB of the process's memory.
 inline constexpr std::size_t kMaxMetricLabels = 200;
 
+// Gets the servers, by `dispatch::ServerKey`, whose loads are not known.
+using OnLoadsKnown = std::function<void(const std::set<std::uint32_t>& untold)>;
+
 struct GatewayContext {
   GatewayContext(const Dialect& dialect, ConnectionPool::Limits pool_limits,
                  retry::SharedRetryBudget::Limits retry_limits,
@@ -89,10 +92,10 @@
   BootTime takes_all_until;
   BootTime ends_at;
   // Asks the keepers of these servers' books how busy they are; `on_known` is
-  // called when all have answered, or have had their time. False if the answers
-  // are known already, and nothing is called. Unset: nobody is asked.
+  // called when enough have answered, or all have had their time. False if
+  // nobody has to be asked, and nothing is called. Unset: nobody is asked.
   std::function<bool(const std::vector<std::string>& server_ids,
-                     std::function<void()> on_known)>
+                     OnLoadsKnown on_known)>
       ask_loads;
   // This gateway's load at an engine changed: its keeper is told at once.
   std::function<void()> tell_load;
--- a/services/gateway/peer_exchange.cc
+++ b/services/gateway/peer_exchange.cc
@@ -21,14 +21,22 @@
 // Between two looks at what changed of the load. Changes of one moment share a
 // message, and are known elsewhere before the next request comes.
 constexpr milliseconds kLoadInterval{20};
-// Between two looks at what changed at the servers whose books are kept here.
-// Whoever chooses one asks, so that this is for knowing which to ask.
-constexpr milliseconds kSumsInterval{100};
+// Between two looks at what is to be told again, and at what changed at the
+// servers whose books are kept here. Whoever chooses one asks, so that the sums
+// are for knowing which to ask.
+constexpr milliseconds kRefreshLook{100};
 // Keepers answer within a few milliseconds; without their answer a server is
 // judged by what is known.
 constexpr milliseconds kQuestionTime{30};
-// A sum that was heard this lately needs no question.
-constexpr milliseconds kFreshSum{15};
+// A gateway knows the whole books of its servers when it has been alive for
+// this long: the others know of it by then, and told it all they have
+// (gossip::PartJournal::kRefreshInterval).
+constexpr milliseconds kSettlingTime{2000};
+// A keeper that did not answer is not asked again for this long, in which it is
+// found out whether it lives.
+constexpr milliseconds kSilentKeeperTime{1500};
+// With so many answers a choice is made; the others may be long in coming.
+constexpr std::size_t kEnoughAnswers = 2;
 // Of all digests but urgent ones, which are rare, and of loads. Together the
 // bound on a node's control traffic (docs/CAPACITY.md), less what pulled
 // changes take.
@@ -71,17 +79,14 @@
       }),
       digest_allowance_(kDigestBytesPerSecond),
       load_allowance_(kLoadBytesPerSecond),
-      keepers_(identity_.ip),
+      started_(BootClock::now()),
       // Zero stands for a peer that was never heard.
       incarnation_(seed | 1) {
   connect(&socket_, &QUdpSocket::readyRead, this, &PeerExchange::OnDatagrams);
   connect(&digest_timer_, &QTimer::timeout, this, &PeerExchange::OnRound);
-  connect(&load_timer_, &QTimer::timeout, this, [this] {
-    SendParts();
-    SendSums();
-  });
+  connect(&load_timer_, &QTimer::timeout, this, &PeerExchange::OnLoadTime);
   context_.ask_loads = [this](const std::vector<std::string>& server_ids,
-                              std::function<void()> on_known) {
+                              OnLoadsKnown on_known) {
     return AskLoads(server_ids, std::move(on_known));
   };
   context_.tell_load = [this] { SendParts(); };
@@ -153,10 +158,7 @@
   const std::vector<std::string> alive = peers_.Alive();
   for (const std::string& ip : alive)
     context_.selector.reports().Renew(ip, now);
-  if (keepers_.SetMembers(alive)) {
-    context_.selector.reports().DropSumsOf(
-        [this](std::uint32_t server) { return keepers_.IsOwn(server); });
-  }
+  UpdateKeepers(now);
   if (const auto asked = peers_.TakeAsked(now)) SendDigest({*asked}, true);
   const std::size_t most = digest_allowance_.Affordable(
       std::max<std::size_t>(digest_bytes_, 1), now);
@@ -178,13 +180,22 @@
   return own_load_;
 }
 
+void PeerExchange::OnLoadTime() {
+  const BootTime now = BootClock::now();
+  const bool is_refresh = now - refreshed_ >= kRefreshLook;
+  if (context_.selector.usage_changes() != own_load_changes_ || is_refresh) {
+    SendParts();
+  }
+  if (!is_refresh) return;
+  refreshed_ = now;
+  SendSums();
+}
+
 void PeerExchange::SendParts() {
   const BootTime now = BootClock::now();
-  const auto keeper_of = [this](std::uint32_t server) -> const std::string& {
-    return keepers_.KeeperOf(server);
-  };
+  const auto told_of = [this](std::uint32_t server) { return ToldOf(server); };
   for (auto& [keeper, load] :
-       part_journal_.TakeNews(OwnLoad(now), keeper_of, now)) {
+       part_journal_.TakeNews(OwnLoad(now), told_of, now)) {
     if (keeper == identity_.ip) continue;
     const std::string bytes =
         gossip::Encode(gossip::LoadUpdate{++sequence_, std::move(load)});
@@ -196,8 +207,9 @@
 dispatch::UsageByServer PeerExchange::KeptLoad(BootTime now) {
   dispatch::UsageByServer load = context_.selector.reports().Reported(now);
   for (const auto& [server, usage] : OwnLoad(now)) load[server] += usage;
-  std::erase_if(
-      load, [this](const auto& item) { return !keepers_.IsOwn(item.first); });
+  std::erase_if(load, [this](const auto& item) {
+    return settled_keepers_.KeepersOf(item.first)[0] != identity_.ip;
+  });
   return load;
 }
 
@@ -217,18 +229,14 @@
 
 void PeerExchange::SendSums() {
   const BootTime now = BootClock::now();
-  if (now - sums_told_ < kSumsInterval) return;
-  sums_told_ = now;
   const dispatch::UsageByServer load = KeptLoad(now);
-  std::set<std::uint32_t> kept;
-  for (const auto& [server, usage] : load) kept.insert(server);
-  for (const std::uint32_t server : kept_) {
-    // What was reported here is the new keeper's to know.
-    if (!kept.contains(server) && !keepers_.IsOwn(server)) {
+  for (const auto& [server, usage] :
+       context_.selector.reports().Reported(now)) {
+    // What was reported here is for its other keepers to know.
+    if (!std::ranges::binary_search(ToldOf(server), identity_.ip)) {
       context_.selector.reports().DropServer(server);
     }
   }
-  kept_ = std::move(kept);
   sum_journal_.Update(load);
   for (const std::string& ip : peers_.AliveAfter(last_told_)) {
     if (!sum_journal_.HasNewsFor(ip, now)) continue;
@@ -248,18 +256,20 @@
 }
 
 bool PeerExchange::AskLoads(const std::vector<std::string>& server_ids,
-                            std::function<void()> on_known) {
+                            OnLoadsKnown on_known) {
   const BootTime now = BootClock::now();
   std::map<std::string, std::vector<std::uint32_t>> by_keeper;
   Question question;
   for (const std::string& id : server_ids) {
     const std::uint32_t server = dispatch::ServerKey(id);
-    const std::string& keeper = keepers_.KeeperOf(server);
-    const auto heard = context_.selector.reports().SumHeard(server);
-    const bool is_fresh = heard.has_value() && now - *heard <= kFreshSum;
-    if (keeper == identity_.ip || is_fresh) continue;
+    // Sums that keepers told unasked do not do: all heard them at one moment.
+    if (KeepsBook(server)) {
+      ++question.answers;
+      continue;
+    }
+    const std::string& keeper = AskedAbout(server);
     by_keeper[keeper].push_back(server);
-    question.unanswered.insert(server);
+    question.unanswered.emplace(server, keeper);
   }
   if (by_keeper.empty()) return false;
   const std::uint64_t number = ++last_question_;
@@ -279,17 +289,71 @@
 void PeerExchange::EndQuestion(std::uint64_t number) {
   auto question = questions_.extract(number);
   if (question.empty()) return;
-  const std::set<std::uint32_t>& unanswered = question.mapped().unanswered;
-  for (const std::uint32_t server : unanswered) {
-    context_.selector.reports().OnUnanswered(server, BootClock::now());
-    peers_.AskNext(keepers_.KeeperOf(server));
+  const BootTime now = BootClock::now();
+  std::set<std::string> silent;
+  for (const auto& [server, keeper] : question.mapped().unanswered) {
+    context_.selector.reports().OnUnanswered(server, now);
+    silent.insert(keeper);
   }
-  if (!unanswered.empty()) {
+  for (const std::string& keeper : silent) {
+    silent_keepers_.insert_or_assign(keeper, now);
+    peers_.AskNext(keeper);
     LogEvent("load_unanswered", LogEvent::Level::kWarning)
-        .With("servers", unanswered.size())
-        .With("keeper", keepers_.KeeperOf(*unanswered.begin()));
+        .With("keeper", keeper)
+        .With("servers", question.mapped().unanswered.size());
+  }
+  TellKnown(question.mapped());
+}
+
+void PeerExchange::TellKnown(Question& question) {
+  std::set<std::uint32_t> untold;
+  for (const auto& [server, keeper] : question.unanswered) {
+    untold.insert(server);
+  }
+  // It may ask again.
+  const OnLoadsKnown on_known = std::exchange(question.on_known, nullptr);
+  if (on_known) on_known(untold);
+}
+
+void PeerExchange::UpdateKeepers(BootTime now) {
+  std::erase_if(silent_keepers_, [now](const auto& item) {
+    return now - item.second > kSilentKeeperTime;
+  });
+  std::vector<std::string> all = peers_.Alive();
+  all.push_back(identity_.ip);
+  std::vector<std::string> settled = peers_.AliveFor(kSettlingTime, now);
+  is_settled_ = now - started_ >= kSettlingTime;
+  if (is_settled_) settled.push_back(identity_.ip);
+  // Where most have just started, nobody knows more than the others.
+  if (settled.size() * 2 <= all.size()) {
+    settled = all;
+    is_settled_ = true;
+  }
+  const bool changed = all_keepers_.SetMembers(std::move(all));
+  if (!settled_keepers_.SetMembers(std::move(settled)) && !changed) return;
+  context_.selector.reports().DropSumsOf(
+      [this](std::uint32_t server) { return KeepsBook(server); });
+}
+
+std::vector<std::string> PeerExchange::ToldOf(std::uint32_t server) {
+  std::set<std::string> told;
+  for (membership::Keepers* keepers : {&all_keepers_, &settled_keepers_}) {
+    const membership::Keepers::Pair& pair = keepers->KeepersOf(server);
+    told.insert(pair.begin(), pair.end());
   }
-  question.mapped().on_known();
+  told.erase(std::string());
+  return {told.begin(), told.end()};
+}
+
+bool PeerExchange::KeepsBook(std::uint32_t server) {
+  return settled_keepers_.Keeps(identity_.ip, server);
+}
+
+const std::string& PeerExchange::AskedAbout(std::uint32_t server) {
+  const membership::Keepers::Pair& keepers = settled_keepers_.KeepersOf(server);
+  const bool has_other = !keepers[1].empty();
+  return has_other && silent_keepers_.contains(keepers[0]) ? keepers[1]
+                                                           : keepers[0];
 }
 
 gossip::Digest PeerExchange::MakeDigest(std::size_t readers, BootTime now) {
@@ -356,26 +420,36 @@
 }
 
 void PeerExchange::OnMessage(const gossip::LoadSums& sums,
-                             const std::string& /*sender*/) {
+                             const std::string& sender) {
   const BootTime now = BootClock::now();
   const auto question = questions_.find(sums.number);
   for (const auto& [server, usage] : sums.load) {
-    if (keepers_.IsOwn(server)) continue;
+    if (KeepsBook(server)) continue;
     context_.selector.reports().TakeSum(server, usage, now);
     if (question != questions_.end()) {
       question->second.unanswered.erase(server);
     }
   }
-  if (question != questions_.end() && question->second.unanswered.empty()) {
+  if (question == questions_.end()) return;
+  question->second.answers += sums.load.size();
+  // One that does not know its books yet says nothing of them.
+  const bool is_over = std::ranges::none_of(
+      question->second.unanswered,
+      [&](const auto& item) { return item.second != sender; });
+  if (is_over) {
     EndQuestion(sums.number);
+  } else if (question->second.answers >= kEnoughAnswers) {
+    TellKnown(question->second);
   }
 }
 
 void PeerExchange::OnMessage(const gossip::LoadQuestion& question,
                              const std::string& sender) {
   const BootTime now = BootClock::now();
-  const std::string bytes = gossip::Encode(gossip::LoadSums{
-      question.number, SumsFor(sender, question.servers, now)});
+  dispatch::UsageByServer sums;
+  if (is_settled_) sums = SumsFor(sender, question.servers, now);
+  const std::string bytes =
+      gossip::Encode(gossip::LoadSums{question.number, std::move(sums)});
   load_allowance_.Spend(bytes.size(), now);
   Send(sender, bytes);
 }
--- a/tests/services/gateway/peer_exchange_test.cc
+++ b/tests/services/gateway/peer_exchange_test.cc
@@ -5,6 +5,7 @@
 
 #include <QCoreApplication>
 #include <memory>
+#include <set>
 
 #include "platform/wire_dialect.h"
 #include "tests/services/gateway/event_loop.h"
@@ -135,6 +136,21 @@
   EXPECT_TRUE(RunUntil([&] { return known() == 0; }));
 }
 
+// Of two gateways each keeps every book, as soon as it knows of the other.
+TEST_F(PeerExchangeTest, WhoKeepsABookNeedsToAskNobody) {
+  dispatch::Demand demand;
+  demand.prompt_tokens = 3200;
+  first_->context.selector.OnStart("i-1", demand);
+  ASSERT_TRUE(RunUntil([this] {
+    return second_->context.selector.UsageOf("i-1", BootClock::now())
+               .requests == 1;
+  }));
+  bool was_called = false;
+  EXPECT_FALSE(second_->context.ask_loads(
+      {"i-1"}, [&](const std::set<std::uint32_t>&) { was_called = true; }));
+  EXPECT_FALSE(was_called);
+}
+
 TEST_F(PeerExchangeTest, AServerThatLeavesIsToldOn) {
   first_->exchange.TellLeaving("i-1");
   EXPECT_TRUE(RunUntil([this] { return second_->leaving == "i-1"; }));
