--- a/tests/libraries/gossip/keeper_test.cc
+++ b/tests/libraries/gossip/keeper_test.cc
@@ -136,7 +136,7 @@
       const auto candidates =
           engines_.Candidates(entry.selector, Work(), kAsked, now_);
       for (const auto& candidate : candidates) Ask(entry, candidate.id);
-      const auto choice =
+      auto choice =
           engines_.SelectAmong(entry.selector, candidates, Work(), now_);
       if (choice.has_value()) return choice;
     }
--- a/tests/libraries/membership/watch_duty_test.cc
+++ b/tests/libraries/membership/watch_duty_test.cc
@@ -5,6 +5,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <cstddef>
 #include <vector>
 
 namespace balsam::membership {
@@ -26,7 +27,8 @@
       std::vector<bool> watching(duties_.size());
       for (std::size_t i = 0; i < duties_.size(); ++i) {
         const auto before = static_cast<std::size_t>(std::count(
-            reaches_.begin(), reaches_.begin() + static_cast<long>(i), true));
+            reaches_.begin(), reaches_.begin() + static_cast<std::ptrdiff_t>(i),
+            true));
         watching[i] = duties_[i].IsOn(before, i, now_);
       }
       for (std::size_t i = 0; i < duties_.size(); ++i) {
--- a/tests/services/gateway/endless_answer_test.cc
+++ b/tests/services/gateway/endless_answer_test.cc
@@ -17,7 +17,8 @@
 // Writes one text, and then another again and again until the peer closes.
 class Flood : public QObject {
  public:
-  Flood(QTcpSocket* socket, const std::string& begin, std::string repeated)
+  Flood(QTcpSocket* socket, const std::string& begin,
+        const std::string& repeated)
       : QObject(socket), socket_(socket) {
     // One byte at a time is a slow test of the same.
     constexpr std::size_t kBlock = 16 << 10;
