Tell a keeper that began a new life all at once

Cause, by reading: a gateway that is restarted and back before it is taken to be lost keeps the same books, and others told it only what changed, and the rest within a second. Change: PartJournal::Forget, on the first digest of the new life. Test: AKeeperThatBeganANewLifeIsToldAtOnce.

--- a/libraries/gossip/part_journal.cc
+++ b/libraries/gossip/part_journal.cc
@@ -37,4 +37,8 @@
   return news;
 }
 
+void PartJournal::Forget(const std::string& keeper) {
+  for (auto& [server, told] : told_) std::erase(told.keepers, keeper);
+}
+
 }  // namespace balsam::gossip
--- a/libraries/gossip/part_journal.h
+++ b/libraries/gossip/part_journal.h
@@ -32,6 +32,9 @@
       const dispatch::UsageByServer& load, const KeepersOf& keepers_of,
       BootTime now);
 
+  // The keeper lost what it was told.
+  void Forget(const std::string& keeper);
+
  private:
   struct Told {
     dispatch::Usage usage;
--- a/services/gateway/load_exchange.cc
+++ b/services/gateway/load_exchange.cc
@@ -63,6 +63,7 @@
 
 void LoadExchange::Forget(const std::string& ip) {
   sum_journal_.Forget(ip);
+  part_journal_.Forget(ip);
   context_.selector.reports().Replace(ip, {}, BootClock::now());
 }
 
--- a/tests/libraries/gossip/part_journal_test.cc
+++ b/tests/libraries/gossip/part_journal_test.cc
@@ -68,6 +68,17 @@
   EXPECT_TRUE(Take({{1, {1, 0, 0}}}).empty());
 }
 
+// Load: gateways that are restarted one after the other, each back before it is
+// taken to be lost. Its books were empty until all was told again anyway.
+TEST_F(PartJournalTest, AKeeperThatBeganANewLifeIsToldAtOnce) {
+  const Load load = {{1, kOneRun}, {11, kOneRun}};
+  Take(load);
+  journal_.Forget(low_);
+  const auto news = Take(load);
+  EXPECT_EQ(news.at(low_), (Load{{1, kOneRun}}));
+  EXPECT_FALSE(news.contains(high_));
+}
+
 TEST_F(PartJournalTest, BothKeepersAreTold) {
   const Load load = {{1, kOneRun}};
   const auto news = journal_.TakeNews(
