--- a/tests/platform/store_client_test.cc
+++ b/tests/platform/store_client_test.cc
@@ -84,6 +84,9 @@
     client_->on_available = [this](bool available) {
       availability_.push_back(available);
     };
+    client_->is_on_duty = [this] { return is_on_duty_; };
+    client_->known_revision = [this] { return known_revision_; };
+    client_->on_standby = [this] { ++standbys_; };
     client_->watch_pause = [this] {
       ++pauses_;
       return milliseconds(1);
@@ -95,6 +98,7 @@
     StoreClient::Limits limits;
     limits.min_pause = milliseconds(1);
     limits.max_pause = milliseconds(2);
+    limits.standby_look = milliseconds(1);
     return limits;
   }
 
@@ -107,6 +111,9 @@
   std::vector<bool> availability_;
   std::uint64_t revision_ = 0;
   int pauses_ = 0;
+  bool is_on_duty_ = true;
+  std::uint64_t known_revision_ = 0;
+  int standbys_ = 0;
 };
 
 TEST_F(StoreClientTest, PagesAreOneSnapshotOfTheFirstPagesRevision) {
@@ -147,6 +154,32 @@
   EXPECT_EQ(pauses_, 2);
 }
 
+// The pattern: hundreds of gateways, of which a few watch the store. What the
+// others learned meanwhile may be all that is left of the store's history.
+TEST_F(StoreClientTest, OneThatStandsByCallsNobodyAndGoesOnFromWhatIsKnown) {
+  is_on_duty_ = false;
+  Play({Page(Item("a", 3), 7, false), Events("", 50)});
+  ASSERT_TRUE(RunUntil([this] { return standbys_ > 0; }));
+  EXPECT_EQ(targets_.size(), 1U);
+  EXPECT_EQ(standbys_, 1);
+  known_revision_ = 42;
+  is_on_duty_ = true;
+  ASSERT_TRUE(RunUntil([this] { return targets_.size() >= 2; }));
+  EXPECT_NE(targets_[1].find("/kv-watch"), std::string::npos);
+  EXPECT_NE(targets_[1].find("after=42"), std::string::npos) << targets_[1];
+}
+
+// Peers may be behind, too.
+TEST_F(StoreClientTest, AWatchNeverStepsBack) {
+  is_on_duty_ = false;
+  Play({Page(Item("a", 3), 7, false)});
+  ASSERT_TRUE(RunUntil([this] { return standbys_ > 0; }));
+  known_revision_ = 5;
+  is_on_duty_ = true;
+  ASSERT_TRUE(RunUntil([this] { return targets_.size() >= 2; }));
+  EXPECT_NE(targets_[1].find("after=7"), std::string::npos) << targets_[1];
+}
+
 TEST_F(StoreClientTest, LostHistoryIsMadeUpForByAWholeRead) {
   Play({Page(Item("a", 3), 7, false),
         {410, "application/json", "{}"},
