--- a/libraries/directory/backend_directory.cc
+++ b/libraries/directory/backend_directory.cc
@@ -77,12 +77,12 @@
 }
 
 std::optional<ServerChange> BackendDirectory::OnReportedLeaving(
-    std::string_view id, bool is_final, BootTime now) {
+    std::string_view id, LeavingWord word, BootTime now) {
   const auto found = entries_.find(id);
   if (found == entries_.end()) return std::nullopt;
   Entry& entry = found->second;
   entry.reported_leaving = true;
-  entry.leaving_is_final = entry.leaving_is_final || is_final;
+  if (word == LeavingWord::kFinal) entry.leaving_is_final = true;
   if (entry.life == Life::kLeaving) return std::nullopt;
   entry.life = Life::kLeaving;
   entry.since = now;
--- a/libraries/directory/backend_directory.h
+++ b/libraries/directory/backend_directory.h
@@ -53,6 +53,14 @@
   kLapsed,
 };
 
+// How a server was heard to say that it leaves.
+enum class LeavingWord {
+  // In a report or by its health; lapses where it is not heard again.
+  kReported,
+  // In an answer, which it never takes back.
+  kFinal,
+};
+
 struct ServerChange {
   enum class Kind { kAppeared, kLeaving, kLapsed, kRestarted, kGone };
   Kind kind;
@@ -97,10 +105,8 @@
                                         bool may_have_lapsed, BootTime now);
   // The server itself, or another entry that asked it, says that it leaves.
   // Holds against entries that still call it ready, for this incarnation.
-  // `is_final`: it said so in an answer, which it never takes back; else the
-  // word lapses where it is not heard again.
   std::optional<ServerChange> OnReportedLeaving(std::string_view id,
-                                                bool is_final, BootTime now);
+                                                LeavingWord word, BootTime now);
   // Nobody has heard for a while that it leaves: the store's word holds again.
   std::optional<ServerChange> OnReportLapsed(std::string_view id, BootTime now);
   // Whether it counts as leaving by reports alone, which may lapse.
--- a/libraries/dispatch/load_reports.h
+++ b/libraries/dispatch/load_reports.h
@@ -17,6 +17,14 @@
 
 class LoadReports {
  public:
+  // How long a sum counts: a few times the interval at which it is told again
+  // (gossip::LoadJournal).
+  static constexpr std::chrono::milliseconds kSumLifetime{6000};
+
+  // How long a keeper that did not answer is taken to be away; another one
+  // takes its books over soon after.
+  static constexpr std::chrono::milliseconds kUnansweredTime{1500};
+
   // `lifetime`: how long a report counts after its entry was last heard.
   explicit LoadReports(std::chrono::milliseconds lifetime)
       : lifetime_(lifetime) {}
@@ -32,14 +40,6 @@
   // Forgets entries that have not been heard for the lifetime.
   void DropOld(BootTime now);
 
-  // How long a sum counts: a few times the interval at which it is told again
-  // (gossip::LoadJournal).
-  static constexpr std::chrono::milliseconds kSumLifetime{6000};
-
-  // How long a keeper that did not answer is taken to be away; another one
-  // takes its books over soon after.
-  static constexpr std::chrono::milliseconds kUnansweredTime{1500};
-
   // The keeper of a server's book told the sum over all entries but this one.
   void TakeSum(std::uint32_t server, const Usage& usage, BootTime now);
   // When it last did.
@@ -50,12 +50,12 @@
   }
   // Whether that is so of late, and nothing was heard since.
   bool IsUnanswered(std::uint32_t server, BootTime now) const;
-  // This entry keeps the server's book now; another one does.
-  void DropSum(std::uint32_t server) { sums_.erase(server); }
-  template <typename IsOwn>
-  void DropSumsOf(IsOwn&& is_own) {
-    std::erase_if(sums_, [&](const auto& item) { return is_own(item.first); });
+  // This entry keeps the books of these servers now, so reports count.
+  template <typename IsKept>
+  void DropSumsOf(IsKept&& is_kept) {
+    std::erase_if(sums_, [&](const auto& item) { return is_kept(item.first); });
   }
+  // This entry does not keep the server's book any more.
   void DropServer(std::uint32_t server);
 
   // Of all other entries together: the sum if there is one.
--- a/libraries/dispatch/server_selector.cc
+++ b/libraries/dispatch/server_selector.cc
@@ -168,20 +168,40 @@
   });
 }
 
-std::optional<ServerSelector::Choice> ServerSelector::Select(
+template <typename IsCandidate>
+std::optional<ServerSelector::Choice> ServerSelector::BestOf(
     const directory::BackendDirectory& directory,
-    const routing::EngineTraits* engine, const Demand& demand, BootTime now) {
+    const routing::EngineTraits* engine, const Demand& demand, BootTime now,
+    IsCandidate&& is_candidate) {
   std::optional<Choice> best;
   double best_score = std::numeric_limits<double>::max();
   ForEachChoice(directory, engine, demand, Purpose::kSend, now,
                 [&](const BackendServer& server, double score) {
-                  if (score >= best_score) return;
+                  if (score >= best_score || !is_candidate(server)) return;
                   best_score = score;
                   best = Choice{server.id, server.endpoint};
                 });
   return best;
 }
 
+std::optional<ServerSelector::Choice> ServerSelector::Select(
+    const directory::BackendDirectory& directory,
+    const routing::EngineTraits* engine, const Demand& demand, BootTime now) {
+  return BestOf(directory, engine, demand, now,
+                [](const BackendServer&) { return true; });
+}
+
+std::optional<ServerSelector::Choice> ServerSelector::SelectAmong(
+    const std::vector<Choice>& candidates,
+    const directory::BackendDirectory& directory,
+    const routing::EngineTraits* engine, const Demand& demand, BootTime now) {
+  return BestOf(
+      directory, engine, demand, now, [&](const BackendServer& server) {
+        return std::ranges::find(candidates, server.id, &Choice::id) !=
+               candidates.end();
+      });
+}
+
 std::vector<ServerSelector::Choice> ServerSelector::Candidates(
     const directory::BackendDirectory& directory,
     const routing::EngineTraits* engine, const Demand& demand, std::size_t most,
@@ -203,25 +223,6 @@
   return candidates;
 }
 
-std::optional<ServerSelector::Choice> ServerSelector::SelectAmong(
-    const std::vector<Choice>& candidates,
-    const directory::BackendDirectory& directory,
-    const routing::EngineTraits* engine, const Demand& demand, BootTime now) {
-  std::optional<Choice> best;
-  double best_score = std::numeric_limits<double>::max();
-  ForEachChoice(directory, engine, demand, Purpose::kSend, now,
-                [&](const BackendServer& server, double score) {
-                  if (score >= best_score ||
-                      std::ranges::find(candidates, server.id, &Choice::id) ==
-                          candidates.end()) {
-                    return;
-                  }
-                  best_score = score;
-                  best = Choice{server.id, server.endpoint};
-                });
-  return best;
-}
-
 bool ServerSelector::IsServable(const directory::BackendDirectory& directory,
                                 const routing::EngineTraits* engine,
                                 const Demand& demand) const {
--- a/libraries/dispatch/server_selector.h
+++ b/libraries/dispatch/server_selector.h
@@ -183,6 +183,7 @@
   Obstacle FindObstacle(const directory::BackendServer& server,
                         const Usage& usage, const routing::EngineTraits* engine,
                         const Demand& demand, BootTime now) const;
+  // What a server is chosen for: to be sent the request, or to be asked first.
   enum class Purpose { kSend, kAsk };
   // Whether the obstacle follows from what was told of the server a while ago.
   bool IsOldWord(const directory::BackendServer& server, Obstacle obstacle,
@@ -192,6 +193,12 @@
   void ForEachChoice(const directory::BackendDirectory& directory,
                      const routing::EngineTraits* engine, const Demand& demand,
                      Purpose purpose, BootTime now, Visit&& visit);
+  // The one with the lowest score of those for which `is_candidate` holds.
+  template <typename IsCandidate>
+  std::optional<Choice> BestOf(const directory::BackendDirectory& directory,
+                               const routing::EngineTraits* engine,
+                               const Demand& demand, BootTime now,
+                               IsCandidate&& is_candidate);
   // Lower is better.
   double Score(const directory::BackendServer& server, const Usage& usage,
                const routing::EngineTraits* engine, const Demand& demand,
--- a/libraries/gossip/load_journal.h
+++ b/libraries/gossip/load_journal.h
@@ -1,6 +1,6 @@
-// What each peer was last told of this entry's load, so that a message holds
-// only what is news to its reader. Changes then reach the others at once where
-// whole loads could be sent a few times a second at most.
+// What each peer was last told of loads, so that a message holds only what is
+// news to its reader. Changes then reach the others at once where whole loads
+// could be sent a few times a second at most.
 #pragma once
 
 #include <chrono>
@@ -18,7 +18,7 @@
   // Datagrams may be lost: a peer is told everything again after this time.
   static constexpr std::chrono::milliseconds kRefreshInterval{3000};
 
-  // The load of this entry now, all of it.
+  // The load now, all of it.
   void Update(const dispatch::UsageByServer& load);
 
   struct News {
--- a/libraries/gossip/peer_table.cc
+++ b/libraries/gossip/peer_table.cc
@@ -12,16 +12,18 @@
 
 using State = PeerNews::State;
 
-// News is told in so many digests for each doubling of the fleet; in SWIM's
-// analysis three leave less than one entry in a thousand without it.
-constexpr std::size_t kTellingsPerDoubling = 3;
+// News is told in so many digests for each doubling of the fleet. In SWIM's
+// analysis three leave less than one entry in a thousand without it; two more
+// are for what overtakes it, datagrams that are lost, and readers that are
+// away.
+constexpr std::size_t kTellingsPerDoubling = 5;
 // A round that comes this late was not late alone: this process stood still,
 // and what it did not hear meanwhile tells nothing.
 constexpr std::chrono::milliseconds kStoodStill{600};
 
 // Lists of different peers that are asked for after an address was new: each
 // may lack some that others know.
-constexpr int kListsAfterNews = 3;
+constexpr int kListsAfterNews = 4;
 
 bool Overrides(const PeerNews& news, std::uint32_t standing, State state) {
   if (news.standing != standing) return news.standing > standing;
@@ -35,6 +37,7 @@
   const auto [found, added] = peers_.try_emplace(ip);
   if (added) {
     found->second.since = now;
+    found->second.ring_position = membership::StableHash(ip);
     lists_wanted_ = kListsAfterNews;
   }
   return &found->second;
@@ -128,6 +131,7 @@
   if (peer == nullptr || !Overrides(news, peer->standing, peer->state)) return;
   peer->standing = news.standing;
   Tell(*peer);
+  if (news.state == State::kSuspected) AskListsIfMany();
   if (news.state != State::kAlive && now - peer->heard < limits_.recent) {
     ++peer->standing;
     SetState(*peer, State::kAlive, now);
@@ -137,9 +141,20 @@
   if (news.state != peer->state) SetState(*peer, news.state, now);
 }
 
+void PeerTable::AskListsIfMany() {
+  const auto untold = std::ranges::count_if(peers_, [](const auto& item) {
+    return item.second.state != State::kAlive && item.second.left_to_tell > 0;
+  });
+  if (std::cmp_greater(untold, limits_.away_told_by_news)) {
+    lists_wanted_ = kListsAfterNews;
+  }
+}
+
 void PeerTable::OnList(const std::vector<PeerNews>& list, BootTime now) {
   for (const PeerNews& news : list) {
     const auto found = peers_.find(news.ip);
+    // Or entries would tell each other of one that is gone for ever.
+    if (found == peers_.end() && news.state == State::kLost) continue;
     const std::size_t left =
         found == peers_.end() ? 0 : found->second.left_to_tell;
     OnNews(news, now);
@@ -154,15 +169,19 @@
       last_round_ != BootTime{} && now - last_round_ > kStoodStill;
   last_round_ = now;
   if (stood_still) asked_.clear();
-  if (const auto found = peers_.find(asked_);
-      found != peers_.end() && asked_rounds_ >= limits_.rounds_asked) {
+  std::erase_if(asked_, [&](const auto& item) {
+    const auto found = peers_.find(item.first);
+    if (found == peers_.end() || found->second.heard >= item.second.since) {
+      return true;
+    }
+    if (item.second.rounds < limits_.rounds_asked) return false;
     Peer& peer = found->second;
-    if (peer.state == State::kAlive && peer.heard < asked_since_) {
+    if (peer.state == State::kAlive) {
       SetState(peer, State::kSuspected, now);
       Tell(peer);
     }
-    asked_.clear();
-  }
+    return true;
+  });
   std::vector<std::string> lost;
   for (auto& [ip, peer] : peers_) {
     if (peer.state == State::kSuspected) {
@@ -198,21 +217,35 @@
   return targets;
 }
 
-std::optional<std::string> PeerTable::TakeAsked(BootTime now) {
-  const auto found = peers_.find(asked_);
-  const bool still_silent = found != peers_.end() && IsAlive(found->second) &&
-                            found->second.heard < asked_since_;
-  if (!still_silent) {
-    std::vector<std::string> next;
-    std::ranges::sample(Alive(), std::back_inserter(next), 1, random_);
-    if (next.empty()) return std::nullopt;
-    const std::string doubted = std::exchange(ask_next_, {});
-    asked_ = IsAlive(doubted) ? doubted : next.front();
-    asked_since_ = now;
-    asked_rounds_ = 0;
+void PeerTable::AskNext(const std::string& ip, BootTime now) {
+  if (IsAlive(ip) && asked_.size() < limits_.asked_at_once) {
+    asked_.try_emplace(ip, Asked{now, 0});
+  }
+}
+
+std::optional<std::string> PeerTable::NextOnRing() {
+  const std::uint64_t own = membership::StableHash(own_ip_);
+  std::vector<std::pair<std::uint64_t, const std::string*>> ahead;
+  for (const auto& [ip, peer] : peers_) {
+    if (IsAlive(peer)) ahead.emplace_back(peer.ring_position - own, &ip);
+  }
+  if (ahead.empty()) return std::nullopt;
+  const std::size_t turn =
+      asked_turn_++ % std::min(limits_.ring_successors, ahead.size());
+  const auto next = ahead.begin() + static_cast<std::ptrdiff_t>(turn);
+  std::ranges::nth_element(ahead, next);
+  return *next->second;
+}
+
+std::vector<std::string> PeerTable::TakeAsked(BootTime now) {
+  if (const auto next = NextOnRing()) AskNext(*next, now);
+  std::vector<std::string> asked;
+  for (auto& [ip, state] : asked_) {
+    ++state.rounds;
+    asked.push_back(ip);
+    if (state.rounds == limits_.rounds_asked) asked.push_back(ip);
   }
-  ++asked_rounds_;
-  return asked_;
+  return asked;
 }
 
 std::vector<PeerNews> PeerTable::TakeNews(std::size_t readers) {
@@ -244,7 +277,8 @@
 std::vector<PeerNews> PeerTable::List() const {
   std::vector<PeerNews> list;
   for (const auto& [ip, peer] : peers_) {
-    if (!IsAlive(peer)) continue;
+    // One that is only named was never known to be alive.
+    if (!IsAlive(peer) && peer.standing == 0) continue;
     list.push_back({ip, peer.standing, peer.state, peer.reaches_store});
   }
   list.push_back({own_ip_, own_standing_, State::kAlive, own_reaches_store_});
--- a/libraries/gossip/peer_table.h
+++ b/libraries/gossip/peer_table.h
@@ -24,6 +24,14 @@
     // A peer that was asked in so many rounds and gave no sign of life is
     // suspected. Datagrams are lost, and each suspicion is told to all.
     int rounds_asked = 4;
+    // Peers that are asked at once at most; more than one only while some are
+    // silent.
+    std::size_t asked_at_once = 8;
+    // The peers that are asked in turn, those next to this entry on a ring of
+    // hashed addresses: each is asked by so many others that it matters little
+    // who of them is away, and soon by one of them, which chance does not grant
+    // where many are lost at once.
+    std::size_t ring_successors = 8;
     // A suspected peer is lost unless someone hears it within this time, which
     // is enough for the word to go round and back.
     std::chrono::milliseconds suspicion_time{600};
@@ -33,7 +41,10 @@
     // is a seed.
     std::chrono::milliseconds memory{20000};
     // News in one digest.
-    std::size_t told_news = 16;
+    std::size_t told_news = 32;
+    // Where more peers than this are newly away, lists tell of them, too: each
+    // piece of news goes to few readers, and some would hear late.
+    std::size_t away_told_by_news = 8;
     // A list of all is asked for this long after the last one if there were new
     // addresses since; news alone would take long where many join at once.
     std::chrono::milliseconds list_while_learning{200};
@@ -58,7 +69,7 @@
   // from its first digest on.
   bool OnLoadUpdate(const std::string& ip, std::uint64_t sequence,
                     BootTime now);
-  // Takes all that another entry knows of.
+  // Takes all that another entry knows of, those that are away included.
   void OnList(const std::vector<PeerNews>& list, BootTime now);
   // Peers that were lost since the last call, which is to be made each round.
   std::vector<std::string> TakeLost(BootTime now);
@@ -68,11 +79,12 @@
   std::vector<std::string> Targets(std::size_t most);
   // The same without one that was not heard.
   std::vector<std::string> NextTargets(std::size_t most);
-  // A peer to be asked for a digest in this round, the last one again unless it
-  // was heard since; nothing if there is none.
-  std::optional<std::string> TakeAsked(BootTime now);
-  // This peer did not answer something else: it is asked before others.
-  void AskNext(const std::string& ip) { ask_next_ = ip; }
+  // Peers to be asked for a digest in this round: the next in turn, and again
+  // those that were asked before and not heard since. Twice in the last round,
+  // so that lost datagrams alone seldom make a suspicion.
+  std::vector<std::string> TakeAsked(BootTime now);
+  // This peer did not answer something else: it is asked, too.
+  void AskNext(const std::string& ip, BootTime now);
   // The news to tell in a digest that goes to so many readers.
   std::vector<PeerNews> TakeNews(std::size_t readers);
   // Another entry to ask for its list; nothing if it is not time.
@@ -116,6 +128,7 @@
     // When it was last heard by this entry itself; zero if it never was.
     BootTime heard;
     bool is_seed = false;
+    std::uint64_t ring_position = 0;
     // Datagrams that are still to carry its news.
     std::size_t left_to_tell = 0;
     // `TakeLost` has to return it.
@@ -130,10 +143,14 @@
   void OnHeard(Peer& peer, BootTime now);
   void OnNews(const PeerNews& news, BootTime now);
   void OnNewsOfSelf(const PeerNews& news);
+  // Lists of others are wanted where many peers are newly away.
+  void AskListsIfMany();
   void SetState(Peer& peer, PeerNews::State state, BootTime now);
   // Of the peers for which `counts` holds.
   template <typename Counts>
   std::size_t RankedBefore(std::string_view key, Counts&& counts) const;
+  // The next of those that this entry asks in turn.
+  std::optional<std::string> NextOnRing();
   // Its news is to be told as often as the fleet's size asks for.
   void Tell(Peer& peer);
 
@@ -143,12 +160,14 @@
   std::map<std::string, Peer> peers_;
   std::uint32_t own_standing_ = 1;
   bool own_reaches_store_ = false;
-  // The peer that is being asked, since when, and in how many rounds.
-  std::string asked_;
-  BootTime asked_since_;
-  int asked_rounds_ = 0;
-  // The peer to ask when that is settled; empty: any.
-  std::string ask_next_;
+  struct Asked {
+    BootTime since;
+    int rounds = 0;
+  };
+
+  // Peers that are being asked.
+  std::map<std::string, Asked> asked_;
+  std::size_t asked_turn_ = 0;
   BootTime last_round_;
   // When a list was last asked for, and how many more are to be soon.
   BootTime list_asked_;
--- a/services/gateway/exchange.cc
+++ b/services/gateway/exchange.cc
@@ -1,10 +1,7 @@
-// Waiting for room, attempts, and final answers.
+// Attempts and final answers.
 #include "services/gateway/exchange.h"
 
-#include <QPointer>
 #include <algorithm>
-#include <iterator>
-#include <random>
 #include <utility>
 
 #include "libraries/base/log_event.h"
@@ -24,22 +21,6 @@
 // A request that may not run twice, and has no answer after so many latency
 // objectives, counts against its server.
 constexpr double kVerySlowShare = 2.0;
-// Clients come back after a refusal within this share of the time they have
-// (platform: a third).
-constexpr double kRetryAfterShare = 0.3;
-// Those that are refused together come back over this many times the wait.
-constexpr double kRetryAfterSpread = 1.5;
-constexpr milliseconds kMinRetryAfter{50};
-// Engines that are asked for their loads together, and how often, before a
-// request waits. Two choices make most of the difference (M. Mitzenmacher, The
-// power of two choices, 2001); the third is for answers that are lost.
-constexpr std::size_t kEnginesAsked = 3;
-constexpr int kMaxRoundsAsked = 3;
-// A request that waits looks for engines to ask no more often.
-constexpr milliseconds kAskInterval{25};
-// From the dispatch of a generation to its first event, with some prompt ahead.
-constexpr milliseconds kTypicalStart{500};
-
 // Statuses by which a client is told that its request never ran.
 bool PromisesNotRun(int status) {
   return status == 408 || status == 421 || status == 429 || status == 503;
@@ -68,8 +49,10 @@
       sink_(sink),
       head_(std::move(head)),
       body_(std::move(body)),
-      received_(received) {
+      received_(received),
+      search_(context) {
   context_.exchanges.insert(this);
+  search_.on_ended = [this](const auto& choice) { OnSearchEnded(choice); };
   deadline_timer_.setSingleShot(true);
   deadline_timer_.setTimerType(Qt::PreciseTimer);
   connect(&deadline_timer_, &QTimer::timeout, this, &Exchange::OnDeadline);
@@ -99,185 +82,10 @@
   return request_.workspace == nullptr ? "" : request_.workspace->name;
 }
 
-dispatch::WaitingLine<Exchange*>& Exchange::Line() {
-  return context_.waiting[request_.service->name];
-}
-
 retry::SharedRetryBudget& Exchange::Budget() const {
   return context_.RetryBudgetOf(request_.service->name);
 }
 
-// --- Waiting for room ---
-
-milliseconds Exchange::TimeLeft() const {
-  return std::max(milliseconds(0), std::chrono::duration_cast<milliseconds>(
-                                       request_.deadline - BootClock::now()));
-}
-
-milliseconds Exchange::ExpectedWait() {
-  const std::int64_t ahead = Line().WorkAhead(
-      request_.priority, [](const Exchange* other) { return other->work(); });
-  const BootTime now = BootClock::now();
-  const milliseconds expected =
-      context_.forecasts[request_.service->name].TimeUntil(ahead + work(), now);
-  const auto rest = context_.selector.EarliestEndOfRest(context_.directory,
-                                                        request_.demand, now);
-  if (!rest.has_value()) return expected;
-  return std::max(expected, std::chrono::ceil<milliseconds>(*rest - now));
-}
-
-milliseconds Exchange::RetryAfter() {
-  const auto most =
-      std::chrono::duration_cast<milliseconds>(TimeLeft() * kRetryAfterShare);
-  std::uniform_real_distribution<double> spread(1.0, kRetryAfterSpread);
-  const auto wait = std::chrono::duration_cast<milliseconds>(
-      std::max(ExpectedWait(), kMinRetryAfter) * spread(context_.random));
-  return std::min(most, wait);
-}
-
-void Exchange::WaitOrRefuse() {
-  if (!context_.selector.IsServable(context_.directory, request_.engine(),
-                                    request_.demand)) {
-    Answer(503, "no_backend_server", RetryAfter());
-    return;
-  }
-  const milliseconds objective = request_.route->latency_objective;
-  const milliseconds longest =
-      dispatch::LongestWait(request_.work_kind(), objective, TimeLeft());
-  const milliseconds expected = ExpectedWait();
-  if (expected > longest) {
-    // Known now, so it is said now.
-    const dispatch::ServerSelector::PassedOver& passed_over =
-        context_.selector.passed_over();
-    LogEvent("wait_too_long")
-        .With("id", facts_.id)
-        .With("expected", expected)
-        .With("longest", longest)
-        .With("line", Line().size())
-        .With("servers", passed_over.servers)
-        .With("leaving", passed_over.leaving)
-        .With("excluded", passed_over.excluded)
-        .With("paused", passed_over.paused)
-        .With("resting", passed_over.resting)
-        .With("broken", passed_over.broken)
-        .With("without_slot", passed_over.without_slot)
-        .With("without_memory", passed_over.without_memory)
-        .With("reading", passed_over.reading);
-    Answer(503, "no_room_in_time", RetryAfter());
-    return;
-  }
-  LogEvent("waiting")
-      .With("id", facts_.id)
-      .With("expected", expected)
-      .With("longest", longest)
-      .With("line", Line().size());
-  waiting_ = true;
-  Line().Join(this, request_.priority, received_ + objective - kTypicalStart,
-              BootClock::now() + longest);
-}
-
-void Exchange::LeaveLine() {
-  if (!std::exchange(waiting_, false)) return;
-  Line().Leave(this);
-}
-
-void Exchange::OnWaitExpired() {
-  waiting_ = false;
-  // Nothing of it was sent since it last joined the line.
-  Answer(503, "no_room", RetryAfter());
-}
-
-bool Exchange::TryDispatch() {
-  if (Dispatch() != Placement::kSent) return false;
-  waiting_ = false;
-  return true;
-}
-
-Exchange::Placement Exchange::Dispatch() {
-  if (asking_) return Placement::kAsking;
-  // One that comes from another engine has waited enough.
-  const bool may_ask = request_.engine() != nullptr && context_.ask_loads &&
-                       !attempt_.has_value();
-  if (may_ask) {
-    if (BootClock::now() < asks_again_) return Placement::kNoRoom;
-    rounds_asked_ = 0;
-    untold_.clear();
-    return AskLoads();
-  }
-  const auto choice = context_.selector.Select(
-      context_.directory, request_.engine(), request_.demand, BootClock::now());
-  if (!choice.has_value()) return Placement::kNoRoom;
-  SendTo(*choice);
-  return Placement::kSent;
-}
-
-Exchange::Placement Exchange::AskLoads() {
-  const BootTime now = BootClock::now();
-  while (rounds_asked_ < kMaxRoundsAsked) {
-    ++rounds_asked_;
-    auto candidates =
-        context_.selector.Candidates(context_.directory, request_.engine(),
-                                     request_.demand, kEnginesAsked, now);
-    if (candidates.empty()) break;
-    std::vector<std::string> ids;
-    std::ranges::transform(candidates, std::back_inserter(ids),
-                           &dispatch::ServerSelector::Choice::id);
-    asking_ =
-        context_.ask_loads(ids, [self = QPointer<Exchange>(this), candidates](
-                                    const std::set<std::uint32_t>& untold) {
-          if (self) self->OnLoadsKnown(candidates, untold);
-        });
-    if (asking_) return Placement::kAsking;
-    const auto choice =
-        context_.selector.SelectAmong(candidates, context_.directory,
-                                      request_.engine(), request_.demand, now);
-    if (!choice.has_value()) continue;
-    SendTo(*choice);
-    return Placement::kSent;
-  }
-  if (const auto choice = context_.selector.SelectAmong(
-          untold_, context_.directory, request_.engine(), request_.demand,
-          now)) {
-    SendTo(*choice);
-    return Placement::kSent;
-  }
-  asks_again_ = now + kAskInterval;
-  return Placement::kNoRoom;
-}
-
-void Exchange::OnLoadsKnown(
-    const std::vector<dispatch::ServerSelector::Choice>& candidates,
-    const std::set<std::uint32_t>& untold) {
-  asking_ = false;
-  if (finished_) return;
-  const BootTime now = BootClock::now();
-  std::vector<dispatch::ServerSelector::Choice> told;
-  for (const auto& candidate : candidates) {
-    const bool is_untold = untold.contains(dispatch::ServerKey(candidate.id));
-    (is_untold ? untold_ : told).push_back(candidate);
-  }
-  const auto choice = context_.selector.SelectAmong(
-      told, context_.directory, request_.engine(), request_.demand, now);
-  if (choice.has_value()) {
-    LeaveLine();
-    SendTo(*choice);
-    return;
-  }
-  const Placement placement = AskLoads();
-  if (placement == Placement::kSent) LeaveLine();
-  if (placement == Placement::kNoRoom && !waiting_) WaitOrRefuse();
-}
-
-void Exchange::SendTo(const dispatch::ServerSelector::Choice& choice) {
-  if (!attempt_.has_value()) {
-    Instruments().queueing->Observe(
-        telemetry::Seconds(BootClock::now() - received_));
-  }
-  DispatchOrder order;
-  order.last_event = answer_begun_ ? events_.last_event() : facts_.last_event;
-  StartAttempt(choice.id, choice.endpoint, request_.demand, std::move(order));
-}
-
 // --- Attempts ---
 
 void Exchange::StartAttempt(const std::string& server_id,
@@ -298,8 +106,7 @@
   context_.selector.OnStart(server_id, demand);
   if (request_.engine() != nullptr && context_.tell_load) context_.tell_load();
   attempt_ = std::move(attempt);
-
-  LogSent(order.memory.has_value());
+  LogSent();
 
   const http1::RequestHead head = context_.dialect.ToBackend(head_, order);
   http1::Framing framing;
@@ -318,7 +125,7 @@
   attempt_->connection->Send(std::move(request));
 }
 
-void Exchange::LogSent(bool goes_on) const {
+void Exchange::LogSent() const {
   const BootTime now = BootClock::now();
   const dispatch::Usage usage =
       context_.selector.UsageOf(attempt_->server_id, now);
@@ -328,9 +135,9 @@
   line.With("id", facts_.id)
       .With("server", attempt_->server_id)
       .With("sent", sent_attempts_)
-      .With("goes_on", goes_on ? 1 : 0)
+      .With("goes_on", attempt_->resumes ? 1 : 0)
       .With("waited", now - received_)
-      .With("rounds", rounds_asked_)
+      .With("rounds", search_.rounds())
       .With("requests", usage.requests)
       .With("tokens", usage.tokens)
       .With("unread", usage.unread_prompt_tokens)
--- a/services/gateway/exchange.h
+++ b/services/gateway/exchange.h
@@ -14,6 +14,7 @@
 #include "libraries/migration/event_stream.h"
 #include "libraries/retry/attempt_policy.h"
 #include "services/gateway/admission.h"
+#include "services/gateway/engine_search.h"
 #include "services/gateway/gateway_context.h"
 #include "services/gateway/generation_move.h"
 #include "services/gateway/outbound_connection.h"
@@ -32,8 +33,8 @@
   void Start();
   // The client left: whatever runs for it is cancelled.
   void Cancel();
-  // Room may have come free; true if the request was sent. One that is sent
-  // later, when the engines' loads are known, leaves the line by itself.
+  // Room may have come free; true if the request was sent. One whose engine is
+  // found later leaves the line by itself.
   bool TryDispatch();
   // It has waited as long as it may.
   void OnWaitExpired();
@@ -85,28 +86,22 @@
 
   // Empty if the request is of no workspace.
   std::string WorkspaceName() const;
-  // Of its service, which all its requests share.
-  dispatch::WaitingLine<Exchange*>& Line();
+  // Of its service.
   retry::SharedRetryBudget& Budget() const;
 
+  // Finding room; see exchange_placement.cc.
   enum class Placement {
     kSent,
-    // The loads of some engines were asked for, and decide soon.
+    // An engine is being looked for.
     kAsking,
     kNoRoom,
   };
-
   // Sends the request to a server, if one is known to have room.
   Placement Dispatch();
-  // Asks how busy some engines are, before one is chosen.
-  Placement AskLoads();
-  // The loads of those are known.
-  void OnLoadsKnown(
-      const std::vector<dispatch::ServerSelector::Choice>& candidates,
-      const std::set<std::uint32_t>& untold);
+  void OnSearchEnded(const std::optional<EngineSearch::Choice>& choice);
   void SendTo(const dispatch::ServerSelector::Choice& choice);
-
-  // Waiting for room.
+  // Of its service, which all its requests share.
+  dispatch::WaitingLine<Exchange*>& Line();
   std::chrono::milliseconds TimeLeft() const;
   // How long until there is room, behind those that wait already.
   std::chrono::milliseconds ExpectedWait();
@@ -118,8 +113,8 @@
   void StartAttempt(const std::string& server_id,
                     const directory::Endpoint& endpoint,
                     const dispatch::Demand& demand, DispatchOrder order);
-  // Why the attempt's server was chosen. `goes_on`: from a copy of the run.
-  void LogSent(bool goes_on) const;
+  // Why the attempt's server was chosen.
+  void LogSent() const;
   // The attempt is not given up when it is slow, and waited for longer; that
   // counts against its server.
   bool CountsWhenSlow() const;
@@ -176,13 +171,7 @@
   std::optional<Attempt> attempt_;
   int sent_attempts_ = 0;
   bool waiting_ = false;
-  // Loads are being asked for; in how many rounds they were since it last had a
-  // turn; and no sooner than when again.
-  bool asking_ = false;
-  int rounds_asked_ = 0;
-  // Servers that it was not told of in any round: better than none.
-  std::vector<dispatch::ServerSelector::Choice> untold_;
-  BootTime asks_again_;
+  EngineSearch search_;
   // The answer's head has been written to the client.
   bool answer_begun_ = false;
   bool finished_ = false;
--- /dev/null
+++ b/services/gateway/exchange_placement.cc
@@ -0,0 +1,151 @@
+// Finding room for a request: the search for a server, the line of those that
+// wait, and refusals.
+#include <algorithm>
+#include <random>
+#include <utility>
+
+#include "libraries/base/log_event.h"
+#include "services/gateway/exchange.h"
+
+namespace balsam::gateway {
+namespace {
+
+using std::chrono::milliseconds;
+
+// Clients come back after a refusal within this share of the time they have
+// (platform: a third).
+constexpr double kRetryAfterShare = 0.3;
+// Those that are refused together come back over this many times the wait.
+constexpr double kRetryAfterSpread = 1.5;
+constexpr milliseconds kMinRetryAfter{50};
+// From the dispatch of a generation to its first event, with some prompt ahead.
+constexpr milliseconds kTypicalStart{500};
+
+}  // namespace
+
+dispatch::WaitingLine<Exchange*>& Exchange::Line() {
+  return context_.waiting[request_.service->name];
+}
+
+milliseconds Exchange::TimeLeft() const {
+  return std::max(milliseconds(0), std::chrono::duration_cast<milliseconds>(
+                                       request_.deadline - BootClock::now()));
+}
+
+milliseconds Exchange::ExpectedWait() {
+  const std::int64_t ahead = Line().WorkAhead(
+      request_.priority, [](const Exchange* other) { return other->work(); });
+  const BootTime now = BootClock::now();
+  const milliseconds expected =
+      context_.forecasts[request_.service->name].TimeUntil(ahead + work(), now);
+  const auto rest = context_.selector.EarliestEndOfRest(context_.directory,
+                                                        request_.demand, now);
+  if (!rest.has_value()) return expected;
+  return std::max(expected, std::chrono::ceil<milliseconds>(*rest - now));
+}
+
+milliseconds Exchange::RetryAfter() {
+  const auto most =
+      std::chrono::duration_cast<milliseconds>(TimeLeft() * kRetryAfterShare);
+  std::uniform_real_distribution<double> spread(1.0, kRetryAfterSpread);
+  const auto wait = std::chrono::duration_cast<milliseconds>(
+      std::max(ExpectedWait(), kMinRetryAfter) * spread(context_.random));
+  return std::min(most, wait);
+}
+
+void Exchange::WaitOrRefuse() {
+  if (!context_.selector.IsServable(context_.directory, request_.engine(),
+                                    request_.demand)) {
+    Answer(503, "no_backend_server", RetryAfter());
+    return;
+  }
+  const milliseconds objective = request_.route->latency_objective;
+  const milliseconds longest =
+      dispatch::LongestWait(request_.work_kind(), objective, TimeLeft());
+  const milliseconds expected = ExpectedWait();
+  if (expected > longest) {
+    // Known now, so it is said now.
+    const dispatch::ServerSelector::PassedOver& passed_over =
+        context_.selector.passed_over();
+    LogEvent("wait_too_long")
+        .With("id", facts_.id)
+        .With("expected", expected)
+        .With("longest", longest)
+        .With("line", Line().size())
+        .With("servers", passed_over.servers)
+        .With("leaving", passed_over.leaving)
+        .With("excluded", passed_over.excluded)
+        .With("paused", passed_over.paused)
+        .With("resting", passed_over.resting)
+        .With("broken", passed_over.broken)
+        .With("without_slot", passed_over.without_slot)
+        .With("without_memory", passed_over.without_memory)
+        .With("reading", passed_over.reading);
+    Answer(503, "no_room_in_time", RetryAfter());
+    return;
+  }
+  LogEvent("waiting")
+      .With("id", facts_.id)
+      .With("expected", expected)
+      .With("longest", longest)
+      .With("line", Line().size());
+  waiting_ = true;
+  Line().Join(this, request_.priority, received_ + objective - kTypicalStart,
+              BootClock::now() + longest);
+}
+
+void Exchange::LeaveLine() {
+  if (!std::exchange(waiting_, false)) return;
+  Line().Leave(this);
+}
+
+void Exchange::OnWaitExpired() {
+  waiting_ = false;
+  // Nothing of it was sent since it last joined the line.
+  Answer(503, "no_room", RetryAfter());
+}
+
+bool Exchange::TryDispatch() {
+  if (Dispatch() != Placement::kSent) return false;
+  waiting_ = false;
+  return true;
+}
+
+Exchange::Placement Exchange::Dispatch() {
+  if (search_.asking()) return Placement::kAsking;
+  // One that comes from another engine has waited enough.
+  const bool may_ask = request_.engine() != nullptr && context_.ask_loads &&
+                       !attempt_.has_value();
+  const auto choice =
+      may_ask ? search_.Begin(*request_.engine(), request_.demand)
+              : context_.selector.Select(context_.directory, request_.engine(),
+                                         request_.demand, BootClock::now());
+  if (choice.has_value()) {
+    SendTo(*choice);
+    return Placement::kSent;
+  }
+  return search_.asking() ? Placement::kAsking : Placement::kNoRoom;
+}
+
+void Exchange::OnSearchEnded(
+    const std::optional<EngineSearch::Choice>& choice) {
+  if (finished_) return;
+  if (choice.has_value()) {
+    LeaveLine();
+    SendTo(*choice);
+  } else if (!waiting_) {
+    WaitOrRefuse();
+  }
+}
+
+void Exchange::SendTo(const dispatch::ServerSelector::Choice& choice) {
+  if (!attempt_.has_value()) {
+    Instruments().queueing->Observe(
+        telemetry::Seconds(BootClock::now() - received_));
+  }
+  DispatchOrder order;
+  order.last_event = answer_begun_ ? events_.last_event() : facts_.last_event;
+  StartAttempt(choice.id, choice.endpoint, request_.demand, std::move(order));
+}
+
+}  // namespace balsam::gateway
--- a/services/gateway/gateway_node.cc
+++ b/services/gateway/gateway_node.cc
@@ -338,8 +338,8 @@
 }
 
 void GatewayNode::OnSaidLeaving(const std::string& server_id) {
-  const auto change =
-      context_.directory.OnReportedLeaving(server_id, true, BootClock::now());
+  const auto change = context_.directory.OnReportedLeaving(
+      server_id, directory::LeavingWord::kFinal, BootClock::now());
   // Each answer says it again; the first is news, and what the store or a
   // report told before is made final without a line.
   if (!change.has_value()) return;
@@ -352,8 +352,8 @@
                                     bool by_peer) {
   const BootTime now = BootClock::now();
   reported_leaving_.insert_or_assign(server_id, now);
-  const auto change =
-      context_.directory.OnReportedLeaving(server_id, false, now);
+  const auto change = context_.directory.OnReportedLeaving(
+      server_id, directory::LeavingWord::kReported, now);
   if (change.has_value()) {
     store_behind_until_ = now + kStoreBehindTime;
     OnServerChange(*change);
--- a/services/gateway/load_exchange.cc
+++ b/services/gateway/load_exchange.cc
@@ -193,7 +193,7 @@
   }
   for (const std::string& keeper : silent) {
     silent_keepers_.insert_or_assign(keeper, now);
-    peers_.AskNext(keeper);
+    peers_.AskNext(keeper, now);
     LogEvent("load_unanswered", LogEvent::Level::kWarning)
         .With("keeper", keeper)
         .With("servers", question.mapped().unanswered.size());
@@ -258,8 +258,9 @@
   if (!peers_.OnLoadUpdate(sender, update.sequence, now)) return;
   dispatch::LoadReports& reports = context_.selector.reports();
   reports.Change(sender, update.load, now);
-  // From a sum that another keeper told, if this one has only just become it.
-  for (const auto& [server, usage] : update.load) reports.DropSum(server);
+  // The sender takes this gateway for a keeper, which it may not know yet.
+  reports.DropSumsOf(
+      [&](std::uint32_t server) { return update.load.contains(server); });
 }
 
 void LoadExchange::OnMessage(const gossip::LoadSums& sums,
--- a/services/gateway/peer_exchange.cc
+++ b/services/gateway/peer_exchange.cc
@@ -5,7 +5,6 @@
 #include <QNetworkDatagram>
 #include <algorithm>
 #include <charconv>
-#include <type_traits>
 #include <utility>
 #include <variant>
 
@@ -129,7 +128,7 @@
     loads_.Forget(ip);
   }
   loads_.OnRound();
-  if (const auto asked = peers_.TakeAsked(now)) SendDigest({*asked}, true);
+  SendDigest(peers_.TakeAsked(now), true);
   const std::size_t most = digest_allowance_.Affordable(
       std::max<std::size_t>(digest_bytes_, 1), now);
   SendDigest(peers_.Targets(most), false);
@@ -183,16 +182,8 @@
                                                          bytes.size())}));
           const std::string sender =
               datagram.senderAddress().toString().toStdString();
-          std::visit(
-              [&](const auto& body) {
-                if constexpr (std::is_same_v<std::decay_t<decltype(body)>,
-                                             gossip::Digest>) {
-                  OnDigest(body, sender);
-                } else {
-                  loads_.OnMessage(body, sender);
-                }
-              },
-              message);
+          std::visit([&](const auto& body) { OnMessage(body, sender); },
+                     message);
           return true;
         },
         [](const Error& error) {
@@ -203,8 +194,8 @@
   }
 }
 
-void PeerExchange::OnDigest(const gossip::Digest& digest,
-                            const std::string& sender) {
+void PeerExchange::OnMessage(const gossip::Digest& digest,
+                             const std::string& sender) {
   const BootTime now = BootClock::now();
   const auto news = peers_.OnDigest(sender, digest, now);
   if (news != gossip::PeerTable::News::kNone) {
@@ -222,7 +213,7 @@
     context_.suspicions.Learn(fingerprint, crashes, now);
   }
   if (digest.wants_answer) SendDigest({sender}, false);
-  if (digest.revision > replica_.revision()) PullFrom(sender);
+  if (digest.revision > replica_.revision()) PullChanges(sender);
 }
 
 OutboundConnection* PeerExchange::Pull(
@@ -253,57 +244,62 @@
   return connection;
 }
 
+template <typename Take>
+void PeerExchange::TakeOrRefuse(const std::string& ip, std::string_view refused,
+                                Take&& take) {
+  TryOr(
+      [&]() -> Result<bool> {
+        BOOST_LEAF_CHECK(take());
+        return true;
+      },
+      [&](const Error& error) {
+        LogEvent(refused, LogEvent::Level::kWarning)
+            .With("peer", ip)
+            .With("reason", error.detail);
+        return false;
+      });
+}
+
 void PeerExchange::PullList(const std::string& ip) {
   if (list_pull_ != nullptr) return;
   list_pull_ = Pull(
       ip, std::string(kListTarget),
       [this, ip](const std::string& body) {
-        TryOr(
-            [&]() -> Result<bool> {
-              BOOST_LEAF_AUTO(list, gossip::DecodeNews(body));
-              peers_.OnList(list, BootClock::now());
-              return true;
-            },
-            [&](const Error& error) {
-              LogEvent("list_refused", LogEvent::Level::kWarning)
-                  .With("peer", ip)
-                  .With("reason", error.detail);
-              return false;
-            });
+        TakeOrRefuse(ip, "list_refused", [&]() -> Result<void> {
+          BOOST_LEAF_AUTO(list, gossip::DecodeNews(body));
+          peers_.OnList(list, BootClock::now());
+          return {};
+        });
       },
       [this] { list_pull_ = nullptr; });
 }
 
-void PeerExchange::PullFrom(const std::string& ip) {
-  if (pull_ != nullptr) return;
-  pull_ = Pull(
+void PeerExchange::PullChanges(const std::string& ip) {
+  if (changes_pull_ != nullptr) return;
+  changes_pull_ = Pull(
       ip, std::string(kChangesTarget) + std::to_string(replica_.revision()),
-      [this, ip](const std::string& body) { OnChanges(ip, body); },
-      [this] { pull_ = nullptr; });
+      [this, ip](const std::string& body) {
+        TakeOrRefuse(ip, "changes_refused", [&]() -> Result<void> {
+          BOOST_LEAF_AUTO(set, gossip::DecodeChangeSet(body));
+          OnChanges(ip, set);
+          return {};
+        });
+      },
+      [this] { changes_pull_ = nullptr; });
 }
 
-void PeerExchange::OnChanges(const std::string& ip, const std::string& body) {
-  TryOr(
-      [&]() -> Result<bool> {
-        BOOST_LEAF_AUTO(set, gossip::DecodeChangeSet(body));
-        LogEvent("changes_from_peer")
-            .With("peer", ip)
-            .With("changes", set.changes.size())
-            .With("whole", set.is_whole ? 1 : 0)
-            .With("revision", set.revision);
-        if (set.is_whole) {
-          on_snapshot(set.changes, set.revision);
-        } else {
-          on_changes(set.changes, set.revision);
-        }
-        return true;
-      },
-      [&](const Error& error) {
-        LogEvent("changes_refused", LogEvent::Level::kWarning)
-            .With("peer", ip)
-            .With("reason", error.detail);
-        return false;
-      });
+void PeerExchange::OnChanges(const std::string& ip,
+                             const gossip::ChangeSet& set) {
+  LogEvent("changes_from_peer")
+      .With("peer", ip)
+      .With("changes", set.changes.size())
+      .With("whole", set.is_whole ? 1 : 0)
+      .With("revision", set.revision);
+  if (set.is_whole) {
+    on_snapshot(set.changes, set.revision);
+  } else {
+    on_changes(set.changes, set.revision);
+  }
 }
 
 PlainAnswer PeerExchange::AnswerPull(const http1::RequestHead& head) const {
--- a/services/gateway/peer_exchange.h
+++ b/services/gateway/peer_exchange.h
@@ -9,9 +9,11 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "libraries/base/error.h"
+#include "libraries/gossip/change_set.h"
 #include "libraries/gossip/peer_table.h"
 #include "libraries/gossip/send_allowance.h"
 #include "libraries/revisions/revisioned_map.h"
@@ -80,15 +82,24 @@
   // Counts the gateways that share budgets.
   void CountGateways();
   void OnDatagrams();
-  void OnDigest(const gossip::Digest& digest, const std::string& sender);
+  void OnMessage(const gossip::Digest& digest, const std::string& sender);
+  template <typename LoadMessage>
+  void OnMessage(const LoadMessage& message, const std::string& sender) {
+    loads_.OnMessage(message, sender);
+  }
   // Asks `ip` for all gateways that it knows of.
   void PullList(const std::string& ip);
-  void PullFrom(const std::string& ip);
+  // Asks `ip` for changes that the replica lacks.
+  void PullChanges(const std::string& ip);
   // Calls a peer; `on_body` gets the body of a whole answer.
   OutboundConnection* Pull(const std::string& ip, const std::string& target,
                            std::function<void(const std::string& body)> on_body,
                            std::function<void()> on_end);
-  void OnChanges(const std::string& ip, const std::string& body);
+  // Takes what a peer sent, or logs why it cannot be read.
+  template <typename Take>
+  static void TakeOrRefuse(const std::string& ip, std::string_view refused,
+                           Take&& take);
+  void OnChanges(const std::string& ip, const gossip::ChangeSet& set);
   PlainAnswer AnswerPull(const http1::RequestHead& head) const;
 
   Identity identity_;
@@ -105,8 +116,8 @@
   // Servers that said here that they leave, and when they last did. What only a
   // peer heard is not told on, or it would go round for ever.
   std::map<std::string, BootTime> told_leaving_;
-  // The pull that is under way; null if none is.
-  OutboundConnection* pull_ = nullptr;
+  // The pulls that are under way; null if none is.
+  OutboundConnection* changes_pull_ = nullptr;
   OutboundConnection* list_pull_ = nullptr;
   // Bytes of the last digest.
   std::size_t digest_bytes_ = 0;
--- a/tests/libraries/directory/backend_directory_test.cc
+++ b/tests/libraries/directory/backend_directory_test.cc
@@ -66,21 +66,24 @@
 
 TEST_F(BackendDirectoryTest, AServersOwnWordHoldsAgainstAnOldEntry) {
   directory_.OnAnnounced(Server(), At(0));
-  EXPECT_EQ(directory_.OnReportedLeaving("i-1", false, At(1))->kind,
-            Kind::kLeaving);
-  EXPECT_FALSE(directory_.OnReportedLeaving("i-1", false, At(2)).has_value());
+  EXPECT_EQ(
+      directory_.OnReportedLeaving("i-1", LeavingWord::kReported, At(1))->kind,
+      Kind::kLeaving);
+  EXPECT_FALSE(
+      directory_.OnReportedLeaving("i-1", LeavingWord::kReported, At(2))
+          .has_value());
   EXPECT_FALSE(directory_.OnAnnounced(Server(), At(3)).has_value());
   EXPECT_EQ(directory_.LifeOf("i-1"), Life::kLeaving);
 }
 
 TEST_F(BackendDirectoryTest, AReportThatIsNotRepeatedLapses) {
   directory_.OnAnnounced(Server(), At(0));
-  directory_.OnReportedLeaving("i-1", false, At(1));
+  directory_.OnReportedLeaving("i-1", LeavingWord::kReported, At(1));
   EXPECT_TRUE(directory_.IsReportedOnly("i-1"));
   EXPECT_EQ(directory_.OnReportLapsed("i-1", At(5000))->kind, Kind::kAppeared);
   EXPECT_EQ(directory_.LifeOf("i-1"), Life::kReady);
   // Once the store has said so too, it holds.
-  directory_.OnReportedLeaving("i-1", false, At(6000));
+  directory_.OnReportedLeaving("i-1", LeavingWord::kReported, At(6000));
   directory_.OnRemoved("i-1", false, At(6001));
   EXPECT_FALSE(directory_.OnReportLapsed("i-1", At(12000)).has_value());
   EXPECT_EQ(directory_.LifeOf("i-1"), Life::kLeaving);
@@ -90,8 +93,8 @@
 // store calls it ready.
 TEST_F(BackendDirectoryTest, AWordInAnAnswerHoldsWhileTheStoreListsIt) {
   directory_.OnAnnounced(Server(), At(0));
-  directory_.OnReportedLeaving("i-1", false, At(1));
-  directory_.OnReportedLeaving("i-1", true, At(2));
+  directory_.OnReportedLeaving("i-1", LeavingWord::kReported, At(1));
+  directory_.OnReportedLeaving("i-1", LeavingWord::kFinal, At(2));
   EXPECT_FALSE(directory_.IsReportedOnly("i-1"));
   EXPECT_FALSE(directory_.OnReportLapsed("i-1", At(6000)).has_value());
   EXPECT_TRUE(directory_.OnTime(At(60000)).empty());
@@ -104,7 +107,7 @@
 
 TEST_F(BackendDirectoryTest, ANewIncarnationUnderTheSameIdIsReady) {
   directory_.OnAnnounced(Server(), At(0));
-  directory_.OnReportedLeaving("i-1", false, At(1));
+  directory_.OnReportedLeaving("i-1", LeavingWord::kReported, At(1));
   EXPECT_EQ(directory_.OnAnnounced(Server(false, 2), At(2))->kind,
             Kind::kRestarted);
   EXPECT_EQ(directory_.LifeOf("i-1"), Life::kReady);
--- a/tests/libraries/dispatch/load_reports_test.cc
+++ b/tests/libraries/dispatch/load_reports_test.cc
@@ -55,7 +55,8 @@
   EXPECT_EQ(RequestsAt("b"), 2);
   EXPECT_EQ(reports_.SumHeard(ServerKey("a")), now_);
   EXPECT_FALSE(reports_.SumHeard(ServerKey("b")).has_value());
-  reports_.DropSum(ServerKey("a"));
+  reports_.DropSumsOf(
+      [](std::uint32_t server) { return server == ServerKey("a"); });
   EXPECT_EQ(RequestsAt("a"), 1);
 }
 
--- a/tests/libraries/gossip/gossip_test.cc
+++ b/tests/libraries/gossip/gossip_test.cc
@@ -272,17 +272,106 @@
   EXPECT_GT(table_.own_standing(), 100U);
 }
 
-TEST_F(PeerTableTest, WhoDidNotAnswerSomethingElseIsAskedFirst) {
+TEST_F(PeerTableTest, WhoDidNotAnswerSomethingElseIsAskedToo) {
   for (int i = 0; i < 50; ++i) {
     table_.OnDigest("10.0.1." + std::to_string(i), MakeDigest(1, 1), now_);
   }
   now_ += milliseconds(1);
-  table_.AskNext("10.0.1.7");
-  EXPECT_EQ(table_.TakeAsked(now_), "10.0.1.7");
+  table_.AskNext("10.0.1.7", now_);
+  // One that is not known is not.
+  table_.AskNext("10.0.1.99", now_);
+  const auto asked = table_.TakeAsked(now_);
+  EXPECT_EQ(asked.size(), 2U);
+  EXPECT_EQ(std::ranges::count(asked, "10.0.1.7"), 1);
+  // It is not asked again once it was heard.
   now_ += milliseconds(1);
   table_.OnDigest("10.0.1.7", MakeDigest(1, 2), now_);
-  table_.AskNext("10.0.1.99");
-  EXPECT_NE(table_.TakeAsked(now_), "10.0.1.99");
+  table_.TakeLost(now_);
+  EXPECT_EQ(std::ranges::count(table_.TakeAsked(now_), "10.0.1.7"), 0);
+}
+
+// Load: a quarter of the gateways die at one moment. Whoever asks one after the
+// other spends most of its rounds on those that are silent already.
+TEST_F(PeerTableTest, SilentPeersDoNotKeepOthersFromBeingAsked) {
+  for (int i = 0; i < 50; ++i) {
+    table_.OnDigest("10.0.1." + std::to_string(i), MakeDigest(1, 1), now_);
+  }
+  for (std::size_t round = 1; round <= 4; ++round) {
+    now_ += milliseconds(100);
+    table_.TakeLost(now_);
+    const auto asked = table_.TakeAsked(now_);
+    EXPECT_EQ(std::set(asked.begin(), asked.end()).size(), round);
+    // The last round of the first one asks twice.
+    EXPECT_EQ(asked.size(), round == 4 ? 5U : round);
+  }
+  // The first is suspected by now, and no more is asked at once than so many.
+  for (int round = 0; round < 20; ++round) {
+    now_ += milliseconds(100);
+    table_.TakeLost(now_);
+    const auto asked = table_.TakeAsked(now_);
+    EXPECT_LE(std::set(asked.begin(), asked.end()).size(),
+              PeerTable::Limits{}.asked_at_once);
+  }
+}
+
+// Load: more peers die at one moment than digests tell of in time. Lists tell
+// of them, too, and are asked for.
+TEST_F(PeerTableTest, ManyThatAreAwayAreToldByLists) {
+  Digest digest = MakeDigest(1, 1);
+  std::vector<std::string> dead;
+  for (int i = 0; i < 100; ++i) dead.push_back("10.0.2." + std::to_string(i));
+  for (const std::string& ip : dead) {
+    digest.news.push_back({ip, 1, PeerNews::State::kAlive, false});
+  }
+  table_.OnDigest("10.0.1.1", digest, now_);
+  // Nothing is new any more.
+  for (int i = 0; i < 20; ++i) table_.TakeListSource(now_ += milliseconds(500));
+  EXPECT_FALSE(table_.TakeListSource(now_ += milliseconds(500)).has_value());
+  for (PeerNews& news : digest.news) news.state = PeerNews::State::kSuspected;
+  ++digest.sequence;
+  table_.OnDigest("10.0.1.1", digest, now_);
+  EXPECT_TRUE(table_.TakeListSource(now_).has_value());
+  const auto list = table_.List();
+  EXPECT_EQ(
+      std::ranges::count(list, PeerNews::State::kSuspected, &PeerNews::state),
+      100);
+
+  PeerTable reader("10.0.0.8", {}, 2);
+  for (PeerNews& news : digest.news) news.state = PeerNews::State::kAlive;
+  reader.OnDigest("10.0.1.1", digest, now_);
+  reader.OnList(list, now_);
+  now_ += PeerTable::Limits{}.suspicion_time;
+  EXPECT_EQ(reader.TakeLost(now_).size(), 100U);
+}
+
+TEST_F(PeerTableTest, ListsDoNotTellForEverOfOneThatIsGone) {
+  table_.OnList({{"10.0.0.1", 3, PeerNews::State::kLost, false},
+                 {"10.0.0.2", 3, PeerNews::State::kAlive, false}},
+                now_);
+  EXPECT_EQ(std::ranges::count(table_.List(), "10.0.0.1", &PeerNews::ip), 0);
+  EXPECT_EQ(std::ranges::count(table_.List(), "10.0.0.2", &PeerNews::ip), 1);
+}
+
+// Load: those that die at once are neighbours in the network, as in a data
+// centre that loses power; each is still asked by one that lives.
+TEST_F(PeerTableTest, WhoIsAskedDoesNotFollowFromTheOrderOfAddresses) {
+  for (int i = 0; i < 200; ++i) {
+    table_.OnDigest("10.0.1." + std::to_string(i), MakeDigest(1, 1), now_);
+  }
+  std::set<std::string> asked;
+  for (int round = 0; round < 16; ++round) {
+    now_ += milliseconds(100);
+    for (const std::string& ip : table_.TakeAsked(now_)) {
+      asked.insert(ip);
+      table_.OnDigest(ip, MakeDigest(1, 2), now_);
+    }
+    table_.TakeLost(now_);
+  }
+  EXPECT_EQ(asked.size(), PeerTable::Limits{}.ring_successors);
+  // Of 200 addresses, those of hashed neighbours are not all next to each
+  // other.
+  const auto in_order = table_.AliveAfter(*asked.begin());
+  EXPECT_NE(in_order[asked.size() - 2], *asked.rbegin());
 }
 
 // A process that was frozen hears its peers again only after its first round.
--- a/tests/libraries/gossip/herd_test.cc
+++ b/tests/libraries/gossip/herd_test.cc
@@ -14,6 +14,7 @@
 #include "libraries/gossip/load_journal.h"
 #include "libraries/gossip/send_allowance.h"
 #include "tests/libraries/dispatch/engine_fleet.h"
+#include "tests/libraries/gossip/generation_load.h"
 
 namespace balsam::gossip {
 namespace {
@@ -23,13 +24,6 @@
 constexpr std::size_t kEntries = 24;
 constexpr std::size_t kEngines = 40;
 constexpr double kArrivalsPerSecond = 58.0;
-constexpr std::int64_t kPrompt = 2700;
-constexpr std::int64_t kOutput = 400;
-// How fast an engine reads prompts beside its other work.
-constexpr double kTokensPerMillisecond = 7.0;
-constexpr milliseconds kRunTime{3000};
-// An answer that begins later than this is late.
-constexpr milliseconds kObjective{1500};
 constexpr milliseconds kStep{20};
 constexpr milliseconds kTime{30000};
 // What one entry may send about its load.
@@ -69,8 +63,8 @@
     }
   }
 
-  int late() const { return late_; }
-  int served() const { return served_; }
+  int late() const { return load_.late(); }
+  int on_time() const { return load_.on_time(); }
   double bytes_per_second() const {
     return static_cast<double>(bytes_) / kEntries /
            std::chrono::duration<double>(kTime).count();
@@ -89,18 +83,14 @@
   }
 
   void Arrive(std::size_t entry) {
-    const auto demand = dispatch::EngineFleet::Generation(kPrompt, kOutput);
+    const auto demand = GenerationLoad::Work();
     dispatch::ServerSelector& selector = entries_[entry].selector;
     const auto choice = fleet_.Select(selector, demand, now_);
     if (!choice.has_value()) return;
     selector.OnStart(choice->id, demand);
-    BootTime& free_at = free_at_[choice->id];
-    free_at = std::max(free_at, now_) +
-              milliseconds(static_cast<int>(kPrompt / kTokensPerMillisecond));
-    ++served_;
-    if (free_at - now_ > kObjective) ++late_;
-    runs_.push_back(
-        {entry, choice->id, demand, free_at, free_at + kRunTime, false});
+    const BootTime begins = load_.Begin(choice->id, now_);
+    runs_.push_back({entry, choice->id, demand, begins,
+                     begins + GenerationLoad::kRunTime, false});
   }
 
   void Advance() {
@@ -153,10 +143,7 @@
   dispatch::EngineFleet fleet_{kEngines, now_};
   std::vector<Entry> entries_;
   std::vector<Run> runs_;
-  // When an engine has read all prompts that it was sent.
-  std::map<std::string, BootTime> free_at_;
-  int late_ = 0;
-  int served_ = 0;
+  GenerationLoad load_;
   std::uint64_t bytes_ = 0;
 };
 
@@ -169,8 +156,7 @@
   by_news.Play();
   // No more bytes, and a third of the late answers at most.
   EXPECT_LE(by_news.bytes_per_second(), kBytesPerSecond * 1.05);
-  EXPECT_GE(by_news.served() - by_news.late(),
-            by_turns.served() - by_turns.late());
+  EXPECT_GE(by_news.on_time(), by_turns.on_time());
   EXPECT_LE(by_news.late() * 3, by_turns.late());
 }
 
--- a/tests/libraries/gossip/keeper_test.cc
+++ b/tests/libraries/gossip/keeper_test.cc
@@ -20,6 +20,7 @@
 #include "libraries/gossip/part_journal.h"
 #include "libraries/membership/keepers.h"
 #include "tests/libraries/dispatch/engine_fleet.h"
+#include "tests/libraries/gossip/generation_load.h"
 
 namespace balsam::gossip {
 namespace {
@@ -27,13 +28,6 @@
 using dispatch::ServerSelector;
 using std::chrono::milliseconds;
 
-constexpr std::int64_t kPrompt = 2700;
-constexpr std::int64_t kOutput = 400;
-// How fast an engine reads prompts beside its other work.
-constexpr double kTokensPerMillisecond = 7.0;
-constexpr milliseconds kRunTime{3000};
-// An answer that begins later than this is late.
-constexpr milliseconds kObjective{1500};
 // Questions and answers take this long; all that arrive in one step know
 // nothing of each other.
 constexpr milliseconds kStep{5};
@@ -94,7 +88,7 @@
 
   int arrived() const { return arrived_; }
   // Neither refused nor late.
-  int on_time() const { return served_ - late_; }
+  int on_time() const { return load_.on_time(); }
   double bytes_per_second() const {
     return static_cast<double>(bytes_) / static_cast<double>(entries_.size()) /
            std::chrono::duration<double>(kTime).count();
@@ -121,9 +115,7 @@
     return "10.0." + std::to_string(entry / 250) + "." +
            std::to_string(entry % 250 + 1);
   }
-  static dispatch::Demand Work() {
-    return dispatch::EngineFleet::Generation(kPrompt, kOutput);
-  }
+  static dispatch::Demand Work() { return GenerationLoad::Work(); }
 
   std::optional<ServerSelector::Choice> Choose(Entry& entry) {
     if (knowledge_ != Knowledge::kKeepers) {
@@ -188,12 +180,9 @@
   void Begin(Entry& entry, const std::string& engine) {
     BookOf(entry).selector.OnStart(engine, Work());
     Tell(entry);
-    BootTime& free_at = free_at_[engine];
-    free_at = std::max(free_at, now_) +
-              milliseconds(static_cast<int>(kPrompt / kTokensPerMillisecond));
-    ++served_;
-    if (free_at - now_ > kObjective) ++late_;
-    runs_.push_back({&entry, engine, free_at, free_at + kRunTime, false});
+    const BootTime begins = load_.Begin(engine, now_);
+    runs_.push_back(
+        {&entry, engine, begins, begins + GenerationLoad::kRunTime, false});
   }
 
   void Advance() {
@@ -223,11 +212,8 @@
   std::vector<std::unique_ptr<Entry>> entries_;
   std::map<std::string, Entry*> by_name_;
   std::vector<Run> runs_;
-  // When an engine has read all prompts that it was sent.
-  std::map<std::string, BootTime> free_at_;
+  GenerationLoad load_;
   int arrived_ = 0;
-  int late_ = 0;
-  int served_ = 0;
   std::uint64_t bytes_ = 0;
 };
 
--- a/tests/libraries/gossip/membership_scale_test.cc
+++ b/tests/libraries/gossip/membership_scale_test.cc
@@ -131,11 +131,11 @@
   void Round(std::size_t index) {
     Entry& entry = *entries_[index];
     entry.table.TakeLost(now_);
-    if (const auto asked = entry.table.TakeAsked(now_)) {
+    for (const std::string& asked : entry.table.TakeAsked(now_)) {
       Digest digest = MakeDigest(entry, 1);
       digest.wants_answer = true;
       entry.allowance.Spend(Encode(digest).size(), now_);
-      Send(index, *asked, digest);
+      Send(index, asked, digest);
     }
     const std::size_t most =
         entry.allowance.Affordable(entry.digest_bytes, now_);
--- a/tests/platform/store_client_test.cc
+++ b/tests/platform/store_client_test.cc
@@ -60,19 +60,16 @@
   // Starts a client of a store that gives these answers, and then 503.
   void Play(std::deque<PlainAnswer> answers) {
     answers_ = std::move(answers);
-    constexpr int kTries = 20;
-    bool listens = false;
-    for (int tries = 0; tries < kTries && !listens; ++tries) {
+    ASSERT_TRUE(gateway::RetryWithOtherPorts([this] {
       const directory::Endpoint endpoint{"127.0.0.1", gateway::FreePort()};
-      listens = TryOr(
+      client_ = std::make_unique<StoreClient>(endpoint, Limits());
+      return TryOr(
           [&]() -> Result<bool> {
             BOOST_LEAF_CHECK(store_.Listen(endpoint));
             return true;
           },
           [](const Error&) { return false; });
-      if (listens) client_ = std::make_unique<StoreClient>(endpoint, Limits());
-    }
-    ASSERT_TRUE(listens);
+    }));
     client_->on_changes = [this](const auto& changes, std::uint64_t revision) {
       changes_.push_back(changes);
       revision_ = revision;
@@ -180,6 +177,42 @@
   EXPECT_NE(targets_[1].find("after=7"), std::string::npos) << targets_[1];
 }
 
+// The pattern: hundreds of gateways that start at one moment, before a store
+// that holds thousands of servers and refuses what is beyond its rate. Whoever
+// reads all pages again after each refusal is refused again.
+TEST_F(StoreClientTest, ARefusedPageAloneIsAskedForAgain) {
+  Play({Page(Item("a", 3), 7, true), PlainAnswer{429, "text/plain", {}},
+        Page(Item("b", 9), 9, false)});
+  ASSERT_TRUE(RunUntil([this] { return !snapshots_.empty(); }));
+  ASSERT_EQ(snapshots_[0].size(), 2U);
+  EXPECT_EQ(revision_, 7U);
+  EXPECT_NE(targets_[2].find("after=a"), std::string::npos) << targets_[2];
+}
+
+// The same, where others have read it all meanwhile.
+TEST_F(StoreClientTest, WhatPeersToldNeedNotBeRead) {
+  known_revision_ = 42;
+  Play({Page(Item("a", 3), 7, true)});
+  ASSERT_TRUE(RunUntil([this] { return targets_.size() >= 3; }));
+  EXPECT_NE(targets_[2].find("/kv-watch"), std::string::npos) << targets_[2];
+  EXPECT_NE(targets_[2].find("after=42"), std::string::npos);
+  EXPECT_TRUE(snapshots_.empty());
+}
+
+// What this process itself knew when the store dropped its history is no newer.
+TEST_F(StoreClientTest, AfterLostHistoryOnlyNewerWordOfPeersWillDo) {
+  known_revision_ = 7;
+  Play({Page(Item("a", 3), 7, false), PlainAnswer{410, "text/plain", {}}});
+  ASSERT_TRUE(RunUntil([this] { return targets_.size() >= 5; }));
+  for (std::size_t i = 2; i < 5; ++i) {
+    EXPECT_NE(targets_[i].find("/kv-range"), std::string::npos) << targets_[i];
+  }
+  known_revision_ = 60;
+  ASSERT_TRUE(RunUntil([this] {
+    return targets_.back().find("after=60") != std::string::npos;
+  }));
+}
+
 TEST_F(StoreClientTest, LostHistoryIsMadeUpForByAWholeRead) {
   Play({Page(Item("a", 3), 7, false),
         {410, "application/json", "{}"},
--- a/tests/services/gateway/endless_answer_test.cc
+++ b/tests/services/gateway/endless_answer_test.cc
@@ -96,9 +96,7 @@
 }
 
 TEST_P(EndlessAnswerTest, IsRepeatedElsewhereIfItMayBe) {
-  second_.on_request = [](const auto& request) {
-    ReplyOk(request.socket, "page");
-  };
+  second_.on_request = RepliesOk("page");
   Send(routing::RequestKind::kIdempotent, 2);
   RunUntilEnd();
   EXPECT_EQ(sink_.status, 200);
--- a/tests/services/gateway/event_loop.h
+++ b/tests/services/gateway/event_loop.h
@@ -27,7 +27,18 @@
   return holds();
 }
 
-// Another process may take it before its use, so callers try again.
+// Calls `start` until it succeeds: it chooses ports, and another process may
+// take one before its use.
+template <typename Start>
+bool RetryWithOtherPorts(Start&& start) {
+  constexpr int kTries = 20;
+  for (int tries = 0; tries < kTries; ++tries) {
+    if (start()) return true;
+  }
+  return false;
+}
+
+// Another process may take it before its use; see `RetryWithOtherPorts`.
 inline std::uint16_t FreePort() {
   QTcpServer probe;
   probe.listen(QHostAddress::LocalHost);
--- a/tests/services/gateway/exchange_fixture.h
+++ b/tests/services/gateway/exchange_fixture.h
@@ -133,6 +133,12 @@
   static void ReplyOk(QTcpSocket* socket, const std::string& body) {
     Reply(socket, "200 OK", "Request-Id: r-1\r\nResponse-Seal: s\r\n", body);
   }
+  // For an engine that answers each request so.
+  static auto RepliesOk(const std::string& body) {
+    return [body](const ScriptedEngine::Request& request) {
+      ReplyOk(request.socket, body);
+    };
+  }
   // Begins a stream of unknown length and sends its first events.
   static void BeginStream(QTcpSocket* socket, int first, int last) {
     std::string text =
--- a/tests/services/gateway/exchange_test.cc
+++ b/tests/services/gateway/exchange_test.cc
@@ -7,9 +7,7 @@
 using std::chrono::milliseconds;
 
 TEST_F(ExchangeTest, DeliversAWholeAnswer) {
-  first_.on_request = [](const auto& request) {
-    ReplyOk(request.socket, "opened");
-  };
+  first_.on_request = RepliesOk("opened");
   Send(routing::RequestKind::kNonIdempotent, 1);
   RunUntilEnd();
   EXPECT_EQ(sink_.status, 200);
@@ -17,9 +15,7 @@
 }
 
 TEST_F(ExchangeTest, EachEndIsCountedOnceUnderItsOutcome) {
-  first_.on_request = [](const auto& request) {
-    ReplyOk(request.socket, "opened");
-  };
+  first_.on_request = RepliesOk("opened");
   Send(routing::RequestKind::kNonIdempotent, 1);
   RunUntilEnd();
   const std::string metrics = context_.metrics.Serialize();
@@ -56,9 +52,7 @@
 
 TEST_F(ExchangeTest, AResetIsRepeatedElsewhereIfItMayBe) {
   first_.on_request = [](const auto& request) { request.socket->abort(); };
-  second_.on_request = [](const auto& request) {
-    ReplyOk(request.socket, "page");
-  };
+  second_.on_request = RepliesOk("page");
   Send(routing::RequestKind::kIdempotent, 2);
   RunUntilEnd();
   EXPECT_EQ(sink_.status, 200);
@@ -69,9 +63,7 @@
   first_.on_request = [](const auto& request) {
     Reply(request.socket, "503 Full", "Not-Run: 1\r\n", "");
   };
-  second_.on_request = [](const auto& request) {
-    ReplyOk(request.socket, "opened");
-  };
+  second_.on_request = RepliesOk("opened");
   Send(routing::RequestKind::kNonIdempotent, 2);
   RunUntilEnd();
   EXPECT_EQ(sink_.status, 200);
@@ -202,9 +194,7 @@
   StoppingExchangeTest() {
     context_.stopping = true;
     context_.ends_at = BootClock::now() + std::chrono::seconds(300);
-    first_.on_request = [](const auto& request) {
-      ReplyOk(request.socket, "opened");
-    };
+    first_.on_request = RepliesOk("opened");
   }
 
   void SendThatMayLast(std::chrono::seconds timeout) {
--- a/tests/services/gateway/gateway_node_fixture.h
+++ b/tests/services/gateway/gateway_node_fixture.h
@@ -20,12 +20,8 @@
 
 class GatewayNodeTest : public testing::Test {
  protected:
-  // Another process may take a port between its choice and its use.
   void SetUp() override {
-    constexpr int kTries = 20;
-    for (int tries = 0; tries < kTries && !StartNode(); ++tries) {
-    }
-    ASSERT_NE(node_, nullptr);
+    ASSERT_TRUE(RetryWithOtherPorts([this] { return StartNode(); }));
     for (ScriptedEngine* engine : {&first_, &second_}) {
       engine->on_request = [](const auto& request) { Reply(request, ""); };
     }
--- a/tests/services/gateway/peer_exchange_test.cc
+++ b/tests/services/gateway/peer_exchange_test.cc
@@ -45,12 +45,8 @@
 
 class PeerExchangeTest : public testing::Test {
  protected:
-  // Another process may take a port between its choice and its use.
   void SetUp() override {
-    constexpr int kTries = 20;
-    for (int tries = 0; tries < kTries && !StartBoth(); ++tries) {
-    }
-    ASSERT_NE(second_, nullptr);
+    ASSERT_TRUE(RetryWithOtherPorts([this] { return StartBoth(); }));
     second_->exchange.SetSeeds({"127.0.0.1"});
   }
 
--- a/tests/services/gateway/service_faults_test.cc
+++ b/tests/services/gateway/service_faults_test.cc
@@ -61,6 +61,12 @@
            "\r\nResponse-Seal: s\r\nContent-Length: " +
            std::to_string(body.size()) + "\r\n\r\n" + body;
   }
+  // For requests r-1 and r-2.
+  static void WriteItsAnswer(const ScriptedEngine::Request& request) {
+    const bool is_second = request.head.find("r-2") != std::string::npos;
+    Write(request.socket,
+          is_second ? Answer("r-2", "second") : Answer("r-1", "first"));
+  }
   static std::string StreamHead(const std::string& id) {
     return "HTTP/1.1 200 OK\r\nRequest-Id: " + id +
            "\r\nResponse-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n";
@@ -78,8 +84,7 @@
   first_.on_request = [](const auto& request) {
     const bool is_second = request.head.find("r-2") != std::string::npos;
     if (is_second) Write(request.socket, Answer("r-1", "first"));
-    Write(request.socket,
-          is_second ? Answer("r-2", "second") : Answer("r-1", "first"));
+    WriteItsAnswer(request);
   };
   Publish({&first_});
   Client first(client_port_);
@@ -99,9 +104,7 @@
   QTcpSocket* used = nullptr;
   first_.on_request = [&](const auto& request) {
     used = request.socket;
-    const bool is_second = request.head.find("r-2") != std::string::npos;
-    Write(request.socket,
-          is_second ? Answer("r-2", "second") : Answer("r-1", "first"));
+    WriteItsAnswer(request);
   };
   Publish({&first_});
   Client first(client_port_);
