Ask refused clients to come back while they can still be on time

Ruled out: slow engines (6 began late), the store, failures. Change: where the forecast is within the objective, a client is told at most a quarter of the objective, times 1 to 1.5.

--- a/services/gateway/exchange_placement.cc
+++ b/services/gateway/exchange_placement.cc
@@ -18,6 +18,9 @@
 // Those that are refused together come back over this many times the wait.
 constexpr double kRetryAfterSpread = 1.5;
 constexpr milliseconds kMinRetryAfter{50};
+// Who is asked to come back after this share of its objective is still on time if
+// it begins at once then: reading a prompt beside others takes up to half of it.
+constexpr double kOnTimeReturnShare = 0.25;
 // From the dispatch of a generation to its first event, with some prompt ahead.
 constexpr milliseconds kTypicalStart{500};
 
@@ -47,9 +50,15 @@
 milliseconds Exchange::RetryAfter() {
   const auto most =
       std::chrono::duration_cast<milliseconds>(TimeLeft() * kRetryAfterShare);
+  const milliseconds objective = request_.route->latency_objective;
+  milliseconds expected = std::max(ExpectedWait(), kMinRetryAfter);
+  if (expected <= objective) {
+    expected = std::min(expected, std::chrono::duration_cast<milliseconds>(
+                                      objective * kOnTimeReturnShare));
+  }
   std::uniform_real_distribution<double> spread(1.0, kRetryAfterSpread);
   const auto wait = std::chrono::duration_cast<milliseconds>(
-      std::max(ExpectedWait(), kMinRetryAfter) * spread(context_.random));
+      expected * spread(context_.random));
   return std::min(most, wait);
 }
 
