Choose the targets of moves by asking how busy they are

Cause: targets were chosen from sums up to seconds old, by all gateways at one moment. Ruled out: the time of copies (below 180 ms where none queue). Change: EngineSearch looks for the target, too.

--- a/libraries/migration/move_machine.h
+++ b/libraries/migration/move_machine.h
@@ -75,6 +75,7 @@
   bool stopping() const {
     return state_ == State::kStopping || state_ == State::kResuming;
   }
+  bool choosing() const { return state_ == State::kChoosing; }
   bool has_copy() const { return has_copy_; }
 
  private:
--- a/services/gateway/engine_search.cc
+++ b/services/gateway/engine_search.cc
@@ -26,6 +26,10 @@
 std::optional<EngineSearch::Choice> EngineSearch::Begin(
     const routing::EngineTraits& engine, const dispatch::Demand& demand) {
   if (asking_ || BootClock::now() < begins_again_) return std::nullopt;
+  if (!context_.ask_loads) {
+    return context_.selector.Select(context_.directory, &engine, demand,
+                                    BootClock::now());
+  }
   engine_ = &engine;
   demand_ = &demand;
   rounds_ = 0;
--- a/services/gateway/exchange_placement.cc
+++ b/services/gateway/exchange_placement.cc
@@ -123,8 +123,7 @@
 Exchange::Placement Exchange::Dispatch() {
   if (search_.asking()) return Placement::kAsking;
   // One that comes from another engine has waited enough.
-  const bool may_ask = request_.engine() != nullptr && context_.ask_loads &&
-                       !attempt_.has_value();
+  const bool may_ask = request_.engine() != nullptr && !attempt_.has_value();
   const auto choice =
       may_ask ? search_.Begin(*request_.engine(), request_.demand)
               : context_.selector.Select(context_.directory, request_.engine(),
--- a/services/gateway/generation_move.cc
+++ b/services/gateway/generation_move.cc
@@ -31,7 +31,9 @@
       engine_(engine),
       run_(std::move(run)),
       machine_({}),
+      search_(context),
       noticed_(BootClock::now()) {
+  search_.on_ended = [this](const auto& choice) { OnTargetChosen(choice); };
   retry_timer_.setSingleShot(true);
   connect(&retry_timer_, &QTimer::timeout, this, &GenerationMove::OnRetryTime);
 }
@@ -156,8 +158,15 @@
   if (source != nullptr) demand.data_center = source->data_center;
   demand.excluded.insert(run_.server_id);
   demand.excluded.insert(refused_targets_.begin(), refused_targets_.end());
-  const auto choice = context_.selector.Select(context_.directory, &engine_,
-                                               demand, BootClock::now());
+  target_demand_ = std::move(demand);
+  const auto choice = search_.Begin(engine_, target_demand_);
+  if (!search_.asking()) OnTargetChosen(choice);
+}
+
+void GenerationMove::OnTargetChosen(
+    const std::optional<EngineSearch::Choice>& choice) {
+  // The run may have ended, or its engine, while loads were asked for.
+  if (ended_ || !machine_.choosing()) return;
   if (!choice.has_value()) {
     refused_targets_.clear();
     if (!std::exchange(told_no_target_, true)) {
@@ -172,7 +181,6 @@
   }
   target_id_ = choice->id;
   target_ = choice->endpoint;
-  target_demand_ = std::move(demand);
   target_reserved_ = true;
   context_.selector.OnStart(target_id_, target_demand_);
   // Its memory is copied, not read again.
--- a/services/gateway/generation_move.h
+++ b/services/gateway/generation_move.h
@@ -8,11 +8,13 @@
 #include <QTimer>
 #include <chrono>
 #include <functional>
+#include <optional>
 #include <set>
 #include <string>
 
 #include "libraries/migration/copy_queue.h"
 #include "libraries/migration/move_machine.h"
+#include "services/gateway/engine_search.h"
 #include "services/gateway/gateway_context.h"
 
 namespace balsam::gateway {
@@ -73,6 +75,7 @@
   void OnRetryTime();
   void Perform(migration::MoveStep step);
   void ChooseTarget();
+  void OnTargetChosen(const std::optional<EngineSearch::Choice>& choice);
   void CallCopy(bool stop);
   void OnCopyAnswered(const OutboundConnection::Answer& reply);
   void Resume(bool at_target);
@@ -89,6 +92,7 @@
   std::string target_id_;
   directory::Endpoint target_;
   dispatch::Demand target_demand_;
+  EngineSearch search_;
   bool target_reserved_ = false;
   std::set<std::string> refused_targets_;
   // The log says once that no target had room.
