Tell peers at once of room that is reserved for a move; a longer wait tried and not kept

Cause: the room that a move reserves at its target was told with the next round of messages only, up to 100 ms later, when other moves of the same moment had chosen. Change: it is told at once, as for a request. Kept: fewer copies in vain.

--- a/services/gateway/generation_move.cc
+++ b/services/gateway/generation_move.cc
@@ -185,6 +185,7 @@
   context_.selector.OnStart(target_id_, target_demand_);
   // Its memory is copied, not read again.
   context_.selector.OnFirstEvent(target_id_, target_demand_);
+  if (context_.tell_load) context_.tell_load();
   Perform(machine_.OnTarget(true));
 }
 
