Let runs be expected to fill all of an engine's memory

Runs end at different moments, and what others run is known when it is asked for, so the sum in the end overstates the fill. Change: the share is 1.0.

--- a/libraries/dispatch/server_selector.h
+++ b/libraries/dispatch/server_selector.h
@@ -45,7 +45,7 @@
   struct Limits {
     // Share of an engine's memory that generations may be expected to fill in
     // the end. They do not end together, so it is rarely full at any moment.
-    double memory_share = 0.92;
+    double memory_share = 1.0;
     // The same for live runs that move. They hold less now than in the end, and
     // one that finds no place is lost, where a new request can come again.
     double transfer_memory_share = 1.05;
--- a/services/gateway/exchange_placement.cc
+++ b/services/gateway/exchange_placement.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "libraries/base/log_event.h"
+#include "libraries/dispatch/return_time.h"
 #include "services/gateway/exchange.h"
 
 namespace balsam::gateway {
@@ -12,15 +13,6 @@
 
 using std::chrono::milliseconds;
 
-// Clients come back after a refusal within this share of the time they have
-// (platform: a third).
-constexpr double kRetryAfterShare = 0.3;
-// Those that are refused together come back over this many times the wait.
-constexpr double kRetryAfterSpread = 1.5;
-constexpr milliseconds kMinRetryAfter{50};
-// Who is asked to come back after this share of its objective is still on time if
-// it begins at once then: reading a prompt beside others takes up to half of it.
-constexpr double kOnTimeReturnShare = 0.25;
 // From the dispatch of a generation to its first event, with some prompt ahead.
 constexpr milliseconds kTypicalStart{500};
 
@@ -48,18 +40,10 @@
 }
 
 milliseconds Exchange::RetryAfter() {
-  const auto most =
-      std::chrono::duration_cast<milliseconds>(TimeLeft() * kRetryAfterShare);
-  const milliseconds objective = request_.route->latency_objective;
-  milliseconds expected = std::max(ExpectedWait(), kMinRetryAfter);
-  if (expected <= objective) {
-    expected = std::min(expected, std::chrono::duration_cast<milliseconds>(
-                                      objective * kOnTimeReturnShare));
-  }
-  std::uniform_real_distribution<double> spread(1.0, kRetryAfterSpread);
-  const auto wait = std::chrono::duration_cast<milliseconds>(
-      expected * spread(context_.random));
-  return std::min(most, wait);
+  std::uniform_real_distribution<double> spread(0.0, 1.0);
+  return dispatch::TimeToReturn(ExpectedWait(),
+                                request_.route->latency_objective, TimeLeft(),
+                                spread(context_.random));
 }
 
 void Exchange::WaitOrRefuse() {
