--- a/tests/services/gateway/engine_search_test.cc
+++ b/tests/services/gateway/engine_search_test.cc
@@ -15,7 +15,7 @@
 #include <utility>
 #include <vector>
 
-#include "platform/wire_dialect.h"
+#include "tests/services/gateway/engine_books_fixture.h"
 
 namespace balsam::gateway {
 namespace {
@@ -23,32 +23,9 @@
 using dispatch::ServerKey;
 using std::chrono::milliseconds;
 
-constexpr int kEngines = 12;
-
-class EngineSearchTest : public testing::Test {
+class EngineSearchTest : public EngineBooksFixture {
  protected:
-  EngineSearchTest()
-      : context_(dialect_, {}, {0.2, 50.0, milliseconds(10000)}, 1),
-        search_(context_) {
-    engine_.slots = 8;
-    engine_.memory_tokens = 10000;
-    demand_.service = "s";
-    demand_.prompt_tokens = 1000;
-    demand_.output_tokens = 100;
-    for (int i = 0; i < kEngines; ++i) {
-      directory::BackendServer server;
-      server.id = "i-" + std::to_string(i);
-      server.service = "s";
-      server.endpoint = {"10.0.0.1", 80};
-      server.slots = 8;
-      context_.directory.OnAnnounced(server, BootClock::now());
-    }
-    context_.ask_loads = [this](const std::vector<std::string>& ids,
-                                OnLoadsKnown on_known) {
-      asked_.push_back(ids);
-      on_known_ = std::move(on_known);
-      return must_ask_;
-    };
+  EngineSearchTest() : search_(context_) {
     search_.on_ended = [this](const auto& choice) {
       ended_ = true;
       choice_ = choice;
@@ -58,31 +35,7 @@
   std::optional<EngineSearch::Choice> Begin() {
     return search_.Begin(engine_, demand_);
   }
-  // A keeper tells that others fill the engine.
-  void TellFull(const std::string& id) {
-    context_.selector.reports().TakeSum(ServerKey(id), {8, 9000, 0},
-                                        BootClock::now());
-  }
-  void TellIdle(const std::string& id) {
-    context_.selector.reports().TakeSum(ServerKey(id), {}, BootClock::now());
-  }
-  // The last question is over, and nobody told of these.
-  void EndQuestion(const std::vector<std::string>& untold = {}) {
-    std::set<std::uint32_t> keys;
-    for (const std::string& id : untold) keys.insert(ServerKey(id));
-    // It may ask again.
-    const OnLoadsKnown on_known = std::exchange(on_known_, nullptr);
-    on_known(keys);
-  }
-
-  platform::WireDialect dialect_;
-  GatewayContext context_;
-  routing::EngineTraits engine_;
-  dispatch::Demand demand_;
   EngineSearch search_;
-  bool must_ask_ = true;
-  std::vector<std::vector<std::string>> asked_;
-  OnLoadsKnown on_known_;
   bool ended_ = false;
   std::optional<EngineSearch::Choice> choice_;
 };
