Keep the shortest return time also where an objective is short

A quarter of a plain service's objective of 150 ms is less than the 50 ms that a client is asked to stay away at least. Found by reading; a test shows it.

--- a/libraries/dispatch/return_time.cc
+++ b/libraries/dispatch/return_time.cc
@@ -23,11 +23,12 @@
 
 milliseconds TimeToReturn(milliseconds expected, milliseconds objective,
                           milliseconds time_left, double spread) {
-  milliseconds wait = std::max(expected, kShortest);
-  if (wait <= objective) {
-    wait =
-        std::min(wait, duration_cast<milliseconds>(objective * kOnTimeShare));
+  milliseconds wait = expected;
+  if (expected <= objective) {
+    wait = std::min(expected,
+                    duration_cast<milliseconds>(objective * kOnTimeShare));
   }
+  wait = std::max(wait, kShortest);
   const double times = 1.0 + spread * (kSpread - 1.0);
   return std::min(duration_cast<milliseconds>(wait * times),
                   duration_cast<milliseconds>(time_left * kShareOfTimeLeft));
--- a/tests/libraries/dispatch/return_time_test.cc
+++ b/tests/libraries/dispatch/return_time_test.cc
@@ -34,6 +34,10 @@
 TEST(TimeToReturnTest, IsNeitherZeroNorBeyondWhatClientsHeed) {
   EXPECT_EQ(TimeToReturn(milliseconds(0), kObjective, kTimeLeft, 0.0),
             milliseconds(50));
+  // Of a plain service.
+  EXPECT_EQ(
+      TimeToReturn(milliseconds(90), milliseconds(150), milliseconds(1500), 0),
+      milliseconds(50));
   EXPECT_EQ(
       TimeToReturn(milliseconds(4000), kObjective, milliseconds(1000), 1.0),
       milliseconds(300));
