--- a/libraries/gossip/peer_table.h
+++ b/libraries/gossip/peer_table.h
@@ -128,6 +128,7 @@
     // When it was last heard by this entry itself; zero if it never was.
     BootTime heard;
     bool is_seed = false;
+    // Of its address, hashed.
     std::uint64_t ring_position = 0;
     // Datagrams that are still to carry its news.
     std::size_t left_to_tell = 0;
@@ -167,6 +168,7 @@
 
   // Peers that are being asked.
   std::map<std::string, Asked> asked_;
+  // Counts the peers on the ring that were asked.
   std::size_t asked_turn_ = 0;
   BootTime last_round_;
   // When a list was last asked for, and how many more are to be soon.
--- a/services/gateway/generation_move.h
+++ b/services/gateway/generation_move.h
@@ -74,7 +74,9 @@
   void OnTurn();
   void OnRetryTime();
   void Perform(migration::MoveStep step);
+  // Looks for an engine that has room for the copy.
   void ChooseTarget();
+  // Keeps room there, and goes on; no engine has room if there is no choice.
   void OnTargetChosen(const std::optional<EngineSearch::Choice>& choice);
   void CallCopy(bool stop);
   void OnCopyAnswered(const OutboundConnection::Answer& reply);
@@ -92,6 +94,7 @@
   std::string target_id_;
   directory::Endpoint target_;
   dispatch::Demand target_demand_;
+  // Of the target, by `target_demand_`.
   EngineSearch search_;
   bool target_reserved_ = false;
   std::set<std::string> refused_targets_;
