--- a/tests/libraries/gossip/gossip_test.cc
+++ b/tests/libraries/gossip/gossip_test.cc
@@ -318,10 +318,10 @@
 // of them, too, and are asked for.
 TEST_F(PeerTableTest, ManyThatAreAwayAreToldByLists) {
   Digest digest = MakeDigest(1, 1);
-  std::vector<std::string> dead;
-  for (int i = 0; i < 100; ++i) dead.push_back("10.0.2." + std::to_string(i));
-  for (const std::string& ip : dead) {
-    digest.news.push_back({ip, 1, PeerNews::State::kAlive, false});
+  digest.news.reserve(100);
+  for (int i = 0; i < 100; ++i) {
+    digest.news.push_back(
+        {"10.0.2." + std::to_string(i), 1, PeerNews::State::kAlive, false});
   }
   table_.OnDigest("10.0.1.1", digest, now_);
   // Nothing is new any more.
--- a/tests/services/gateway/engine_search_test.cc
+++ b/tests/services/gateway/engine_search_test.cc
@@ -20,7 +20,6 @@
 namespace balsam::gateway {
 namespace {
 
-using dispatch::ServerKey;
 using std::chrono::milliseconds;
 
 class EngineSearchTest : public EngineBooksFixture {
--- a/tests/services/gateway/generation_move_test.cc
+++ b/tests/services/gateway/generation_move_test.cc
@@ -36,8 +36,9 @@
   }
   std::int64_t TokensReserved() {
     std::int64_t sum = 0;
-    for (int i = 0; i < kEngines; ++i)
+    for (int i = 0; i < kEngines; ++i) {
       sum += TokensAt("i-" + std::to_string(i));
+    }
     return sum;
   }
 
