--- a/libraries/dispatch/return_time.cc
+++ b/libraries/dispatch/return_time.cc
@@ -14,6 +14,7 @@
 constexpr double kShareOfTimeLeft = 0.3;
 // Those that are refused together come back over this many times the wait.
 constexpr double kSpread = 1.5;
+// Who came back sooner would mostly find what it found before.
 constexpr milliseconds kShortest{50};
 // Who comes back after this share of its objective, and begins at once then, is
 // still on time: reading a prompt beside others takes up to half of it.
--- a/libraries/gossip/peer_table.h
+++ b/libraries/gossip/peer_table.h
@@ -136,6 +136,13 @@
     bool lost_untold = false;
   };
 
+  // A peer that was asked and has not been heard since.
+  struct Asked {
+    BootTime since;
+    // In how many rounds it was asked.
+    int rounds = 0;
+  };
+
   static bool IsAlive(const Peer& peer) {
     return peer.state != PeerNews::State::kLost;
   }
@@ -161,11 +168,6 @@
   std::map<std::string, Peer> peers_;
   std::uint32_t own_standing_ = 1;
   bool own_reaches_store_ = false;
-  struct Asked {
-    BootTime since;
-    int rounds = 0;
-  };
-
   // Peers that are being asked.
   std::map<std::string, Asked> asked_;
   // Counts the peers on the ring that were asked.
--- a/services/gateway/exchange.cc
+++ b/services/gateway/exchange.cc
@@ -362,6 +362,7 @@
       .With("id", facts_.id)
       .With("status", status)
       .With("reason", reason)
+      .With("retry_after", retry_after.value_or(milliseconds(0)))
       .With("attempts", sent_attempts_)
       .With("config",
             request_.routes == nullptr ? 0 : request_.routes->version());
--- a/tests/libraries/dispatch/return_time_test.cc
+++ b/tests/libraries/dispatch/return_time_test.cc
@@ -55,8 +55,11 @@
     constexpr std::size_t kPlaces = 190;
     constexpr double kArrivalsPerSecond = 27.0;
     constexpr milliseconds kDay{120000};
+    // Whoever is refused is told this; the fleet frees a place sooner.
     constexpr milliseconds kForecast{850};
     std::mt19937 random(5);
+    // All in milliseconds: runs of 7.5 s on average, which fill some 200
+    // places, and first events after 600 ms.
     std::exponential_distribution<double> pause(kArrivalsPerSecond / 1000.0);
     std::lognormal_distribution<double> run(8.75, 0.6);
     std::gamma_distribution<double> start(4.0, 150.0);
--- a/tests/libraries/gossip/gossip_test.cc
+++ b/tests/libraries/gossip/gossip_test.cc
@@ -368,8 +368,7 @@
     table_.TakeLost(now_);
   }
   EXPECT_EQ(asked.size(), PeerTable::Limits{}.ring_successors);
-  // Of 200 addresses, those of hashed neighbours are not all next to each
-  // other.
+  // Were they the next ones in the order of addresses, the last would be there.
   const auto in_order = table_.AliveAfter(*asked.begin());
   EXPECT_NE(in_order[asked.size() - 2], *asked.rbegin());
 }
--- a/tests/services/gateway/generation_move_test.cc
+++ b/tests/services/gateway/generation_move_test.cc
@@ -5,8 +5,11 @@
 // their runs at once, by sums that were told some time ago.
 #include "services/gateway/generation_move.h"
 
+#include <algorithm>
+#include <cstdint>
 #include <memory>
-#include <utility>
+#include <string>
+#include <vector>
 
 #include "tests/services/gateway/engine_books_fixture.h"
 
