Log the prompt's parts, and how far a broken response had come

The dialect now decodes the names of the prompt's shared parts; `sent` and `request_suspected` carry them, the latter also whether the response had begun and its events; `crash_from_peer` is new. No decision changes.

Tests: SharedPartsTest (all but the last part, bounded).

--- a/services/gateway/dialect.h
+++ b/services/gateway/dialect.h
@@ -31,6 +31,9 @@
   std::optional<std::chrono::milliseconds> time_left;
   std::int64_t prompt_tokens = 0;
   std::int64_t max_output_tokens = 0;
+  // Names of the prompt's parts that other requests may share, in their order:
+  // all but the last, which is the request's or its session's own. Lower case.
+  std::vector<std::string> shared_parts;
   // The client's estimate of the output length; accurate only at the median.
   std::optional<std::int64_t> expected_output_tokens;
   // The last event that the client received, if it resumes a stream.
--- a/services/gateway/exchange.cc
+++ b/services/gateway/exchange.cc
@@ -2,6 +2,7 @@
 #include "services/gateway/exchange.h"
 
 #include <algorithm>
+#include <boost/algorithm/string/join.hpp>
 #include <utility>
 
 #include "libraries/base/log_event.h"
@@ -144,12 +145,17 @@
       .With("tokens", usage.tokens)
       .With("unread", usage.pending_prefill_tokens)
       .With("config", request_.routes->version());
+  if (!metadata_.shared_parts.empty()) line.With("parts", SharedPartsText());
   // Age of the load total of the other gateways. It is missing if this gateway
   // is itself an aggregator for the server, or if it has received nothing about
   // it.
   if (total_received.has_value()) line.With("load_age", now - *total_received);
 }
 
+std::string Exchange::SharedPartsText() const {
+  return boost::algorithm::join(metadata_.shared_parts, ",");
+}
+
 bool Exchange::MustKeepAttempt() const {
   return !request_.route->MayRepeat() || attempt_->is_resumed;
 }
@@ -194,7 +200,10 @@
       .With("id", metadata_.id)
       .With("server", id)
       .With("fingerprint", request_.fingerprint)
-      .With("crashes", crashes);
+      .With("crashes", crashes)
+      .With("answering", attempt_->head.status != 0 ? 1 : 0)
+      .With("events", events_.events())
+      .With("parts", SharedPartsText());
 }
 
 AttemptEnd Exchange::ClassifyAttempt(OutboundConnection::EndReason end) const {
--- a/services/gateway/exchange.h
+++ b/services/gateway/exchange.h
@@ -120,6 +120,8 @@
                     const dispatch::Demand& demand, DispatchOptions options);
   // Logs the attempt with the known load of its server, including this request.
   void LogSent() const;
+  // The prompt's shared parts for log lines.
+  std::string SharedPartsText() const;
   // The attempt must not be abandoned for another server when it is slow. It
   // gets a longer time limit, and exceeding it counts as a failure of the
   // server.
--- a/services/gateway/peer_exchange.cc
+++ b/services/gateway/peer_exchange.cc
@@ -211,6 +211,15 @@
     on_leaving(server_id);
   }
   for (const auto& [fingerprint, crashes] : digest.crashes) {
+    const std::int64_t known =
+        context_.crash_tracker.CrashesOf(fingerprint, now);
+    if (crashes > known) {
+      LogEvent("crash_from_peer")
+          .With("peer", ip)
+          .With("fingerprint", fingerprint)
+          .With("before", known)
+          .With("crashes", crashes);
+    }
     context_.crash_tracker.MergeCrashCount(fingerprint, crashes, now);
   }
   if (digest.reply_requested) SendDigest({ip}, false);
--- a/tests/platform/wire_dialect_test.cc
+++ b/tests/platform/wire_dialect_test.cc
@@ -35,6 +35,7 @@
   EXPECT_EQ(metadata.prompt_tokens, 1460);
   EXPECT_EQ(metadata.max_output_tokens, 80);
   EXPECT_EQ(metadata.expected_output_tokens, 55);
+  EXPECT_EQ(metadata.shared_parts, std::vector<std::string>{"5c1e"});
   EXPECT_FALSE(metadata.last_event.has_value());
 }
 
@@ -49,6 +50,41 @@
   EXPECT_FALSE(metadata.last_event.has_value());
 }
 
+struct SharedPartsCase {
+  const char* value;
+  std::vector<std::string> shared_parts;
+};
+
+void PrintTo(const SharedPartsCase& value, std::ostream* out) {
+  *out << value.value;
+}
+
+class SharedPartsTest : public testing::TestWithParam<SharedPartsCase> {};
+
+TEST_P(SharedPartsTest, AreAllPartsButTheLast) {
+  http1::RequestHead head;
+  head.fields.Add("Prefix-Hash", GetParam().value);
+  EXPECT_EQ(WireDialect().ParseRequest(head).shared_parts,
+            GetParam().shared_parts);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Values, SharedPartsTest,
+    testing::Values(
+        SharedPartsCase{"", {}}, SharedPartsCase{"e440:250", {}},
+        SharedPartsCase{"5c1e:800,91bd:410,e440:250", {"5c1e", "91bd"}},
+        SharedPartsCase{"5C1E:800, 91BD:410, e440:250", {"5c1e", "91bd"}},
+        SharedPartsCase{"5c1e,91bd:410", {"5c1e"}},
+        SharedPartsCase{"5c1e:800,", {"5c1e"}}));
+
+TEST(WireDialectTest, BoundsSharedParts) {
+  std::string value;
+  for (int i = 0; i < 1000; ++i) value += "5c1e:1,";
+  http1::RequestHead head;
+  head.fields.Add("Prefix-Hash", value);
+  EXPECT_EQ(WireDialect().ParseRequest(head).shared_parts.size(), 32u);
+}
+
 // A negative count used to reduce the load recorded for the engine, and a huge
 // one overflowed the time that the request may take.
 TEST(WireDialectTest, BoundsTokenCounts) {
