Quarantine parts of prompts that crash engines

Cause: a gateway counted crashes by a hash of the whole request. No two of these requests are alike, so that each was a first crash. Class of fault: suspicion was bound to the one identity under which the fault does not repeat. Two further faults of the same count: gateways merged it by its maximum, so that crashes seen by two of them at the same time counted as one; and told only their own last sixteen.

Ruled out: our own retries as the cause (long prompts are sent once), late exchange (75 ms in the median at five gateways), crashes of another origin (they end with the requests).

Change: libraries/quarantine/CrashLedger. Each request has traits: the shared parts of its prompt and itself. A run whose engine crashes before it has answered for 250 ms is suspected; a trait with three crashes and no survivor since is quarantined, the most specific first, and crashes that it explains do not count for others. A crash counts only if its run began after the one before, so that engines which fail together shut nobody out. Gateways exchange crashes, survivors and quarantines, at once and by digest, and pass on what they learn; a crash that several see is one. A quarantine lasts 2 minutes and doubles.

Why it works: every request with the part adds to one count, at all gateways, within milliseconds; sound requests of the same workspace clear what they share with it.

CrashLedgerTest, CrashEvidenceTest, CrashEvidencePeerTest.

A response other than a success no longer clears a request: a server may fail it without having begun to run it.

--- a/libraries/gossip/digest.h
+++ b/libraries/gossip/digest.h
@@ -6,7 +6,6 @@
 #pragma once
 
 #include <cstdint>
-#include <map>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -14,6 +13,7 @@
 
 #include "libraries/base/error.h"
 #include "libraries/dispatch/usage.h"
+#include "libraries/quarantine/crash_ledger.h"
 
 namespace balsam::gossip {
 
@@ -51,8 +51,8 @@
   std::vector<PeerUpdate> peer_updates;
   // Backend servers that replied to a poll that they are leaving.
   std::vector<std::string> leaving_servers;
-  // Fingerprints of requests that crashed servers, with the number of crashes.
-  std::map<std::uint64_t, std::int64_t> crashes;
+  // Which requests crash servers.
+  quarantine::Evidence evidence;
 };
 
 // Changes of the sender's own load, sent to an aggregator for the servers that
--- /dev/null
+++ b/libraries/quarantine/crash_ledger.h
@@ -0,0 +1,189 @@
+// Finds out which requests crash the servers that run them, from what the runs
+// that were lost in crashes have in common, and quarantines it. Processes
+// exchange their evidence, since each sees only its own runs.
+//
+// A run is suspected when its server crashes before the run has proved
+// harmless. A trait of a run, such as a part of its prompt, is quarantined when
+// suspected runs have it in several crashes and no run with it has survived
+// since. Crashes that a quarantined trait explains do not count for other
+// traits. Servers that fail together, for example without power, cannot
+// quarantine anything: a crash counts only if the suspected run began after the
+// one that was counted before.
+//
+// A quarantine ends after a time that doubles with each further one of the same
+// trait, until a run with the trait survives.
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <span>
+#include <vector>
+
+#include "libraries/base/boot_clock.h"
+
+namespace balsam::quarantine {
+
+// Hash of something that requests may have in common: a part of the prompt, or
+// the whole request, which is repeated when the client retries it.
+using Trait = std::uint64_t;
+
+// A run that had not proved harmless when its server crashed.
+struct CrashReport {
+  // A `dispatch::ServerKey`.
+  std::uint32_t server = 0;
+  // Time since the crash, and since the run began: since it was sent to the
+  // server, or since the server began to answer if that is known.
+  std::chrono::milliseconds crash_age{0};
+  std::chrono::milliseconds run_age{0};
+  // From what most requests share to what is most specific.
+  std::vector<Trait> traits;
+
+  bool operator==(const CrashReport&) const = default;
+};
+
+struct TraitAge {
+  Trait trait = 0;
+  std::chrono::milliseconds age{0};
+
+  bool operator==(const TraitAge&) const = default;
+};
+
+// A trait that has been quarantined `count` times, now because of a crash
+// `crash_age` ago.
+struct QuarantineReport {
+  Trait trait = 0;
+  std::chrono::milliseconds crash_age{0};
+  int count = 1;
+
+  bool operator==(const QuarantineReport&) const = default;
+};
+
+// What processes tell each other.
+struct Evidence {
+  std::vector<CrashReport> crashes;
+  // Suspected traits with which a run has survived since, and how long ago.
+  std::vector<TraitAge> survived;
+  std::vector<QuarantineReport> quarantined;
+
+  bool empty() const {
+    return crashes.empty() && survived.empty() && quarantined.empty();
+  }
+  bool operator==(const Evidence&) const = default;
+};
+
+// What a new piece of evidence changed.
+struct Change {
+  // The evidence was not known before, so that other processes may need it.
+  bool is_news = false;
+  std::vector<Trait> quarantined;
+  std::vector<Trait> released;
+};
+
+class CrashLedger {
+ public:
+  struct Limits {
+    // Crashes that quarantine a trait. One is enough for a trait that was
+    // quarantined before.
+    int crashes_to_quarantine = 3;
+    // How long the first quarantine of a trait lasts after its last crash.
+    std::chrono::milliseconds first_quarantine{std::chrono::minutes(2)};
+    std::chrono::milliseconds longest_quarantine{std::chrono::hours(1)};
+    // How long a crash counts.
+    std::chrono::milliseconds crash_retention{std::chrono::minutes(10)};
+    // How long it is remembered after a quarantine that the trait had one.
+    std::chrono::milliseconds offence_retention{std::chrono::hours(1)};
+    // How long evidence is passed on after it was learned. Quarantines are
+    // passed on as long as they last, so that new processes learn of them.
+    std::chrono::milliseconds sharing_time{3000};
+    // Older crashes are forgotten.
+    std::size_t max_crashes = 64;
+    std::size_t max_suspects_per_crash = 8;
+    // Maximum number of items of each kind sent at once; the others follow in
+    // turn.
+    std::size_t max_items_sent = 4;
+  };
+
+  explicit CrashLedger(Limits limits) : limits_(limits) {}
+
+  Change OnCrash(const CrashReport& report, BootTime now);
+  // A run with these traits answered in full, or for long enough to be
+  // harmless.
+  Change OnSurvived(std::span<const Trait> traits, BootTime now);
+  // Evidence of another process.
+  Change Merge(const Evidence& evidence, BootTime now);
+  // Ends quarantines and forgets what is too old.
+  Change DropExpired(BootTime now);
+  // What to tell another process: first what was learned since `new_since`,
+  // then the rest in turn.
+  Evidence Share(BootTime now, BootTime new_since);
+
+  // Returns the first of these traits that is quarantined.
+  std::optional<Trait> FindQuarantined(std::span<const Trait> traits) const;
+  // Number of crashes that count against the trait, since a run with it last
+  // survived.
+  int CrashesOf(Trait trait) const;
+  std::size_t quarantined_count() const { return quarantined_count_; }
+  // Traits of which anything is remembered.
+  std::size_t trait_count() const { return traits_.size(); }
+
+ private:
+  struct Suspect {
+    BootTime began;
+    std::vector<Trait> traits;
+  };
+  struct Crash {
+    std::uint32_t server = 0;
+    BootTime time;
+    BootTime learned_at;
+    // Never empty.
+    std::vector<Suspect> suspects;
+  };
+  struct TraitState {
+    BootTime last_crash;
+    // Zero if no run with it has survived since it was first suspected.
+    BootTime last_survival;
+    BootTime survival_learned_at;
+    bool quarantined = false;
+    // Crashes until then led to a quarantine that has ended.
+    BootTime judged_until;
+    // Number of its quarantines since a run with it last survived.
+    int quarantines = 0;
+  };
+  // The crashes that count against a trait.
+  struct Tally {
+    int crashes = 0;
+    BootTime last_crash;
+    // The most specific position of the trait among those of its runs.
+    std::size_t position = 0;
+  };
+
+  // `time_error`: how much later the report's times may appear than they were.
+  Change AddReport(const CrashReport& report,
+                   std::chrono::milliseconds time_error, BootTime now);
+  // The crash in which the run was lost; null if it is not known yet.
+  Crash* FindCrash(std::uint32_t server, BootTime run_began);
+  bool CountsAgainst(Trait trait, const Crash& crash) const;
+  bool IsExplained(const Crash& crash) const;
+  std::map<Trait, Tally> CountUnexplained() const;
+  // Quarantines traits as long as there are enough unexplained crashes.
+  void Judge(Change& change);
+  void Quarantine(Trait trait, BootTime last_crash, int count, Change& change);
+  std::chrono::milliseconds QuarantineTime(int count) const;
+  void OnTraitSurvived(Trait trait, BootTime time, BootTime now,
+                       Change& change);
+
+  Limits limits_;
+  // By time.
+  std::deque<Crash> crashes_;
+  // All traits of `crashes_`, and all that are or were quarantined.
+  std::map<Trait, TraitState> traits_;
+  std::size_t quarantined_count_ = 0;
+  // Number of times that evidence was shared.
+  std::size_t turn_ = 0;
+};
+
+}  // namespace balsam::quarantine
--- a/services/gateway/admission.cc
+++ b/services/gateway/admission.cc
@@ -3,8 +3,10 @@
 #include "services/gateway/admission.h"
 
 #include <algorithm>
+#include <iterator>
 #include <string>
 
+#include "libraries/base/log_event.h"
 #include "libraries/membership/rendezvous.h"
 
 namespace balsam::gateway {
@@ -12,9 +14,6 @@
 
 using std::chrono::milliseconds;
 
-// Number of servers a request may crash before it is rejected (platform:
-// three).
-constexpr std::int64_t kQuarantineCrashes = 3;
 // Output length assumed if the request does not state one.
 constexpr std::int64_t kDefaultOutputTokens = 256;
 // Retry delay while no configuration is known: reading the store takes some
@@ -30,8 +29,8 @@
 constexpr milliseconds kMaxStartTime{2000};
 constexpr milliseconds kMaxTokenTime{25};
 
-std::uint64_t FingerprintOf(std::string_view target, std::string_view key,
-                            std::string_view body) {
+quarantine::Trait FingerprintOf(std::string_view target, std::string_view key,
+                                std::string_view body) {
   std::string text(target);
   text += '\0';
   text += key;
@@ -40,6 +39,20 @@
   return membership::StableHash(text);
 }
 
+std::vector<quarantine::Trait> TraitsOf(const AdmittedRequest& request,
+                                        const RequestMetadata& metadata,
+                                        const http1::RequestHead& head,
+                                        std::string_view body) {
+  std::vector<quarantine::Trait> traits;
+  if (request.engine() != nullptr) {
+    std::ranges::transform(
+        metadata.shared_parts, std::back_inserter(traits),
+        [](const std::string& part) { return membership::StableHash(part); });
+  }
+  traits.push_back(FingerprintOf(head.target, metadata.key, body));
+  return traits;
+}
+
 dispatch::Demand DemandOf(const AdmittedRequest& request,
                           const RequestMetadata& metadata) {
   dispatch::Demand demand;
@@ -65,6 +78,19 @@
 
 }  // namespace
 
+void LogQuarantined(const RequestMetadata& metadata,
+                    std::span<const quarantine::Trait> traits,
+                    quarantine::Trait trait) {
+  const auto position = static_cast<std::size_t>(
+      std::ranges::distance(traits.begin(), std::ranges::find(traits, trait)));
+  // The last trait is the request itself.
+  const bool is_part = position + 1 < traits.size();
+  LogEvent("request_quarantined")
+      .With("id", metadata.id)
+      .With("trait", trait)
+      .With("part", is_part ? metadata.shared_parts[position] : "");
+}
+
 std::variant<AdmittedRequest, Rejection> Admit(const GatewayContext& context,
                                                const RequestMetadata& metadata,
                                                const http1::RequestHead& head,
@@ -97,10 +123,10 @@
     return Rejection{503, "stopping", kStoppingRetry};
   }
   request.demand = DemandOf(request, metadata);
-  request.fingerprint = FingerprintOf(head.target, metadata.key, body);
-  if (context.crash_tracker.CrashesOf(request.fingerprint, received) >=
-      kQuarantineCrashes) {
-    return Rejection{502, "quarantined", {}};
+  request.traits = TraitsOf(request, metadata, head, body);
+  if (const auto trait = context.crash_ledger.FindQuarantined(request.traits)) {
+    LogQuarantined(metadata, request.traits, *trait);
+    return Rejection{kQuarantinedStatus, kQuarantined, {}};
   }
   return request;
 }
--- a/services/gateway/admission.h
+++ b/services/gateway/admission.h
@@ -7,8 +7,10 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string_view>
 #include <variant>
+#include <vector>
 
 #include "services/gateway/gateway_context.h"
 
@@ -28,8 +30,10 @@
   // The latest time for the final response.
   BootTime deadline;
   dispatch::Demand demand;
-  // Identical for requests with the same target, caller and body.
-  std::uint64_t fingerprint = 0;
+  // What it may have in common with other requests that crash servers: for a
+  // generation the shared parts of its prompt, and last the request itself,
+  // which is equal for the same target, caller and body.
+  std::vector<quarantine::Trait> traits;
 
   // Null for plain services, which do not run on an engine.
   const routing::EngineTraits* engine() const {
@@ -46,6 +50,11 @@
   }
 };
 
+// The response to a request with a quarantined trait. It is not retried by the
+// client as one that was refused for lack of capacity would be.
+inline constexpr int kQuarantinedStatus = 502;
+inline constexpr std::string_view kQuarantined = "quarantined";
+
 // Why the gateway rejects a request immediately.
 struct Rejection {
   int status = 0;
@@ -54,6 +63,11 @@
   std::optional<std::chrono::milliseconds> retry_after;
 };
 
+// Logs which trait of the request is quarantined.
+void LogQuarantined(const RequestMetadata& metadata,
+                    std::span<const quarantine::Trait> traits,
+                    quarantine::Trait trait);
+
 std::variant<AdmittedRequest, Rejection> Admit(const GatewayContext& context,
                                                const RequestMetadata& metadata,
                                                const http1::RequestHead& head,
--- a/services/gateway/exchange.cc
+++ b/services/gateway/exchange.cc
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <boost/algorithm/string/join.hpp>
+#include <iterator>
 #include <utility>
 
 #include "libraries/base/log_event.h"
@@ -12,6 +13,7 @@
 
 using dispatch::AttemptResult;
 using retry::AttemptEnd;
+using routing::RequestKind;
 using std::chrono::milliseconds;
 
 // An idempotent request without a response after this fraction of its latency
@@ -183,27 +185,45 @@
   using EndReason = OutboundConnection::EndReason;
   const bool broken = end == EndReason::kClosedWithoutResponse ||
                       (end == EndReason::kBroken && !IsStopRequested());
-  if (!broken) return;
+  if (!broken || proved_harmless_) return;
   // An engine that is leaving breaks off its runs through no fault of the
   // request.
   const std::string& id = attempt_->server_id;
   if (context_.directory.StateOf(id) != directory::ServerState::kReady) return;
   const BootTime now = BootClock::now();
-  const std::int64_t crashes =
-      context_.crash_tracker.CrashesOf(request_.fingerprint, now) + 1;
-  context_.crash_tracker.MergeCrashCount(request_.fingerprint, crashes, now);
-  context_.local_crashes.push_back(request_.fingerprint);
-  if (context_.local_crashes.size() > kMaxLocalCrashes) {
-    context_.local_crashes.pop_front();
-  }
+  // An engine sends the head of a stream when it begins to answer. Before that
+  // the prompt's parts are not suspected, only the request as a whole.
+  const bool is_answering = attempt_->head.status != 0 ||
+                            request_.route->kind != RequestKind::kStream;
+  std::vector<quarantine::Trait> traits = request_.traits;
+  if (!is_answering) traits.erase(traits.begin(), std::prev(traits.end()));
+  const quarantine::Change change = context_.crash_ledger.OnCrash(
+      {dispatch::ServerKey(id), milliseconds(0),
+       std::chrono::duration_cast<milliseconds>(
+           now - std::max(attempt_->started, attempt_->answered)),
+       std::move(traits)},
+      now);
   LogEvent("request_suspected", LogEvent::Level::kWarning)
       .With("id", metadata_.id)
       .With("server", id)
-      .With("fingerprint", request_.fingerprint)
-      .With("crashes", crashes)
-      .With("answering", attempt_->head.status != 0 ? 1 : 0)
+      .With("fingerprint", request_.traits.back())
+      .With("crashes", context_.crash_ledger.CrashesOf(request_.traits.back()))
+      .With("answering", is_answering ? 1 : 0)
       .With("events", events_.events())
       .With("parts", SharedPartsText());
+  OnCrashEvidence(change);
+}
+
+void Exchange::ProveHarmless() {
+  if (std::exchange(proved_harmless_, true)) return;
+  OnCrashEvidence(
+      context_.crash_ledger.OnSurvived(request_.traits, BootClock::now()));
+}
+
+void Exchange::OnCrashEvidence(const quarantine::Change& change) const {
+  if (change.is_news && context_.on_crash_evidence) {
+    context_.on_crash_evidence(change);
+  }
 }
 
 AttemptEnd Exchange::ClassifyAttempt(OutboundConnection::EndReason end) const {
--- a/services/gateway/exchange.h
+++ b/services/gateway/exchange.h
@@ -62,6 +62,8 @@
     OutboundConnection* connection = nullptr;
     dispatch::Demand demand;
     BootTime started;
+    // When the response head arrived; zero before that.
+    BootTime answered;
     http1::ResponseHead head;
     ResponseMetadata metadata;
     // The response is being streamed to the client.
@@ -128,9 +130,13 @@
   bool MustKeepAttempt() const;
   void StartSlowTimer();
   void OnEnd(OutboundConnection::EndReason end);
-  // Records a crash for this request if the server closed or broke the
-  // connection while running it.
+  // Records a crash that this request may have caused, if the server closed or
+  // broke the connection before the request proved harmless.
   void RecordCrashIfBroken(OutboundConnection::EndReason end);
+  // The server has run the request for long enough to show that the request
+  // does not crash it.
+  void ProveHarmless();
+  void OnCrashEvidence(const quarantine::Change& change) const;
   retry::AttemptEnd ClassifyAttempt(OutboundConnection::EndReason end) const;
   void OnAttemptEnded(retry::AttemptEnd end);
   retry::NextStep DecideNextStep(retry::AttemptEnd end) const;
@@ -183,6 +189,8 @@
   EngineSearch search_;
   // The response head has been written to the client.
   bool response_started_ = false;
+  // A run of the request answered for long enough.
+  bool proved_harmless_ = false;
   bool finished_ = false;
   migration::EventStreamMerger events_;
   EventTimes event_times_;
--- a/services/gateway/exchange_relay.cc
+++ b/services/gateway/exchange_relay.cc
@@ -16,6 +16,9 @@
 // are complete, so that a truncated one can be replaced by a response from
 // another server.
 constexpr std::size_t kMaxBufferedResponse = 256 << 10;
+// A request that crashes engines does so when they begin to answer it. One that
+// has produced events for this long is harmless.
+constexpr milliseconds kHarmlessAfter{250};
 // Outcome logged for a response that reached the client in full, whatever its
 // status.
 constexpr std::string_view kDelivered = "delivered";
@@ -39,6 +42,7 @@
 
 void Exchange::OnHead(const http1::ResponseHead& head) {
   attempt_->head = head;
+  attempt_->answered = BootClock::now();
   attempt_->metadata = context_.dialect.ParseResponse(head);
   const ResponseMetadata& metadata = attempt_->metadata;
   const bool is_wrong_request =
@@ -120,6 +124,7 @@
     context_.wait_estimators[request_.service->name].OnWorkDone(work(), now);
     if (context_.on_capacity_freed) context_.on_capacity_freed();
   }
+  if (now - event_times_.first >= kHarmlessAfter) ProveHarmless();
   const bool first = !std::exchange(response_started_, true);
   if (first) sink_.BeginBody(attempt_->head);
   sink_.WriteBody(events);
@@ -135,8 +140,8 @@
 
 void Exchange::CompleteResponse() {
   const int status = attempt_->head.status;
-  // A server that responds has not crashed.
-  context_.crash_tracker.OnCompleted(request_.fingerprint);
+  // A failure may come from a server that did not begin to run the request.
+  if (http1::IsSuccess(status)) ProveHarmless();
   Finish(kDelivered, status);
   if (response_started_) {
     sink_.EndBody();
--- a/services/gateway/gateway_context.h
+++ b/services/gateway/gateway_context.h
@@ -4,7 +4,6 @@
 
 #include <chrono>
 #include <cstdint>
-#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -17,8 +16,8 @@
 #include "libraries/dispatch/server_selector.h"
 #include "libraries/dispatch/wait_estimator.h"
 #include "libraries/dispatch/wait_queue.h"
-#include "libraries/execution/crash_tracker.h"
 #include "libraries/migration/copy_queue.h"
+#include "libraries/quarantine/crash_ledger.h"
 #include "libraries/retry/shared_retry_budget.h"
 #include "libraries/routing/route_table.h"
 #include "libraries/telemetry/request_metrics.h"
@@ -30,10 +29,6 @@
 class Exchange;
 class GenerationMigration;
 
-// How long a request that crashed servers is rejected after its last crash.
-inline constexpr std::chrono::milliseconds kCrashCountLifetime{30000};
-// Number of fingerprints kept for sending to other gateways.
-inline constexpr std::size_t kMaxLocalCrashes = 16;
 // Limit for the metrics' label sets, each of which takes about 3 KB of memory.
 inline constexpr std::size_t kMaxMetricLabels = 200;
 
@@ -79,11 +74,8 @@
   std::set<Exchange*> exchanges;
   retry::SharedRetryBudget::Limits retry_limits;
   std::map<std::string, retry::SharedRetryBudget> retry_budgets;
-  // Crash counts of requests, by fingerprint, as seen here or by peers.
-  execution::CrashTracker crash_tracker{kCrashCountLifetime};
-  // The requests whose crashes were seen here, newest last; at most
-  // `kMaxLocalCrashes`.
-  std::deque<std::uint64_t> local_crashes;
+  // Which requests crash servers, as seen here or by peers.
+  quarantine::CrashLedger crash_ledger{{}};
   // Number of gateways that share retry budgets, including this one.
   std::size_t gateway_count = 1;
   std::string data_center;
@@ -102,6 +94,8 @@
   // This gateway's load at an engine changed: reports it to the aggregators
   // immediately.
   std::function<void()> send_load;
+  // `crash_ledger` changed by what was seen here.
+  std::function<void(const quarantine::Change& change)> on_crash_evidence;
   // Capacity may have been freed: retries the queued requests.
   std::function<void()> on_capacity_freed;
 };
--- a/services/gateway/gateway_node.cc
+++ b/services/gateway/gateway_node.cc
@@ -89,6 +89,14 @@
     OnStoreSnapshot(entries, revision);
   };
   peers_.reaches_store = [this] { return ReachesStore(); };
+  peers_.on_evidence = [this](const quarantine::Change& change,
+                              const std::string& ip) {
+    LogEvent("crash_evidence_from_peer").With("peer", ip);
+    OnCrashEvidence(change);
+  };
+  context_.on_crash_evidence = [this](const quarantine::Change& change) {
+    OnCrashEvidence(change);
+  };
   dispatch_timer_.setSingleShot(true);
   connect(&dispatch_timer_, &QTimer::timeout, this,
           &GatewayNode::DispatchWaiting);
@@ -153,6 +161,8 @@
       {"servers_ready", servers[directory::ServerState::kReady]},
       {"servers_lapsed", servers[directory::ServerState::kLapsed]},
       {"servers_leaving", servers[directory::ServerState::kLeaving]},
+      {"quarantined_traits",
+       static_cast<double>(context_.crash_ledger.quarantined_count())},
       {"peers_alive", static_cast<double>(peers_.AlivePeers().size())},
       {"client_connections", static_cast<double>(clients_.size())},
       {"requests_open", static_cast<double>(context_.exchanges.size())},
@@ -368,6 +378,22 @@
   if (!by_peer) peers_.AnnounceLeaving(server_id);
 }
 
+void GatewayNode::OnCrashEvidence(const quarantine::Change& change) {
+  LogQuarantineChanges(change);
+  if (change.is_news) peers_.AnnounceEvidence();
+}
+
+void GatewayNode::LogQuarantineChanges(const quarantine::Change& change) {
+  for (const quarantine::Trait trait : change.quarantined) {
+    LogEvent("quarantine_started", LogEvent::Level::kWarning)
+        .With("trait", trait)
+        .With("crashes", context_.crash_ledger.CrashesOf(trait));
+  }
+  for (const quarantine::Trait trait : change.released) {
+    LogEvent("quarantine_ended").With("trait", trait);
+  }
+}
+
 void GatewayNode::PollReports() {
   const BootTime now = BootClock::now();
   std::vector<std::string> gateways = peers_.AlivePeers();
@@ -387,7 +413,6 @@
 void GatewayNode::OnTick() {
   const BootTime now = BootClock::now();
   if (now - refreshed_at_ >= kDirectoryRefreshInterval) RefreshDirectory(now);
-  context_.crash_tracker.DropExpired(now);
   DispatchWaiting();
   context_.pool.CloseExpired(now);
   if (context_.stopping) CheckStopped();
@@ -400,6 +425,7 @@
   }
   PollReports();
   context_.selector.RemoveIdleServers(now);
+  LogQuarantineChanges(context_.crash_ledger.DropExpired(now));
 }
 
 void GatewayNode::DispatchWaiting() {
--- a/services/gateway/gateway_node.h
+++ b/services/gateway/gateway_node.h
@@ -87,6 +87,10 @@
   void OnReportedLeaving(const std::string& server_id, bool by_peer);
   void PollReports();
 
+  // Evidence of crashes that was not known before, seen here or by a peer.
+  void OnCrashEvidence(const quarantine::Change& change);
+  void LogQuarantineChanges(const quarantine::Change& change);
+
   // Updates all gauges and returns the metrics as text.
   std::string CollectMetrics();
   void ListenForMetrics();
--- a/services/gateway/peer_exchange.cc
+++ b/services/gateway/peer_exchange.cc
@@ -23,9 +23,8 @@
 // load messages (LoadExchange) they stay within the limit on a node's control
 // traffic (docs/CAPACITY.md).
 constexpr double kDigestBytesPerSecond = 3000.0;
-// Fingerprints of requests that crashed servers sent in one digest; they
-// rotate, so all are sent within a few digests.
-constexpr std::size_t kCrashesPerDigest = 4;
+// Crash evidence that is learned within this time is sent together.
+constexpr milliseconds kEvidenceDelay{5};
 // A leaving server is announced to the other gateways until this much time has
 // passed since its last report.
 constexpr milliseconds kLeavingAnnounceTime{1000};
@@ -34,9 +33,9 @@
 // Connect timeout of a fetch: gateways are milliseconds apart, and another peer
 // is used instead of one that does not respond.
 constexpr milliseconds kFetchConnectTimeout{200};
-// Number of gateways that a new revision is announced to, each of which
-// announces it to as many. Five steps reach hundreds of gateways, and the
-// periodic digests reach the few that were missed.
+// Number of gateways that news are announced to, each of which announces them
+// to as many. Five steps reach hundreds of gateways, and the periodic digests
+// reach the few that were missed.
 constexpr std::size_t kAnnounceFanout = 4;
 constexpr std::string_view kChangesTarget = "/changes?after=";
 constexpr std::string_view kListTarget = "/gateways";
@@ -68,6 +67,13 @@
       incarnation_(seed | 1) {
   connect(&socket_, &QUdpSocket::readyRead, this, &PeerExchange::OnDatagrams);
   connect(&digest_timer_, &QTimer::timeout, this, &PeerExchange::OnGossipRound);
+  evidence_timer_.setSingleShot(true);
+  connect(&evidence_timer_, &QTimer::timeout, this, [this] {
+    const BootTime announced_before =
+        std::exchange(evidence_announced_at_, BootClock::now());
+    SendDigest(peers_.SelectAliveTargets(kAnnounceFanout), false,
+               announced_before);
+  });
 }
 
 Result<void> PeerExchange::Start() {
@@ -105,11 +111,18 @@
   SendDigest(peers_.SelectAliveTargets(kAnnounceFanout), false);
 }
 
+void PeerExchange::AnnounceEvidence() {
+  if (!evidence_timer_.isActive()) evidence_timer_.start(kEvidenceDelay);
+}
+
 void PeerExchange::SendDigest(const std::vector<std::string>& recipients,
-                              bool reply_requested) {
+                              bool reply_requested,
+                              std::optional<BootTime> evidence_since) {
   if (recipients.empty()) return;
   const BootTime now = BootClock::now();
-  gossip::Digest digest = MakeDigest(recipients.size(), now);
+  gossip::Digest digest = MakeDigest(recipients.size());
+  digest.evidence =
+      context_.crash_ledger.Share(now, evidence_since.value_or(now));
   digest.reply_requested = reply_requested;
   const std::string bytes = gossip::Encode(digest);
   last_digest_bytes_ = bytes.size();
@@ -143,7 +156,7 @@
                         Address(ip), identity_.gossip_port);
 }
 
-gossip::Digest PeerExchange::MakeDigest(std::size_t recipients, BootTime now) {
+gossip::Digest PeerExchange::MakeDigest(std::size_t recipients) {
   gossip::Digest digest;
   digest.incarnation = incarnation_;
   digest.sequence = ++sequence_;
@@ -154,14 +167,6 @@
   for (const auto& [server_id, reported_at] : announced_leaving_) {
     digest.leaving_servers.push_back(server_id);
   }
-  const std::size_t known = context_.local_crashes.size();
-  for (std::size_t i = 0; i < std::min(known, kCrashesPerDigest); ++i) {
-    const std::uint64_t fingerprint =
-        context_.local_crashes[(sequence_ * kCrashesPerDigest + i) % known];
-    const std::int64_t crashes =
-        context_.crash_tracker.CrashesOf(fingerprint, now);
-    if (crashes > 0) digest.crashes[fingerprint] = crashes;
-  }
   return digest;
 }
 
@@ -210,17 +215,9 @@
   for (const std::string& server_id : digest.leaving_servers) {
     on_leaving(server_id);
   }
-  for (const auto& [fingerprint, crashes] : digest.crashes) {
-    const std::int64_t known =
-        context_.crash_tracker.CrashesOf(fingerprint, now);
-    if (crashes > known) {
-      LogEvent("crash_from_peer")
-          .With("peer", ip)
-          .With("fingerprint", fingerprint)
-          .With("before", known)
-          .With("crashes", crashes);
-    }
-    context_.crash_tracker.MergeCrashCount(fingerprint, crashes, now);
+  if (!digest.evidence.empty()) {
+    const auto change = context_.crash_ledger.Merge(digest.evidence, now);
+    if (change.is_news) on_evidence(change, ip);
   }
   if (digest.reply_requested) SendDigest({ip}, false);
   if (digest.revision > replica_.revision()) FetchChanges(ip);
--- a/services/gateway/peer_exchange.h
+++ b/services/gateway/peer_exchange.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -62,10 +63,16 @@
   // The replica has a new revision: announces it to a few gateways, which
   // announce it to others.
   void AnnounceRevision();
+  // `GatewayContext::crash_ledger` has news: sends them to a few gateways,
+  // which send them to others.
+  void AnnounceEvidence();
   std::uint64_t incarnation() const { return incarnation_; }
 
   // Another gateway learned that a server is leaving.
   std::function<void(const std::string& server_id)> on_leaving;
+  // A peer sent crash evidence that was not known.
+  std::function<void(const quarantine::Change& change, const std::string& ip)>
+      on_evidence;
   // A peer sent changes that the replica lacks.
   std::function<void(const std::vector<revisions::RevisionedEntry>& changes,
                      std::uint64_t revision)>
@@ -82,10 +89,12 @@
   // requests a digest from the peers being probed, and detects peers that were
   // lost.
   void OnGossipRound();
+  // Crash evidence that was learned since `evidence_since` is sent first.
   void SendDigest(const std::vector<std::string>& recipients,
-                  bool reply_requested);
+                  bool reply_requested,
+                  std::optional<BootTime> evidence_since = {});
   void Send(const std::string& ip, const std::string& bytes);
-  gossip::Digest MakeDigest(std::size_t recipients, BootTime now);
+  gossip::Digest MakeDigest(std::size_t recipients);
   // Updates the number of gateways that share the retry budgets.
   void UpdateGatewayCount();
   void OnDatagrams();
@@ -119,6 +128,8 @@
   SimpleHttpServer server_;
   QUdpSocket socket_;
   QTimer digest_timer_;
+  QTimer evidence_timer_;
+  BootTime evidence_announced_at_;
   gossip::SendRateLimiter digest_rate_limiter_;
   LoadExchange loads_;
   std::uint64_t incarnation_;
--- a/tests/libraries/gossip/gossip_test.cc
+++ b/tests/libraries/gossip/gossip_test.cc
@@ -89,7 +89,12 @@
       {"10.0.0.2", 70000, PeerUpdate::State::kSuspected, true},
       {"10.0.0.3", 1, PeerUpdate::State::kLost, false}};
   digest.leaving_servers = {"i-9"};
-  digest.crashes = {{12345678901234ULL, 2}};
+  digest.evidence.crashes = {{7,
+                              std::chrono::milliseconds(250),
+                              std::chrono::milliseconds(900),
+                              {12345678901234ULL, 2}}};
+  digest.evidence.survived = {{2, std::chrono::milliseconds(3)}};
+  digest.evidence.quarantined = {{5, std::chrono::milliseconds(90000), 2}};
   const std::string bytes = Encode(digest);
   const auto decoded = TryDecode(bytes);
   ASSERT_TRUE(decoded.has_value());
--- /dev/null
+++ b/tests/libraries/quarantine/crash_ledger_test.cc
@@ -0,0 +1,305 @@
+// Which traits are quarantined by which crashes, and what processes learn of
+// each other, in virtual time.
+#include "libraries/quarantine/crash_ledger.h"
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <vector>
+
+namespace balsam::quarantine {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using testing::ElementsAre;
+using testing::IsEmpty;
+
+constexpr Trait kWorkspacePart = 1;
+constexpr Trait kSessionPart = 2;
+constexpr Trait kDeadlyPart = 3;
+
+class CrashLedgerTest : public testing::Test {
+ protected:
+  void Pass(milliseconds time) { now_ += time; }
+
+  // A run that begins to answer and crashes its server 50 ms later. Each
+  // request and each server is a new one.
+  Change Crash(std::vector<Trait> parts) {
+    constexpr milliseconds kTimeToCrash{50};
+    Pass(milliseconds(1) + kTimeToCrash);
+    return CrashRunOf(kTimeToCrash, std::move(parts));
+  }
+  // A run that began so long ago crashes its server.
+  Change CrashRunOf(milliseconds age, std::vector<Trait> parts) {
+    parts.push_back(++last_request_);
+    return ledger_.OnCrash({++last_server_, milliseconds(0), age, parts}, now_);
+  }
+  Change Survive(std::vector<Trait> parts) {
+    parts.push_back(++last_request_);
+    Pass(milliseconds(1));
+    return ledger_.OnSurvived(parts, now_);
+  }
+  bool IsQuarantined(Trait trait) const {
+    return ledger_.FindQuarantined(std::vector{trait}).has_value();
+  }
+
+  BootTime now_{std::chrono::hours(1)};
+  CrashLedger ledger_{{}};
+  Trait last_request_ = 1000;
+  std::uint32_t last_server_ = 0;
+};
+
+TEST_F(CrashLedgerTest, QuarantinesPartOfDifferentRequests) {
+  EXPECT_TRUE(Crash({kDeadlyPart}).is_news);
+  EXPECT_THAT(Crash({kDeadlyPart}).quarantined, IsEmpty());
+  EXPECT_FALSE(IsQuarantined(kDeadlyPart));
+  EXPECT_THAT(Crash({kDeadlyPart}).quarantined, ElementsAre(kDeadlyPart));
+  EXPECT_TRUE(IsQuarantined(kDeadlyPart));
+}
+
+TEST_F(CrashLedgerTest, PartWithSurvivorsIsNotQuarantined) {
+  for (int i = 0; i < 10; ++i) {
+    Crash({kWorkspacePart, kDeadlyPart});
+    Survive({kWorkspacePart, kSessionPart});
+  }
+  EXPECT_TRUE(IsQuarantined(kDeadlyPart));
+  EXPECT_FALSE(IsQuarantined(kWorkspacePart));
+}
+
+// All requests of a workspace crash servers for a while, so that nothing shows
+// which of their common parts is harmless.
+TEST_F(CrashLedgerTest, MostSpecificPartIsQuarantinedFirst) {
+  for (int i = 0; i < 3; ++i)
+    Crash({kWorkspacePart, kSessionPart, kDeadlyPart});
+  EXPECT_TRUE(IsQuarantined(kDeadlyPart));
+  EXPECT_FALSE(IsQuarantined(kSessionPart));
+  EXPECT_FALSE(IsQuarantined(kWorkspacePart));
+}
+
+// If the choice was wrong, crashes that it does not explain go on.
+TEST_F(CrashLedgerTest, NextPartIsQuarantinedIfCrashesGoOn) {
+  for (int i = 0; i < 3; ++i) Crash({kDeadlyPart, kSessionPart});
+  ASSERT_TRUE(IsQuarantined(kSessionPart));
+  for (int i = 0; i < 3; ++i) Crash({kDeadlyPart});
+  EXPECT_TRUE(IsQuarantined(kDeadlyPart));
+}
+
+TEST_F(CrashLedgerTest, FindsTwoDeadlyParts) {
+  for (int i = 0; i < 3; ++i) {
+    Crash({kWorkspacePart, kDeadlyPart});
+    Survive({kWorkspacePart});
+    Crash({kWorkspacePart, kSessionPart});
+    Survive({kWorkspacePart});
+  }
+  EXPECT_TRUE(IsQuarantined(kDeadlyPart));
+  EXPECT_TRUE(IsQuarantined(kSessionPart));
+  EXPECT_FALSE(IsQuarantined(kWorkspacePart));
+}
+
+TEST_F(CrashLedgerTest, PartThatWasHarmlessBeforeIsQuarantined) {
+  for (int i = 0; i < 100; ++i) Survive({kDeadlyPart});
+  for (int i = 0; i < 3; ++i) Crash({kDeadlyPart});
+  EXPECT_TRUE(IsQuarantined(kDeadlyPart));
+}
+
+// A power failure takes all servers at once. Connections to them time out over
+// the following seconds, and nothing survives that would clear the part that
+// all requests begin with.
+TEST_F(CrashLedgerTest, ServersThatFailTogetherQuarantineNothing) {
+  milliseconds since_failure{0};
+  for (int i = 0; i < 50; ++i) {
+    since_failure += milliseconds(100);
+    Pass(milliseconds(100));
+    CrashRunOf(since_failure + milliseconds(i), {kWorkspacePart});
+  }
+  EXPECT_EQ(ledger_.quarantined_count(), 0U);
+}
+
+TEST_F(CrashLedgerTest, RunsLostInOneCrashCountOnce) {
+  for (int i = 0; i < 5; ++i) {
+    const std::vector<Trait> traits = {kDeadlyPart, ++last_request_};
+    ledger_.OnCrash({7, milliseconds(i), milliseconds(100 + i), traits}, now_);
+  }
+  EXPECT_EQ(ledger_.CrashesOf(kDeadlyPart), 1);
+}
+
+TEST_F(CrashLedgerTest, CrashAfterRestartOfServerCountsAnew) {
+  for (int i = 0; i < 3; ++i) {
+    Pass(milliseconds(3000));
+    const std::vector<Trait> traits = {kDeadlyPart, ++last_request_};
+    ledger_.OnCrash({7, milliseconds(0), milliseconds(60), traits}, now_);
+  }
+  EXPECT_TRUE(IsQuarantined(kDeadlyPart));
+}
+
+TEST_F(CrashLedgerTest, SurvivorEndsQuarantine) {
+  for (int i = 0; i < 3; ++i) Crash({kDeadlyPart});
+  ASSERT_TRUE(IsQuarantined(kDeadlyPart));
+  EXPECT_THAT(Survive({kDeadlyPart}).released, ElementsAre(kDeadlyPart));
+  EXPECT_FALSE(IsQuarantined(kDeadlyPart));
+  EXPECT_EQ(ledger_.quarantined_count(), 0U);
+}
+
+TEST_F(CrashLedgerTest, QuarantineEndsAndOneCrashRenewsItForLonger) {
+  for (int i = 0; i < 3; ++i) Crash({kDeadlyPart});
+  Pass(minutes(2));
+  EXPECT_THAT(ledger_.DropExpired(now_).released, ElementsAre(kDeadlyPart));
+  // A crash without the part does not renew it.
+  Crash({kSessionPart});
+  EXPECT_FALSE(IsQuarantined(kDeadlyPart));
+  EXPECT_THAT(Crash({kDeadlyPart}).quarantined, ElementsAre(kDeadlyPart));
+  Pass(minutes(3));
+  ledger_.DropExpired(now_);
+  EXPECT_TRUE(IsQuarantined(kDeadlyPart));
+  Pass(minutes(1));
+  ledger_.DropExpired(now_);
+  EXPECT_FALSE(IsQuarantined(kDeadlyPart));
+  // Survived at last: it takes three crashes again.
+  Survive({kDeadlyPart});
+  Crash({kDeadlyPart});
+  EXPECT_FALSE(IsQuarantined(kDeadlyPart));
+}
+
+TEST_F(CrashLedgerTest, MemoryIsBounded) {
+  for (int i = 0; i < 5000; ++i) {
+    Crash({last_request_ + 100000, last_request_ + 200000});
+    ledger_.DropExpired(now_);
+  }
+  EXPECT_EQ(ledger_.trait_count(), 64U * 3U);
+  Pass(minutes(11));
+  ledger_.DropExpired(now_);
+  EXPECT_EQ(ledger_.trait_count(), 0U);
+}
+
+// Two processes with the same view of time.
+class CrashEvidenceTest : public CrashLedgerTest {
+ protected:
+  void ExchangeEvidence() {
+    Pass(milliseconds(1));
+    const Evidence ours = ledger_.Share(now_, now_);
+    const Evidence theirs = other_.Share(now_, now_);
+    ledger_.Merge(theirs, now_);
+    other_.Merge(ours, now_);
+  }
+
+  CrashLedger other_{{}};
+};
+
+// Counts used to be merged by their maximum, which loses all but one of the
+// crashes that several processes see before they hear of each other.
+TEST_F(CrashEvidenceTest, CrashesSeenByDifferentProcessesAddUp) {
+  const std::vector<Trait> request = {99};
+  Pass(milliseconds(1000));
+  ledger_.OnCrash({1, milliseconds(0), milliseconds(5), request}, now_);
+  Pass(milliseconds(20));
+  other_.OnCrash({2, milliseconds(0), milliseconds(5), request}, now_);
+  Pass(milliseconds(20));
+  other_.OnCrash({3, milliseconds(0), milliseconds(5), request}, now_);
+  ExchangeEvidence();
+  EXPECT_TRUE(ledger_.FindQuarantined(request).has_value());
+  EXPECT_TRUE(other_.FindQuarantined(request).has_value());
+}
+
+TEST_F(CrashEvidenceTest, OneCrashSeenByTwoProcessesCountsOnce) {
+  Pass(milliseconds(1000));
+  ledger_.OnCrash({7, milliseconds(0), milliseconds(90), {kDeadlyPart, 10}},
+                  now_);
+  other_.OnCrash({7, milliseconds(0), milliseconds(40), {kDeadlyPart, 11}},
+                 now_);
+  ExchangeEvidence();
+  ExchangeEvidence();
+  EXPECT_EQ(ledger_.CrashesOf(kDeadlyPart), 1);
+  EXPECT_EQ(other_.CrashesOf(kDeadlyPart), 1);
+}
+
+TEST_F(CrashEvidenceTest, SurvivorElsewhereClearsPart) {
+  for (int i = 0; i < 2; ++i) Crash({kWorkspacePart});
+  ExchangeEvidence();
+  Pass(milliseconds(10));
+  other_.OnSurvived(std::vector<Trait>{kWorkspacePart, 5}, now_);
+  ExchangeEvidence();
+  Crash({kWorkspacePart});
+  EXPECT_FALSE(IsQuarantined(kWorkspacePart));
+  EXPECT_EQ(ledger_.CrashesOf(kWorkspacePart), 1);
+}
+
+TEST_F(CrashEvidenceTest, NewProcessLearnsOfQuarantine) {
+  for (int i = 0; i < 3; ++i) Crash({kDeadlyPart});
+  Pass(minutes(1));
+  ExchangeEvidence();
+  EXPECT_TRUE(other_.FindQuarantined(std::vector{kDeadlyPart}).has_value());
+  Pass(minutes(1));
+  other_.DropExpired(now_);
+  EXPECT_FALSE(other_.FindQuarantined(std::vector{kDeadlyPart}).has_value());
+}
+
+// Each process that passes a report on adds its delay to the ages, so that a
+// run appeared to have begun after its crash: a new crash, which was passed on
+// in turn without end.
+TEST_F(CrashEvidenceTest, DelayedReportIsNotAnotherCrash) {
+  Crash({kDeadlyPart});
+  Evidence evidence = ledger_.Share(now_, now_);
+  for (int i = 0; i < 12; ++i) {
+    Pass(milliseconds(60));
+    EXPECT_FALSE(ledger_.Merge(evidence, now_).is_news);
+  }
+  EXPECT_EQ(ledger_.CrashesOf(kDeadlyPart), 1);
+}
+
+// A process that has room for only so many crashes used to take back those
+// that it had just forgotten, and pass them on again.
+TEST_F(CrashEvidenceTest, ForgottenCrashIsNoNews) {
+  for (int i = 0; i < 200; ++i) {
+    Crash({last_request_ + 100000});
+    const Evidence evidence = ledger_.Share(now_, now_ - milliseconds(200));
+    EXPECT_TRUE(other_.Merge(evidence, now_).is_news);
+    Pass(milliseconds(2));
+    EXPECT_FALSE(ledger_.Merge(other_.Share(now_, now_), now_).is_news);
+  }
+}
+
+TEST_F(CrashEvidenceTest, PassingItOnDoesNotProlongQuarantine) {
+  for (int i = 0; i < 3; ++i) Crash({kDeadlyPart});
+  const BootTime last_crash = now_;
+  while (now_ - last_crash < minutes(2)) {
+    ExchangeEvidence();
+    Pass(milliseconds(100));
+  }
+  ledger_.DropExpired(now_);
+  other_.DropExpired(now_);
+  EXPECT_FALSE(IsQuarantined(kDeadlyPart));
+  Pass(milliseconds(1000));
+  other_.DropExpired(now_);
+  EXPECT_FALSE(other_.FindQuarantined(std::vector{kDeadlyPart}).has_value());
+}
+
+// A process that has not heard of the survivor repeats the quarantine.
+TEST_F(CrashEvidenceTest, SurvivorWinsOverRepeatedQuarantine) {
+  for (int i = 0; i < 3; ++i) Crash({kDeadlyPart});
+  ExchangeEvidence();
+  Survive({kDeadlyPart});
+  ledger_.Merge(other_.Share(now_, now_), now_);
+  EXPECT_FALSE(IsQuarantined(kDeadlyPart));
+  Pass(minutes(1));
+  ExchangeEvidence();
+  ExchangeEvidence();
+  EXPECT_FALSE(IsQuarantined(kDeadlyPart));
+  EXPECT_FALSE(other_.FindQuarantined(std::vector{kDeadlyPart}).has_value());
+}
+
+TEST_F(CrashEvidenceTest, InvalidReportsAreIgnored) {
+  Evidence evidence;
+  evidence.crashes = {{1, milliseconds(0), milliseconds(0), {}},
+                      {2, milliseconds(0), milliseconds(0),
+                       std::vector<Trait>(1000, kDeadlyPart)},
+                      {3, minutes(60), minutes(61), {kDeadlyPart}}};
+  evidence.quarantined = {{kDeadlyPart, minutes(60), 1}};
+  EXPECT_FALSE(ledger_.Merge(evidence, now_).is_news);
+  EXPECT_EQ(ledger_.trait_count(), 0U);
+}
+
+}  // namespace
+}  // namespace balsam::quarantine
--- a/tests/services/gateway/peer_exchange_test.cc
+++ b/tests/services/gateway/peer_exchange_test.cc
@@ -23,6 +23,10 @@
         exchange({ip, {ip, changes}, gossip}, context, replica,
                  std::hash<std::string>()(ip)) {
     exchange.reaches_store = [this] { return reaches_store; };
+    exchange.on_evidence = [this](const quarantine::Change& change,
+                                  const std::string&) {
+      if (change.is_news) exchange.AnnounceEvidence();
+    };
     exchange.on_leaving = [this](const std::string& server_id) {
       leaving = server_id;
     };
@@ -148,6 +152,45 @@
   EXPECT_FALSE(was_called);
 }
 
+class CrashEvidencePeerTest : public PeerExchangeTest {
+ protected:
+  static constexpr quarantine::Trait kDeadlyPart = 3;
+
+  // A run at this gateway crashes a server.
+  static void Crash(Gateway& gateway, std::uint32_t server) {
+    const BootTime now = BootClock::now();
+    gateway.context.crash_ledger.OnCrash(
+        {server, milliseconds(0), milliseconds(0), {kDeadlyPart, server}}, now);
+    gateway.exchange.AnnounceEvidence();
+  }
+  static bool IsQuarantined(const Gateway& gateway) {
+    return gateway.context.crash_ledger
+        .FindQuarantined(std::vector{kDeadlyPart})
+        .has_value();
+  }
+};
+
+TEST_F(CrashEvidencePeerTest, CrashesOfAllGatewaysCount) {
+  Crash(*first_, 1);
+  Crash(*second_, 2);
+  ASSERT_TRUE(RunUntil([this] {
+    return first_->context.crash_ledger.CrashesOf(kDeadlyPart) == 2 &&
+           second_->context.crash_ledger.CrashesOf(kDeadlyPart) == 2;
+  }));
+  Crash(*second_, 3);
+  EXPECT_TRUE(IsQuarantined(*second_));
+  EXPECT_TRUE(RunUntil([this] { return IsQuarantined(*first_); }));
+}
+
+// Evidence is passed on for a few seconds only, but a quarantine for as long as
+// it lasts.
+TEST_F(CrashEvidencePeerTest, QuarantineIsPassedOnAsLongAsItLasts) {
+  quarantine::Evidence evidence;
+  evidence.quarantined = {{kDeadlyPart, milliseconds(60000), 1}};
+  first_->context.crash_ledger.Merge(evidence, BootClock::now());
+  EXPECT_TRUE(RunUntil([this] { return IsQuarantined(*second_); }));
+}
+
 TEST_F(PeerExchangeTest, LeavingServerIsAnnounced) {
   first_->exchange.AnnounceLeaving("i-1");
   EXPECT_TRUE(RunUntil([this] { return second_->leaving == "i-1"; }));
