Withdraw requests that were sent before their part was quarantined

What callers saw: engines went on to crash, and to break other callers' answers off, after the cause was known: requests in an engine's queue or prefill, or waiting for capacity at a gateway, had passed admission before.

Change: when something is quarantined, each gateway rejects the affected requests that have not begun to run. A run that has begun goes on, since its end may show that the part is harmless.

Failing before, with OnQuarantine() doing nothing: DeadlyPartTest.RequestThatWaitsAtAnEngineIsWithdrawn, RequestThatWaitsForCapacityIsRejected.

--- a/services/gateway/exchange.cc
+++ b/services/gateway/exchange.cc
@@ -226,6 +226,26 @@
   }
 }
 
+bool Exchange::IsQuarantined() const {
+  return context_.crash_ledger.FindQuarantined(request_.traits).has_value();
+}
+
+void Exchange::OnQuarantine() {
+  if (finished_ || response_started_ || request_.route == nullptr ||
+      !IsQuarantined()) {
+    return;
+  }
+  if (attempt_.has_value() && attempt_->connection != nullptr) {
+    // It may be running already, and its end shows whether it is harmless.
+    if (attempt_->head.status != 0) return;
+    AbortAttempt(AttemptResult::kInconclusive);
+  }
+  LeaveWaitQueue();
+  LogQuarantined(metadata_, request_.traits,
+                 *context_.crash_ledger.FindQuarantined(request_.traits));
+  Answer(kQuarantinedStatus, kQuarantined);
+}
+
 AttemptEnd Exchange::ClassifyAttempt(OutboundConnection::EndReason end) const {
   using EndReason = OutboundConnection::EndReason;
   if (end == EndReason::kNotConnected) return AttemptEnd::kNotSent;
--- a/services/gateway/exchange.h
+++ b/services/gateway/exchange.h
@@ -45,6 +45,9 @@
   // The server has restarted as a new incarnation that has no state of this
   // request.
   void OnServerRestarted(const std::string& server_id);
+  // Something was quarantined: rejects the request if it is affected and does
+  // not run yet.
+  void OnQuarantine();
   // The client accepts more data after `IsFull` was true.
   void OnSinkDrained();
 
@@ -137,6 +140,7 @@
   // does not crash it.
   void ProveHarmless();
   void OnCrashEvidence(const quarantine::Change& change) const;
+  bool IsQuarantined() const;
   retry::AttemptEnd ClassifyAttempt(OutboundConnection::EndReason end) const;
   void OnAttemptEnded(retry::AttemptEnd end);
   retry::NextStep DecideNextStep(retry::AttemptEnd end) const;
--- a/services/gateway/gateway_node.cc
+++ b/services/gateway/gateway_node.cc
@@ -97,6 +97,9 @@
   context_.on_crash_evidence = [this](const quarantine::Change& change) {
     OnCrashEvidence(change);
   };
+  quarantine_timer_.setSingleShot(true);
+  connect(&quarantine_timer_, &QTimer::timeout, this,
+          &GatewayNode::RejectQuarantined);
   dispatch_timer_.setSingleShot(true);
   connect(&dispatch_timer_, &QTimer::timeout, this,
           &GatewayNode::DispatchWaiting);
@@ -381,6 +384,8 @@
 void GatewayNode::OnCrashEvidence(const quarantine::Change& change) {
   LogQuarantineChanges(change);
   if (change.is_news) peers_.AnnounceEvidence();
+  // The request that caused the change is still being handled.
+  if (!change.quarantined.empty()) quarantine_timer_.start(0);
 }
 
 void GatewayNode::LogQuarantineChanges(const quarantine::Change& change) {
@@ -394,6 +399,10 @@
   }
 }
 
+void GatewayNode::RejectQuarantined() {
+  for (Exchange* exchange : Exchanges()) exchange->OnQuarantine();
+}
+
 void GatewayNode::PollReports() {
   const BootTime now = BootClock::now();
   std::vector<std::string> gateways = peers_.AlivePeers();
--- a/services/gateway/gateway_node.h
+++ b/services/gateway/gateway_node.h
@@ -90,6 +90,8 @@
   // Evidence of crashes that was not known before, seen here or by a peer.
   void OnCrashEvidence(const quarantine::Change& change);
   void LogQuarantineChanges(const quarantine::Change& change);
+  // Rejects requests that were admitted before something was quarantined.
+  void RejectQuarantined();
 
   // Updates all gauges and returns the metrics as text.
   std::string CollectMetrics();
@@ -115,6 +117,7 @@
   std::set<ClientConnection*> clients_;
   QTimer tick_timer_;
   QTimer dispatch_timer_;
+  QTimer quarantine_timer_;
   // When the current configuration was applied.
   BootTime configured_at_;
   // The last call to the store succeeded.
--- a/tests/services/gateway/deadly_part_test.cc
+++ b/tests/services/gateway/deadly_part_test.cc
@@ -3,6 +3,7 @@
 #include <cstddef>
 #include <string>
 
+#include "libraries/membership/rendezvous.h"
 #include "tests/services/gateway/exchange_fixture.h"
 
 namespace balsam::gateway {
@@ -37,8 +38,17 @@
     request.socket->disconnectFromHost();
   }
 
-  // Sends a request whose last part and body are its own.
+  // Sends a request whose last part and body are its own, and waits for its
+  // end.
   void SendWithParts(const std::string& shared_parts) {
+    StartWithParts(shared_parts);
+    RunUntilDone();
+    // What the node does for an engine that is back after a crash.
+    context_.selector.Forget("i-1");
+    context_.selector.Forget("i-2");
+  }
+
+  void StartWithParts(const std::string& shared_parts) {
     const std::string number = std::to_string(++requests_);
     http1::RequestHead head;
     head.method = "POST";
@@ -52,10 +62,15 @@
     exchange_ = std::make_unique<Exchange>(context_, sink_, std::move(head),
                                            "body " + number, BootClock::now());
     exchange_->Start();
-    RunUntilDone();
-    // What the node does for an engine that is back after a crash.
-    context_.selector.Forget("i-1");
-    context_.selector.Forget("i-2");
+  }
+
+  // Other gateways tell of a quarantine.
+  void QuarantineDeadlyPart() {
+    quarantine::Evidence evidence;
+    evidence.quarantined = {
+        {membership::StableHash("dead"), std::chrono::milliseconds(0), 1}};
+    context_.crash_ledger.Merge(evidence, BootClock::now());
+    exchange_->OnQuarantine();
   }
 
   std::size_t requests_ = 0;
@@ -85,5 +100,48 @@
   EXPECT_EQ(sound_runs_, 1U);
 }
 
+// Requests that were already sent when the part was quarantined, and had not
+// begun to run, went on to crash one more engine each (issue 26).
+TEST_F(DeadlyPartTest, RequestThatWaitsAtAnEngineIsWithdrawn) {
+  QTcpSocket* socket = nullptr;
+  first_.on_request = [&](const auto& request) { socket = request.socket; };
+  StartWithParts(kDeadlyPart);
+  ASSERT_TRUE(RunUntil([&] { return socket != nullptr; }));
+  QuarantineDeadlyPart();
+  EXPECT_EQ(sink_.status, 502);
+  EXPECT_TRUE(RunUntil(
+      [&] { return socket->state() == QAbstractSocket::UnconnectedState; }));
+}
+
+TEST_F(DeadlyPartTest, RequestThatWaitsForCapacityIsRejected) {
+  for (int i = 0; i < 8; ++i) {
+    context_.selector.OnStart("i-1", {});
+    context_.selector.OnStart("i-2", {});
+  }
+  context_.wait_estimators["s"].OnWorkDone(1000, BootClock::now());
+  StartWithParts(kDeadlyPart);
+  ASSERT_EQ(context_.wait_queues["s"].size(), 1U);
+  QuarantineDeadlyPart();
+  EXPECT_EQ(sink_.status, 502);
+  EXPECT_TRUE(context_.wait_queues["s"].empty());
+}
+
+// It may show that the part is harmless.
+TEST_F(DeadlyPartTest, RunThatHasBegunToAnswerGoesOn) {
+  QTcpSocket* socket = nullptr;
+  first_.on_request = [&](const auto& request) {
+    socket = request.socket;
+    BeginStream(socket, 1, 1);
+  };
+  sink_.on_text = [this] { QuarantineDeadlyPart(); };
+  StartWithParts(kDeadlyPart);
+  ASSERT_TRUE(RunUntil([&] { return !sink_.text.empty(); }));
+  EXPECT_FALSE(sink_.complete.has_value());
+  EndStream(socket);
+  RunUntilDone();
+  EXPECT_EQ(sink_.status, 200);
+  EXPECT_EQ(context_.crash_ledger.quarantined_count(), 0U);
+}
+
 }  // namespace
 }  // namespace balsam::gateway
