Do not send a request that crashed two engines to a third

What callers saw: a request that may be repeated crashed an engine with each attempt of its route, and broke off what ran there.

Cause: a retry looked at the route only, not at what the attempts before had done. Change: no further attempt of a request that is quarantined, or that crashed two servers since one last answered it.

Failing before: DeadlyPartTest.RequestThatCrashedTwoEnginesIsNotSentToAThird (three engines of three).

--- a/services/gateway/exchange.cc
+++ b/services/gateway/exchange.cc
@@ -24,6 +24,8 @@
 // A request that must not run twice counts against its server when it has no
 // response after this many latency objectives.
 constexpr double kVerySlowShare = 2.0;
+// A request that crashed this many servers is not sent to another one.
+constexpr int kMaxCrashesPerRequest = 2;
 // Returns whether a response with this status tells the client that its request
 // was never run.
 bool ImpliesNotRun(int status) {
@@ -230,6 +232,12 @@
   return context_.crash_ledger.FindQuarantined(request_.traits).has_value();
 }
 
+bool Exchange::MayRetryAfterCrash() const {
+  return request_.route->MayRepeat() && !IsQuarantined() &&
+         context_.crash_ledger.CrashesOf(request_.traits.back()) <
+             kMaxCrashesPerRequest;
+}
+
 void Exchange::OnQuarantine() {
   if (finished_ || response_started_ || request_.route == nullptr ||
       !IsQuarantined()) {
@@ -306,7 +314,7 @@
 retry::NextStep Exchange::DecideNextStep(AttemptEnd end) const {
   retry::AttemptState state;
   state.end = end;
-  state.may_repeat = request_.route->MayRepeat();
+  state.may_repeat = MayRetryAfterCrash();
   state.response_started = response_started_;
   state.sent_attempts = sent_attempts_;
   state.max_attempts = request_.route->max_attempts;
--- a/services/gateway/exchange.h
+++ b/services/gateway/exchange.h
@@ -141,6 +141,8 @@
   void ProveHarmless();
   void OnCrashEvidence(const quarantine::Change& change) const;
   bool IsQuarantined() const;
+  // Whether the route and the crashes so far allow to run the request again.
+  bool MayRetryAfterCrash() const;
   retry::AttemptEnd ClassifyAttempt(OutboundConnection::EndReason end) const;
   void OnAttemptEnded(retry::AttemptEnd end);
   retry::NextStep DecideNextStep(retry::AttemptEnd end) const;
--- a/services/gateway/exchange_relay.cc
+++ b/services/gateway/exchange_relay.cc
@@ -182,7 +182,7 @@
   ++sent_attempts_;
   request_.demand.excluded.insert(attempt_->server_id);
   // A new run can continue after the last event that the client received.
-  const bool may_retry = request_.route->MayRepeat() &&
+  const bool may_retry = MayRetryAfterCrash() &&
                          sent_attempts_ < request_.route->max_attempts &&
                          TimeLeft() > milliseconds(0);
   if (may_retry && RetryBudget().TrySpend(BootClock::now()) && TryDispatch()) {
--- a/tests/services/gateway/deadly_part_test.cc
+++ b/tests/services/gateway/deadly_part_test.cc
@@ -100,6 +100,18 @@
   EXPECT_EQ(sound_runs_, 1U);
 }
 
+// A request that may be repeated took as many engines with it as its route has
+// attempts (issue 26).
+TEST_F(DeadlyPartTest, RequestThatCrashedTwoEnginesIsNotSentToAThird) {
+  Offer(routing::RequestKind::kStream, 4, true);
+  ScriptedEngine third;
+  third.on_request = first_.on_request;
+  Announce("i-3", third);
+  SendWithParts(kDeadlyPart);
+  EXPECT_EQ(sink_.status, 502);
+  EXPECT_EQ(deadly_runs_, 2U);
+}
+
 // Requests that were already sent when the part was quarantined, and had not
 // begun to run, went on to crash one more engine each (issue 26).
 TEST_F(DeadlyPartTest, RequestThatWaitsAtAnEngineIsWithdrawn) {
--- a/tests/services/gateway/exchange_fixture.h
+++ b/tests/services/gateway/exchange_fixture.h
@@ -82,7 +82,7 @@
     SendRequest();
   }
 
-  void Offer(routing::RequestKind kind, int attempts) {
+  void Offer(routing::RequestKind kind, int attempts, bool resumable = false) {
     routing::Route route;
     route.name = "r";
     route.host = "h";
@@ -91,6 +91,7 @@
     route.timeout = route_timeout_;
     route.latency_objective = std::chrono::seconds(10);
     route.max_attempts = attempts;
+    route.resumable = resumable;
     route.services = {{"s", 1.0}};
     routing::Configuration configuration;
     configuration.version = 1;
