--- a/tests/platform/store_client_test.cc
+++ b/tests/platform/store_client_test.cc
@@ -129,6 +129,20 @@
   EXPECT_NE(targets_[2].find("after=7"), std::string::npos);
 }
 
+// A watch that the store swallowed in an outage was waited for like one without
+// changes: the fleet heard nothing for twelve seconds, nine of them after the
+// store was back (day of the deadly part beside an outage, vientoalto-andes).
+TEST_F(StoreClientTest, FirstWatchAfterFailureDoesNotWaitForChanges) {
+  StartWithResponses({Page(Item("a", 3), 7, false),
+                      {503, "text/plain", {}},
+                      Events("", 7),
+                      Events("", 7)});
+  ASSERT_TRUE(RunUntil([this] { return targets_.size() >= 4; }));
+  EXPECT_NE(targets_[1].find("waitMs=10000"), std::string::npos);
+  EXPECT_NE(targets_[2].find("waitMs=0"), std::string::npos);
+  EXPECT_NE(targets_[3].find("waitMs=10000"), std::string::npos);
+}
+
 TEST_F(StoreClientTest, WatchReturnsWritesAndRemovals) {
   StartWithResponses(
       {Page(Item("a", 3), 7, false),
