Stop using an engine when another one responds at its address

Cause: a server that is not the one expected responds 421 and has not run the request. The gateway took that for a refusal of this request: a pause of the server for a moment, and then the next request. With one attempt to a route each was refused. The store, which would have told that the engine is gone, was away.

Change: such a response says that the incarnation is gone, like the notice of an engine that leaves: no more requests, peers are told, the next announcement of a new incarnation ends it.

Failing before: GatewayNodeTest.EngineWhoseAddressIsTakenGetsNoMoreRequests.

--- a/services/gateway/dialect.h
+++ b/services/gateway/dialect.h
@@ -76,6 +76,9 @@
   // The server is leaving. This holds for its current incarnation, whatever the
   // store says.
   bool leaving = false;
+  // Another server responds at the address: the one that the request was for
+  // is gone.
+  bool is_other_server = false;
   // How long the server wants no requests from this gateway; unset if it does
   // not say.
   std::optional<std::chrono::milliseconds> retry_after;
--- a/services/gateway/gateway_node.cc
+++ b/services/gateway/gateway_node.cc
@@ -347,7 +347,9 @@
 void GatewayNode::OnResponseHead(const std::string& server_id,
                                  const http1::ResponseHead& head) {
   const ServerNotice notice = context_.dialect.ParseNotice(head);
-  if (notice.leaving) OnLeavingHeader(server_id);
+  if (notice.leaving || notice.is_other_server) {
+    OnLeavingForGood(server_id, notice);
+  }
   if (!notice.retry_after.has_value()) return;
   LogEvent("server_rests")
       .With("server", server_id)
@@ -357,13 +359,15 @@
                                        BootClock::now() + *notice.retry_after);
 }
 
-void GatewayNode::OnLeavingHeader(const std::string& server_id) {
+void GatewayNode::OnLeavingForGood(const std::string& server_id,
+                                   const ServerNotice& notice) {
   const auto change = context_.directory.OnReportedLeaving(
       server_id, directory::LeavingNotice::kFinal, BootClock::now());
   // Every response repeats it, and only the first is an event. If the store or
   // a report said so before, it only becomes final and is not logged again.
   if (!change.has_value()) return;
-  LogEvent("answer_said_leaving").With("server", server_id);
+  LogEvent(notice.is_other_server ? "address_taken" : "answer_said_leaving")
+      .With("server", server_id);
   OnServerChange(*change);
   peers_.AnnounceLeaving(server_id);
 }
--- a/services/gateway/gateway_node.h
+++ b/services/gateway/gateway_node.h
@@ -80,8 +80,10 @@
   // Handles what any response of a server says about the server itself.
   void OnResponseHead(const std::string& server_id,
                       const http1::ResponseHead& head);
-  // An engine's response says that the engine is leaving.
-  void OnLeavingHeader(const std::string& server_id);
+  // A response says that the engine is leaving, or that it is gone and another
+  // one has its address.
+  void OnLeavingForGood(const std::string& server_id,
+                        const ServerNotice& notice);
   // An engine's report or health response says that it is leaving. With
   // `by_peer`, another gateway received it.
   void OnReportedLeaving(const std::string& server_id, bool by_peer);
--- a/tests/services/gateway/gateway_node_test.cc
+++ b/tests/services/gateway/gateway_node_test.cc
@@ -53,6 +53,23 @@
                     LeavingResponse{"NotFound", "404 Not Found"}),
     [](const auto& info) { return std::string(info.param.name); });
 
+// An engine that had crashed was sent request after request while the store was
+// down, although another one at its address said each time that it is not that
+// engine (day of the deadly part beside an outage, vientoalto-andes).
+TEST_F(GatewayNodeTest, EngineWhoseAddressIsTakenGetsNoMoreRequests) {
+  first_.on_request = [](const auto& request) {
+    Reply(request, "Not-Run: 1\r\n", "421 Misdirected");
+  };
+  Publish({&first_});
+  EXPECT_EQ(RequestStatus(), 503);
+  EXPECT_EQ(RequestStatus(), 503);
+  EXPECT_EQ(Requests(first_), 1U);
+  // The store tells where its next incarnation is.
+  first_.on_request = [](const auto& request) { Reply(request, ""); };
+  node_->OnStoreChanges({EntryOf(0, first_, 2)}, revision_);
+  EXPECT_EQ(RequestStatus(), 200);
+}
+
 TEST_F(GatewayNodeTest, EngineInBackoffGetsNoRequests) {
   first_.on_request = [](const auto& request) {
     Reply(request, "Not-Run: 1\r\nRetry-After: 30\r\n", "503 Full");
