--- a/services/gateway/admission.cc
+++ b/services/gateway/admission.cc
@@ -39,16 +39,13 @@
   return membership::StableHash(text);
 }
 
-std::vector<quarantine::Trait> TraitsOf(const AdmittedRequest& request,
-                                        const RequestMetadata& metadata,
+std::vector<quarantine::Trait> TraitsOf(const RequestMetadata& metadata,
                                         const http1::RequestHead& head,
                                         std::string_view body) {
   std::vector<quarantine::Trait> traits;
-  if (request.engine() != nullptr) {
-    std::ranges::transform(
-        metadata.shared_parts, std::back_inserter(traits),
-        [](const std::string& part) { return membership::StableHash(part); });
-  }
+  std::ranges::transform(
+      metadata.shared_parts, std::back_inserter(traits),
+      [](const std::string& part) { return membership::StableHash(part); });
   traits.push_back(FingerprintOf(head.target, metadata.key, body));
   return traits;
 }
@@ -123,7 +120,7 @@
     return Rejection{503, "stopping", kStoppingRetry};
   }
   request.demand = DemandOf(request, metadata);
-  request.traits = TraitsOf(request, metadata, head, body);
+  request.traits = TraitsOf(metadata, head, body);
   if (const auto trait = context.crash_ledger.FindQuarantined(request.traits)) {
     LogQuarantined(metadata, request.traits, *trait);
     return Rejection{kQuarantinedStatus, kQuarantined, {}};
--- a/services/gateway/admission.h
+++ b/services/gateway/admission.h
@@ -30,8 +30,8 @@
   // The latest time for the final response.
   BootTime deadline;
   dispatch::Demand demand;
-  // What it may have in common with other requests that crash servers: for a
-  // generation the shared parts of its prompt, and last the request itself,
+  // What it may have in common with other requests that crash servers: the
+  // shared parts of its prompt, if it has one, and last the request itself,
   // which is equal for the same target, caller and body.
   std::vector<quarantine::Trait> traits;
 
--- a/tests/services/gateway/deadly_part_test.cc
+++ b/tests/services/gateway/deadly_part_test.cc
@@ -100,6 +100,21 @@
   EXPECT_EQ(sound_runs_, 1U);
 }
 
+// Plain services may crash on a part of a prompt as well. Its requests were not
+// stopped, since only those to engines were known by their parts (issue 26).
+TEST_F(DeadlyPartTest, RequestsToPlainServicesAreStopped) {
+  Offer(routing::RequestKind::kNonIdempotent, 1);
+  std::size_t runs = 0;
+  for (ScriptedEngine* server : {&first_, &second_}) {
+    server->on_request = [&runs](const auto& request) {
+      ++runs;
+      request.socket->disconnectFromHost();
+    };
+  }
+  for (int i = 0; i < 20; ++i) SendWithParts(kDeadlyPart);
+  EXPECT_LE(runs, kToleratedRequests);
+}
+
 // A request that may be repeated took as many engines with it as its route has
 // attempts (issue 26).
 TEST_F(DeadlyPartTest, RequestThatCrashedTwoEnginesIsNotSentToAThird) {
