--- a/tests/libraries/quarantine/crash_ledger_test.cc
+++ b/tests/libraries/quarantine/crash_ledger_test.cc
@@ -72,8 +72,9 @@
 // All requests of a workspace crash servers for a while, so that nothing shows
 // which of their common parts is harmless.
 TEST_F(CrashLedgerTest, MostSpecificPartIsQuarantinedFirst) {
-  for (int i = 0; i < 3; ++i)
+  for (int i = 0; i < 3; ++i) {
     Crash({kWorkspacePart, kSessionPart, kDeadlyPart});
+  }
   EXPECT_TRUE(IsQuarantined(kDeadlyPart));
   EXPECT_FALSE(IsQuarantined(kSessionPart));
   EXPECT_FALSE(IsQuarantined(kWorkspacePart));
