Follow a store that comes back from an older copy

Engines that left, and that the copy still lists, would get requests again.

Cause: revisions were compared as if they only grew.

Change: revisions hold the era that the store tells in each response in their upper 16 bits. Everything that compares revisions (replica, digests, changes between gateways) stays as it is. A response of a later era is not applied; everything is read again, or taken from a peer that has. Entries of such a copy do not bring back a server that was known to leave, nor an earlier incarnation, and a server that the copy lacks counts as expired in an outage.

Looked for elsewhere: the entry's own configuration watcher (libraries/config_service) keeps the greatest revision too; its service promises that revisions only grow.

--- a/libraries/directory/backend_directory.cc
+++ b/libraries/directory/backend_directory.cc
@@ -52,6 +52,7 @@
   }
   if (entry.reported_leaving) state = ServerState::kLeaving;
   entry.announced = true;
+  entry.doubted_until = {};
   entry.server = server;
   entry.server.cold_until = now + server.cold_left;
   entry.state = state;
@@ -64,6 +65,38 @@
                       server.id};
 }
 
+std::optional<ServerChange> BackendDirectory::OnRestored(
+    const BackendServer& server, BootTime now) {
+  const auto found = entries_.find(server.id);
+  if (found != entries_.end()) {
+    Entry& entry = found->second;
+    // Equal if one of them is not announced.
+    const auto known_start = entry.server.started_at;
+    const auto start = known_start.has_value() && server.started_at.has_value()
+                           ? server.started_at
+                           : known_start;
+    if (start < known_start) return std::nullopt;
+    if (start > known_start || entry.state != ServerState::kLeaving) {
+      return OnAnnounced(server, now);
+    }
+    entry.announced = true;
+    entry.server.leaving = server.leaving;
+    entry.doubted_until = now + limits_.restored_doubt;
+    return std::nullopt;
+  }
+  Entry& entry = entries_[server.id];
+  entry = {server, ServerState::kLeaving, now, false};
+  entry.server.cold_until = now + server.cold_left;
+  entry.doubted_until = now + limits_.restored_doubt;
+  return ServerChange{ServerChange::Kind::kLeaving, server.id};
+}
+
+bool BackendDirectory::IsConfirmed(const Entry& entry, BootTime now) {
+  return entry.doubted_until != BootTime{} && now >= entry.doubted_until &&
+         entry.state == ServerState::kLeaving && entry.announced &&
+         !entry.server.leaving && !entry.reported_leaving;
+}
+
 std::optional<ServerChange> BackendDirectory::OnRemoved(std::string_view id,
                                                         bool may_have_lapsed,
                                                         BootTime now) {
@@ -112,6 +145,12 @@
 std::vector<ServerChange> BackendDirectory::ProcessTimeouts(BootTime now) {
   std::vector<ServerChange> changes;
   for (auto& [id, entry] : entries_) {
+    if (IsConfirmed(entry, now)) {
+      entry.doubted_until = {};
+      entry.state = ServerState::kReady;
+      entry.state_since = now;
+      changes.push_back({ServerChange::Kind::kAppeared, id});
+    }
     if (entry.state != ServerState::kLapsed ||
         now - entry.state_since < limits_.lapsed_grace_period) {
       continue;
--- a/libraries/directory/backend_directory.h
+++ b/libraries/directory/backend_directory.h
@@ -93,6 +93,9 @@
     // How long a server that left is retained for the requests that it still
     // runs.
     std::chrono::milliseconds leaving_retention{15000};
+    // How long a restored announcement is doubted. Longer than the store keeps
+    // one that its server does not renew.
+    std::chrono::milliseconds restored_doubt{5000};
   };
 
   explicit BackendDirectory(Limits limits) : limits_(limits) {}
@@ -100,6 +103,12 @@
   // Called when an announcement was written. Returns the resulting change.
   std::optional<ServerChange> OnAnnounced(const BackendServer& server,
                                           BootTime now);
+  // Called when the store was restored from an older copy and holds this
+  // announcement. The server may have left since the copy was made: one that
+  // was known to leave, or that is not known, counts as leaving until its
+  // announcement is written again or has proved to be renewed.
+  std::optional<ServerChange> OnRestored(const BackendServer& server,
+                                         BootTime now);
   // Called when an announcement was removed or cannot be parsed.
   // `may_have_lapsed` means that the store was unavailable shortly before, so
   // the announcement may have expired instead of being removed by the server.
@@ -149,8 +158,15 @@
     bool leaving_is_final = false;
     // The store holds its announcement.
     bool announced = true;
+    // Until then, a restored announcement does not make the server ready; zero
+    // if it was not restored, or was confirmed.
+    BootTime doubted_until;
   };
 
+  // Returns whether the restored announcement of a server that counts as
+  // leaving has been renewed for long enough.
+  static bool IsConfirmed(const Entry& entry, BootTime now);
+
   Limits limits_;
   std::map<std::string, Entry, std::less<>> entries_;
 };
--- a/services/gateway/gateway_node.cc
+++ b/services/gateway/gateway_node.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "libraries/base/log_event.h"
+#include "libraries/revisions/revision.h"
 
 namespace balsam::gateway {
 namespace {
@@ -201,7 +202,7 @@
                                  std::uint64_t store_revision) {
   const std::uint64_t before = replica_.revision();
   for (const RevisionedEntry& entry : changes) {
-    if (replica_.Apply(entry)) OnEntry(entry);
+    if (replica_.Apply(entry)) OnEntry(entry, false);
   }
   replica_.AdvanceTo(store_revision);
   if (replica_.revision() > before) peers_.AnnounceRevision();
@@ -212,8 +213,18 @@
   // A snapshot older than the replica has no new information.
   if (store_revision < replica_.revision()) return;
   const std::uint64_t before = replica_.revision();
+  const bool is_restored =
+      before > 0 && revisions::EraOf(store_revision) > revisions::EraOf(before);
   const auto changes = replica_.ApplySnapshot({}, entries, store_revision);
-  for (const RevisionedEntry& entry : changes) OnEntry(entry);
+  if (is_restored) {
+    // Servers that are missing from the copy announce themselves again.
+    store_recovered_at_ = BootClock::now();
+    LogEvent("store_copy_applied", LogEvent::Level::kWarning)
+        .With("before", before)
+        .With("revision", store_revision)
+        .With("changes", changes.size());
+  }
+  for (const RevisionedEntry& entry : changes) OnEntry(entry, is_restored);
   if (store_revision > before) peers_.AnnounceRevision();
 }
 
@@ -252,13 +263,13 @@
   return !ReachesStore() && !peers_.AnyReachesStore();
 }
 
-void GatewayNode::OnEntry(const RevisionedEntry& entry) {
+void GatewayNode::OnEntry(const RevisionedEntry& entry, bool is_restored) {
   if (context_.dialect.IsConfigurationKey(entry.key)) {
     if (entry.value.has_value()) OnConfiguration(*entry.value);
     return;
   }
   const auto id = context_.dialect.ServerIdOf(entry.key);
-  if (id.has_value()) OnServerEntry(*id, entry.value);
+  if (id.has_value()) OnServerEntry(*id, entry.value, is_restored);
 }
 
 void GatewayNode::OnConfiguration(const std::string& text) {
@@ -287,14 +298,16 @@
 }
 
 void GatewayNode::OnServerEntry(const std::string& id,
-                                const std::optional<std::string>& text) {
+                                const std::optional<std::string>& text,
+                                bool is_restored) {
   const BootTime now = BootClock::now();
   std::optional<directory::ServerChange> change;
   if (text.has_value()) {
     change = TryOr(
         [&]() -> Result<std::optional<directory::ServerChange>> {
           BOOST_LEAF_AUTO(server, context_.dialect.ParseServer(id, *text));
-          return context_.directory.OnAnnounced(server, now);
+          return is_restored ? context_.directory.OnRestored(server, now)
+                             : context_.directory.OnAnnounced(server, now);
         },
         [&](const Error& error) {
           LogEvent("server_entry_refused", LogEvent::Level::kWarning)
@@ -303,7 +316,8 @@
           return context_.directory.OnRemoved(id, false, now);
         });
   } else {
-    change = context_.directory.OnRemoved(id, MayHaveLapsed(), now);
+    change =
+        context_.directory.OnRemoved(id, is_restored || MayHaveLapsed(), now);
   }
   if (change.has_value()) OnServerChange(*change);
 }
--- a/services/gateway/gateway_node.h
+++ b/services/gateway/gateway_node.h
@@ -41,7 +41,8 @@
   // Applies changes read from the store; the newest revision is last.
   void OnStoreChanges(const std::vector<revisions::RevisionedEntry>& changes,
                       std::uint64_t store_revision);
-  // Applies a complete read of all keys.
+  // Applies a complete read of all keys. One of a later era than what is known
+  // (`revisions::EraOf`) is a copy that lacks what was written lately.
   void OnStoreSnapshot(const std::vector<revisions::RevisionedEntry>& entries,
                        std::uint64_t store_revision);
   void OnStoreAvailable(bool available);
@@ -63,10 +64,12 @@
  private:
   bool IsReady() const;
   void OnClient(int descriptor);
-  void OnEntry(const revisions::RevisionedEntry& entry);
+  // `is_restored`: the entry is part of an older copy from which the store was
+  // restored.
+  void OnEntry(const revisions::RevisionedEntry& entry, bool is_restored);
   void OnConfiguration(const std::string& text);
   void OnServerEntry(const std::string& id,
-                     const std::optional<std::string>& text);
+                     const std::optional<std::string>& text, bool is_restored);
   void OnServerChange(const directory::ServerChange& change);
   // Returns a copy, since the set changes while its members are called.
   std::vector<Exchange*> Exchanges() const;
--- a/services/gateway/simple_http_server.cc
+++ b/services/gateway/simple_http_server.cc
@@ -55,6 +55,7 @@
     const bool keep = parser_->keep_alive();
     http1::ResponseHead head;
     head.status = response.status;
+    head.fields = response.fields;
     head.fields.Add("Content-Type", response.content_type);
     if (!keep) head.fields.Add("Connection", "close");
     stream_.Write(http1::Serialize(head, {response.body.size(), false}) +
--- a/services/gateway/simple_http_server.h
+++ b/services/gateway/simple_http_server.h
@@ -16,6 +16,8 @@
   int status = 200;
   std::string content_type = "text/plain";
   std::string body;
+  // Fields beside those of the content and the connection.
+  http1::FieldList fields = {};
 };
 
 class SimpleHttpServer : public QObject {
--- a/tests/libraries/directory/backend_directory_test.cc
+++ b/tests/libraries/directory/backend_directory_test.cc
@@ -58,6 +58,56 @@
   EXPECT_EQ(directory_.StateOf("i-1"), ServerState::kReady);
 }
 
+// The store came back from a copy that lists a server which has left since.
+TEST_F(BackendDirectoryTest,
+       RestoredAnnouncementDoesNotBringBackServerThatLeft) {
+  directory_.OnAnnounced(MakeServer(), TimeAfter(0));
+  directory_.OnRemoved("i-1", false, TimeAfter(1));
+  EXPECT_FALSE(
+      directory_.OnRestored(MakeServer(), TimeAfter(1000)).has_value());
+  EXPECT_EQ(directory_.StateOf("i-1"), ServerState::kLeaving);
+  // It is gone, so that the announcement is not renewed and expires.
+  EXPECT_FALSE(directory_.OnRemoved("i-1", true, TimeAfter(4600)).has_value());
+  EXPECT_EQ(directory_.ProcessTimeouts(TimeAfter(20000))[0].kind, Kind::kGone);
+}
+
+TEST_F(BackendDirectoryTest, RestoredAnnouncementOfForgottenServerIsDoubted) {
+  EXPECT_EQ(directory_.OnRestored(MakeServer(), TimeAfter(0))->kind,
+            Kind::kLeaving);
+  // An announcement after the restoration comes from the server itself.
+  EXPECT_EQ(directory_.OnAnnounced(MakeServer(), TimeAfter(500))->kind,
+            Kind::kAppeared);
+}
+
+// Only a live server renews its announcement.
+TEST_F(BackendDirectoryTest, RestoredAnnouncementThatIsRenewedCountsAgain) {
+  directory_.OnAnnounced(MakeServer(), TimeAfter(0));
+  directory_.OnRemoved("i-1", false, TimeAfter(1));
+  directory_.OnRestored(MakeServer(), TimeAfter(1000));
+  EXPECT_TRUE(directory_.ProcessTimeouts(TimeAfter(4900)).empty());
+  EXPECT_EQ(directory_.ProcessTimeouts(TimeAfter(6000))[0].kind,
+            Kind::kAppeared);
+  EXPECT_EQ(directory_.StateOf("i-1"), ServerState::kReady);
+}
+
+TEST_F(BackendDirectoryTest,
+       RestoredAnnouncementOfEarlierIncarnationIsIgnored) {
+  directory_.OnAnnounced(MakeServer(false, 2), TimeAfter(0));
+  EXPECT_FALSE(
+      directory_.OnRestored(MakeServer(false, 1), TimeAfter(1)).has_value());
+  EXPECT_EQ(directory_.Find("i-1")->started_at, milliseconds(2));
+  EXPECT_EQ(directory_.OnRestored(MakeServer(false, 3), TimeAfter(2))->kind,
+            Kind::kRestarted);
+}
+
+TEST_F(BackendDirectoryTest, RestoredAnnouncementDoesNotEndFinalNotice) {
+  directory_.OnAnnounced(MakeServer(), TimeAfter(0));
+  directory_.OnReportedLeaving("i-1", LeavingNotice::kFinal, TimeAfter(1));
+  directory_.OnRestored(MakeServer(), TimeAfter(2));
+  EXPECT_TRUE(directory_.ProcessTimeouts(TimeAfter(10000)).empty());
+  EXPECT_EQ(directory_.StateOf("i-1"), ServerState::kLeaving);
+}
+
 TEST_F(BackendDirectoryTest, AnnouncementMissingAfterGracePeriodMeansLeaving) {
   directory_.OnAnnounced(MakeServer(), TimeAfter(0));
   directory_.OnRemoved("i-1", true, TimeAfter(1));
--- a/tests/platform/store_client_test.cc
+++ b/tests/platform/store_client_test.cc
@@ -11,6 +11,7 @@
 #include <string>
 #include <vector>
 
+#include "libraries/revisions/revision.h"
 #include "services/gateway/simple_http_server.h"
 #include "tests/services/gateway/event_loop.h"
 
@@ -259,6 +260,68 @@
   EXPECT_NE(targets_[3].find("after=7"), std::string::npos);
 }
 
+// A response of a store that was restored so many times from an older copy.
+HttpResponse InEra(int era, HttpResponse response) {
+  response.fields.Add("Store-Era", std::to_string(era));
+  return response;
+}
+
+// The store came back from a copy with fewer revisions than this client knew,
+// and has given one of them out again: a watch from there misses what was
+// written before.
+TEST_F(StoreClientTest, RestoredStoreIsReadAgain) {
+  StartWithResponses({InEra(1, Page(Item("a", 30), 40, false)),
+                      InEra(2, Events(Item("c", 41), 41)),
+                      InEra(2, Page(Item("b", 9), 41, false))});
+  ASSERT_TRUE(RunUntil([this] { return snapshots_.size() >= 2; }));
+  // The watch of the earlier era is not applied.
+  EXPECT_TRUE(changes_.empty());
+  EXPECT_EQ(snapshots_[1][0].key, "b");
+  EXPECT_GT(snapshots_[1][0].revision, snapshots_[0][0].revision);
+  EXPECT_EQ(revisions::EraOf(revision_), 2U);
+  ASSERT_TRUE(RunUntil([this] { return targets_.size() >= 4; }));
+  EXPECT_NE(targets_[3].find("after=41"), std::string::npos) << targets_[3];
+}
+
+// A store that was restored does not have the revision of the watch.
+TEST_F(StoreClientTest, LostHistoryInNewEraTriggersFullRead) {
+  StartWithResponses({InEra(1, Page(Item("a", 30), 40, false)),
+                      InEra(2, {410, "application/json", "{}"}),
+                      InEra(2, Page(Item("b", 9), 12, false))});
+  ASSERT_TRUE(RunUntil([this] { return snapshots_.size() >= 2; }));
+  EXPECT_EQ(revision_, *revisions::MakeRevision(2, 12));
+}
+
+TEST_F(StoreClientTest, ReadBeginsAgainIfStoreIsRestoredBetweenPages) {
+  StartWithResponses({InEra(1, Page(Item("a", 3), 40, true)),
+                      InEra(2, Page(Item("b", 4), 12, false)),
+                      InEra(2, Page(Item("a", 2), 12, false))});
+  ASSERT_TRUE(RunUntil([this] { return !snapshots_.empty(); }));
+  EXPECT_EQ(snapshots_[0].size(), 1U);
+  EXPECT_EQ(targets_[2].find("after="), std::string::npos) << targets_[2];
+  EXPECT_EQ(revision_, *revisions::MakeRevision(2, 12));
+}
+
+// Another gateway read the restored store first, so that this one need not.
+TEST_F(StoreClientTest, RestoredStoreIsNotReadIfPeersHaveReadIt) {
+  known_revision_ = *revisions::MakeRevision(2, 12);
+  StartWithResponses({InEra(1, Page(Item("a", 30), 40, false)),
+                      InEra(2, Events("", 14)), InEra(2, Events("", 14))});
+  ASSERT_TRUE(RunUntil([this] { return targets_.size() >= 3; }));
+  EXPECT_NE(targets_[2].find("/kv-watch"), std::string::npos) << targets_[2];
+  EXPECT_NE(targets_[2].find("after=12&"), std::string::npos) << targets_[2];
+}
+
+// A response that is older than what peers have read is not applied.
+TEST_F(StoreClientTest, ResponseOfEarlierEraIsFailure) {
+  StartWithResponses({InEra(2, Page(Item("a", 3), 12, false)),
+                      InEra(1, Events(Item("b", 41), 41)),
+                      InEra(2, Events(Item("c", 13), 13))});
+  ASSERT_TRUE(RunUntil([this] { return !changes_.empty(); }));
+  EXPECT_EQ(changes_[0][0].key, "c");
+  EXPECT_EQ(revision_, *revisions::MakeRevision(2, 13));
+}
+
 class InvalidResponseTest : public StoreClientTest,
                             public testing::WithParamInterface<const char*> {};
 
--- a/tests/services/gateway/peer_exchange_test.cc
+++ b/tests/services/gateway/peer_exchange_test.cc
@@ -7,6 +7,7 @@
 #include <memory>
 #include <set>
 
+#include "libraries/revisions/revision.h"
 #include "platform/wire_dialect.h"
 #include "tests/services/gateway/event_loop.h"
 
@@ -107,6 +108,16 @@
   EXPECT_NE(second_->replica.Find("stays"), nullptr);
 }
 
+// The store was restored from an older copy, as only one of them has seen.
+TEST_F(PeerExchangeTest, RestoredStateReplacesWhatPeersKnewBefore) {
+  second_->replica.ApplySnapshot({}, {{"lost", 90, "server"}}, 100);
+  const std::uint64_t restored = *revisions::MakeRevision(1, 40);
+  first_->replica.ApplySnapshot({}, {{"kept", restored, "server"}}, restored);
+  RunUntilChangesArrive();
+  EXPECT_EQ(second_->replica.Find("lost"), nullptr);
+  EXPECT_NE(second_->replica.Find("kept"), nullptr);
+}
+
 // Incident inc-3489: gateways that the store refused mistook the removal of an
 // engine, which their peers had seen while the store was available, for an
 // expired entry, and did not migrate its runs.
