Count a crash that looks like the end of a stream

What callers saw: an empty stream as a complete success, where an engine crashed on a stream that has neither a length nor chunks; and requests with a deadly part kept crashing engines, 20 of 20 in the test.

Cause: an orderly close ends such a response, so that the attempt counted as complete: no crash was recorded, and the request and its parts were cleared as survivors. A stream that ends inside an event was broken off for its client, but not for the ledger.

Change: a stream that ends inside an event, or unframed before its first event, is broken before anything is derived from its end.

Failing before: Texts/UnframedDeadlyPartTest.CrashIsNotTakenForTheEndOfTheStream (20 requests reach engines, three cases).

--- a/services/gateway/exchange.cc
+++ b/services/gateway/exchange.cc
@@ -175,6 +175,9 @@
 
 void Exchange::OnEnd(OutboundConnection::EndReason end) {
   slow_timer_.stop();
+  if (end == OutboundConnection::EndReason::kComplete && IsStreamCutShort()) {
+    end = OutboundConnection::EndReason::kBroken;
+  }
   RecordCrashIfBroken(end);
   if (attempt_->streaming) {
     OnStreamEnded(end);
@@ -183,6 +186,12 @@
   OnAttemptEnded(ClassifyAttempt(end));
 }
 
+bool Exchange::IsStreamCutShort() const {
+  if (!attempt_->streaming) return false;
+  return events_.has_partial() ||
+         (events_.events() == 0 && attempt_->is_unframed);
+}
+
 void Exchange::RecordCrashIfBroken(OutboundConnection::EndReason end) {
   using EndReason = OutboundConnection::EndReason;
   const bool broken = end == EndReason::kClosedWithoutResponse ||
--- a/services/gateway/exchange.h
+++ b/services/gateway/exchange.h
@@ -69,6 +69,9 @@
     BootTime answered;
     http1::ResponseHead head;
     ResponseMetadata metadata;
+    // The response has neither a length nor chunks: its end looks like a crash
+    // of the server.
+    bool is_unframed = false;
     // The response is being streamed to the client.
     bool streaming = false;
     std::string body;
@@ -133,6 +136,9 @@
   bool MustKeepAttempt() const;
   void StartSlowTimer();
   void OnEnd(OutboundConnection::EndReason end);
+  // Whether the stream has ended inside an event, or before its first one with
+  // nothing that marks its end.
+  bool IsStreamCutShort() const;
   // Records a crash that this request may have caused, if the server closed or
   // broke the connection before the request proved harmless.
   void RecordCrashIfBroken(OutboundConnection::EndReason end);
--- a/services/gateway/exchange_relay.cc
+++ b/services/gateway/exchange_relay.cc
@@ -43,6 +43,7 @@
 void Exchange::OnHead(const http1::ResponseHead& head) {
   attempt_->head = head;
   attempt_->answered = BootClock::now();
+  attempt_->is_unframed = attempt_->connection->response_is_unframed();
   attempt_->metadata = context_.dialect.ParseResponse(head);
   const ResponseMetadata& metadata = attempt_->metadata;
   const bool is_wrong_request =
@@ -140,8 +141,12 @@
 
 void Exchange::CompleteResponse() {
   const int status = attempt_->head.status;
-  // A failure may come from a server that did not begin to run the request.
-  if (http1::IsSuccess(status)) ProveHarmless();
+  // A failure may come from a server that did not begin to run the request, and
+  // a stream that nothing but its connection ends, from one that crashed.
+  if (http1::IsSuccess(status) &&
+      !(attempt_->streaming && attempt_->is_unframed)) {
+    ProveHarmless();
+  }
   Finish(kDelivered, status);
   if (response_started_) {
     sink_.EndBody();
@@ -151,8 +156,7 @@
 }
 
 void Exchange::OnStreamEnded(OutboundConnection::EndReason end) {
-  if (end == OutboundConnection::EndReason::kComplete &&
-      !events_.has_partial()) {
+  if (end == OutboundConnection::EndReason::kComplete) {
     ++sent_attempts_;
     EndAttempt(AttemptResult::kSucceeded);
     CompleteResponse();
--- a/services/gateway/outbound_connection.h
+++ b/services/gateway/outbound_connection.h
@@ -96,6 +96,11 @@
 
   // Connected, idle and able to send another request.
   bool reusable() const;
+  // Whether the response, whose head must be complete, has neither a length nor
+  // chunks, so that it ends with the connection.
+  bool response_is_unframed() const {
+    return parser_ != nullptr && parser_->ends_with_connection();
+  }
   // Whether at least part of the request has been written.
   bool written() const { return written_; }
   const directory::Endpoint& endpoint() const { return endpoint_; }
--- a/tests/services/gateway/deadly_part_test.cc
+++ b/tests/services/gateway/deadly_part_test.cc
@@ -100,6 +100,40 @@
   EXPECT_EQ(sound_runs_, 1U);
 }
 
+// The text that an engine has written of a stream without a length or chunks
+// when it crashes.
+class UnframedDeadlyPartTest : public DeadlyPartTest,
+                               public testing::WithParamInterface<const char*> {
+ protected:
+  UnframedDeadlyPartTest() {
+    for (ScriptedEngine* engine : {&first_, &second_}) {
+      engine->on_request = [this](const auto& request) {
+        ++deadly_runs_;
+        const std::string text = std::string(
+                                     "HTTP/1.1 200 OK\r\nRequest-Id: r-1\r\n"
+                                     "Response-Seal: s\r\n\r\n") +
+                                 GetParam();
+        request.socket->write(text.data(), static_cast<qint64>(text.size()));
+        request.socket->flush();
+        request.socket->disconnectFromHost();
+      };
+    }
+  }
+};
+
+// Guards against crashes that look like the end of a stream: the client got an
+// empty stream as a complete one, and no crash was counted (issue 26).
+TEST_P(UnframedDeadlyPartTest, CrashIsNotTakenForTheEndOfTheStream) {
+  for (int i = 0; i < 20; ++i) {
+    SendWithParts(kDeadlyPart);
+    EXPECT_FALSE(sink_.complete.value_or(false) && sink_.status == 200);
+  }
+  EXPECT_LE(deadly_runs_, kToleratedRequests);
+}
+
+INSTANTIATE_TEST_SUITE_P(Texts, UnframedDeadlyPartTest,
+                         testing::Values("", "id: 1\nda", "id: 1\ndata: t\n"));
+
 // Plain services may crash on a part of a prompt as well. Its requests were not
 // stopped, since only those to engines were known by their parts (issue 26).
 TEST_F(DeadlyPartTest, RequestsToPlainServicesAreStopped) {
