Quarantine what crashed runs have in common, not the most specific of it

Cause: clients and gateways repeat such a request, so that the first three crashes were of one request. It and its parts then had as many crashes each, the most specific of them was quarantined, which is the request itself, and its crashes no longer counted for the part. Three requests went that way one after the other before three crashes of different requests came together. Class of fault: a choice between explanations that the evidence does not tell apart, which was then kept as if it had been proved. Evidence: quarantine_started at 6.75, 8.00, 13.73 s, each with the fingerprint of the request that crashed three engines, and at 18.36 s with the part, at its twelfth crash.

Ruled out: late exchange (the other gateways knew within 10 ms), survivors (none).

Change: the signature is quarantined, that is all traits that the suspected runs have in common. A crash of a run that lacks some of it leaves the intersection, with one crash instead of three; a survivor takes its traits out. Sound requests with some of the parts are served meanwhile, where one of the parts used to be chosen. Crashes count for a trait only if no signature without it explains them; when a quarantine ends, so do the crashes that led to it (they would have counted for other parts then).

Failing before: the new RepeatedRequestsDoNotHideTheirPart, with 30 crashes of 30 requests against at most 4 (run of the test's steps on the ledger before). The fleet test also repeats requests; all 64 loads pass.

--- a/libraries/gossip/digest.cc
+++ b/libraries/gossip/digest.cc
@@ -92,7 +92,7 @@
   json quarantined = json::array();
   for (const quarantine::QuarantineReport& report : evidence.quarantined) {
     quarantined.push_back(
-        {report.trait, report.crash_age.count(), report.count});
+        {report.signature, report.crash_age.count(), report.count});
   }
   return {std::move(crashes), ToJson(evidence.survived),
           std::move(quarantined)};
@@ -109,7 +109,7 @@
   }
   evidence.survived = ReadTraitAges(message.at(1));
   for (const json& report : message.at(2)) {
-    evidence.quarantined.push_back({report.at(0).get<quarantine::Trait>(),
+    evidence.quarantined.push_back({report.at(0).get<quarantine::Signature>(),
                                     ReadAge(report.at(1)),
                                     report.at(2).get<int>()});
   }
--- a/libraries/quarantine/crash_ledger.cc
+++ b/libraries/quarantine/crash_ledger.cc
@@ -1,4 +1,4 @@
-// Counts the crashes of each trait and chooses the traits that explain them.
+// Counts the crashes of each trait and finds the signatures that explain them.
 #include "libraries/quarantine/crash_ledger.h"
 
 #include <algorithm>
@@ -43,6 +43,13 @@
   return items;
 }
 
+// Whether a run or request with these traits has the whole signature.
+bool HasSignature(std::span<const Trait> traits, const Signature& signature) {
+  return std::ranges::all_of(signature, [&](Trait trait) {
+    return std::ranges::find(traits, trait) != traits.end();
+  });
+}
+
 }  // namespace
 
 Change CrashLedger::OnCrash(const CrashReport& report, BootTime now) {
@@ -83,6 +90,7 @@
     TraitState& state = traits_[trait];
     state.last_crash = std::max(state.last_crash, crash->time);
   });
+  RenewQuarantines(crash->suspects.back(), crash->time, change);
   Judge(change);
   return change;
 }
@@ -106,10 +114,27 @@
   if (!clears) return;
   state.survival_learned_at = now;
   change.is_news = true;
-  state.quarantines = 0;
-  if (!std::exchange(state.quarantined, false)) return;
-  --quarantined_count_;
-  change.released.push_back(trait);
+  ClearTrait(trait, time, change);
+}
+
+void CrashLedger::ClearTrait(Trait trait, BootTime survived_at,
+                             Change& change) {
+  std::vector<std::pair<Signature, Quarantine>> cleared;
+  std::erase_if(quarantines_, [&](const auto& item) {
+    const bool is_cleared = std::ranges::binary_search(item.first, trait) &&
+                            item.second.last_crash < survived_at;
+    if (is_cleared) cleared.push_back(item);
+    return is_cleared;
+  });
+  for (auto& [signature, quarantine] : cleared) {
+    Signature rest = signature;
+    std::erase(rest, trait);
+    if (!rest.empty()) {
+      StartQuarantine(rest, quarantine, change);
+    } else if (quarantine.is_active) {
+      change.released.push_back(signature);
+    }
+  }
 }
 
 Change CrashLedger::Merge(const Evidence& evidence, BootTime now) {
@@ -122,36 +147,87 @@
   std::ranges::for_each(evidence.crashes, [&](const CrashReport& report) {
     add(AddReport(report, kMaxReportDelay, now));
   });
-  std::ranges::for_each(
-      evidence.quarantined, [&](const QuarantineReport& report) {
-        if (report.crash_age >= QuarantineTime(report.count)) return;
-        TraitState& state = traits_[report.trait];
-        const BootTime last_crash = now - report.crash_age;
-        if (state.last_survival >= last_crash) {
-          // The sender does not know of the survival yet.
-          state.survival_learned_at = now;
-          return;
-        }
-        Quarantine(report.trait, last_crash, report.count, change);
-      });
+  std::ranges::for_each(evidence.quarantined,
+                        [&](const QuarantineReport& report) {
+                          MergeQuarantine(report, now, change);
+                        });
   std::ranges::for_each(evidence.survived, [&](const TraitAge& item) {
     OnTraitSurvived(item.trait, now - item.age, now, change);
   });
   return change;
 }
 
-void CrashLedger::Quarantine(Trait trait, BootTime last_crash, int count,
-                             Change& change) {
-  TraitState& state = traits_[trait];
-  // Reports that are passed on again and again must not prolong it.
-  if (last_crash > state.last_crash + kMaxReportDelay) {
-    state.last_crash = last_crash;
+void CrashLedger::MergeQuarantine(const QuarantineReport& report, BootTime now,
+                                  Change& change) {
+  if (report.crash_age >= QuarantineTime(report.count) ||
+      report.signature.empty() || report.signature.size() > kMaxTraits) {
+    return;
   }
-  state.quarantines = std::max(state.quarantines, count);
-  if (std::exchange(state.quarantined, true)) return;
-  ++quarantined_count_;
+  const BootTime last_crash = now - report.crash_age;
+  Signature signature = report.signature;
+  std::ranges::sort(signature);
+  std::erase_if(signature, [&](Trait trait) {
+    const auto state = traits_.find(trait);
+    if (state == traits_.end() || state->second.last_survival < last_crash) {
+      return false;
+    }
+    // The sender does not know of the survival yet.
+    state->second.survival_learned_at = now;
+    return true;
+  });
+  if (signature.empty()) return;
+  StartQuarantine(signature, {last_crash, true, report.count}, change);
+}
+
+void CrashLedger::StartQuarantine(const Signature& signature,
+                                  Quarantine quarantine, Change& change) {
+  const auto is_covered_by = [&](const auto& item) {
+    return item.second.is_active && item.first != signature &&
+           HasSignature(signature, item.first);
+  };
+  if (std::ranges::any_of(quarantines_, is_covered_by)) return;
+  if (quarantine.is_active) {
+    std::erase_if(quarantines_, [&](const auto& item) {
+      return item.first != signature && HasSignature(item.first, signature);
+    });
+  }
+  std::ranges::for_each(signature, [&](Trait trait) {
+    TraitState& state = traits_[trait];
+    // Reports that are passed on again and again do not prolong it.
+    if (quarantine.last_crash > state.last_crash + kMaxReportDelay) {
+      state.last_crash = quarantine.last_crash;
+    }
+  });
+  const auto [found, is_new] = quarantines_.try_emplace(signature, quarantine);
+  Quarantine& known = found->second;
+  const bool was_active = !is_new && known.is_active;
+  if (quarantine.last_crash > known.last_crash + kMaxReportDelay) {
+    known.last_crash = quarantine.last_crash;
+  }
+  known.count = std::max(known.count, quarantine.count);
+  known.is_active |= quarantine.is_active;
+  if (was_active || !known.is_active) return;
   change.is_news = true;
-  change.quarantined.push_back(trait);
+  change.quarantined.push_back(signature);
+}
+
+void CrashLedger::RenewQuarantines(const Suspect& suspect, BootTime crash_time,
+                                   Change& change) {
+  std::vector<Signature> renewed;
+  for (auto& [signature, quarantine] : quarantines_) {
+    if (!HasSignature(suspect.traits, signature) ||
+        crash_time <= quarantine.last_crash) {
+      continue;
+    }
+    quarantine.last_crash = crash_time;
+    if (!quarantine.is_active) renewed.push_back(signature);
+  }
+  for (const Signature& signature : renewed) {
+    const auto found = quarantines_.find(signature);
+    if (found == quarantines_.end()) continue;
+    const int count = found->second.count + 1;
+    StartQuarantine(signature, {crash_time, true, count}, change);
+  }
 }
 
 milliseconds CrashLedger::QuarantineTime(int count) const {
@@ -172,28 +248,41 @@
 }
 
 bool CrashLedger::CountsAgainst(Trait trait, const Crash& crash) const {
-  const TraitState& state = traits_.at(trait);
-  return crash.time > std::max(state.last_survival, state.judged_until);
+  return crash.time > traits_.at(trait).last_survival;
 }
 
 bool CrashLedger::IsExplained(const Crash& crash) const {
-  return std::ranges::any_of(crash.suspects, [&](const Suspect& suspect) {
-    return std::ranges::any_of(suspect.traits, [&](Trait trait) {
-      return traits_.at(trait).quarantined;
-    });
+  return std::ranges::any_of(quarantines_, [&](const auto& item) {
+    return item.second.is_active &&
+           std::ranges::any_of(crash.suspects, [&](const Suspect& suspect) {
+             return HasSignature(suspect.traits, item.first);
+           });
   });
 }
 
-std::map<Trait, CrashLedger::Tally> CrashLedger::CountUnexplained() const {
+bool CrashLedger::CountsFor(Trait trait, const Crash& crash) const {
+  if (!CountsAgainst(trait, crash)) return false;
+  const auto explains_without_it = [&](const auto& item) {
+    return item.second.is_active &&
+           !std::ranges::binary_search(item.first, trait) &&
+           std::ranges::any_of(crash.suspects, [&](const Suspect& suspect) {
+             return HasSignature(suspect.traits, item.first);
+           });
+  };
+  return std::ranges::none_of(quarantines_, explains_without_it);
+}
+
+std::map<Trait, CrashLedger::Tally> CrashLedger::CountCrashes() const {
   std::map<Trait, Tally> tallies;
   for (const Crash& crash : crashes_) {
-    if (IsExplained(crash)) continue;
+    const bool is_explained = IsExplained(crash);
     for (const Suspect& suspect : crash.suspects) {
       for (std::size_t i = 0; i < suspect.traits.size(); ++i) {
         const Trait trait = suspect.traits[i];
-        if (!CountsAgainst(trait, crash)) continue;
+        if (!CountsFor(trait, crash)) continue;
         Tally& tally = tallies[trait];
         tally.position = std::max(tally.position, i);
+        tally.has_unexplained |= !is_explained;
         if (tally.crashes > 0 && suspect.began <= tally.last_crash) continue;
         ++tally.crashes;
         tally.last_crash = crash.time;
@@ -203,27 +292,45 @@
   return tallies;
 }
 
+Signature CrashLedger::SignatureOf(Trait trait) const {
+  std::optional<Signature> common;
+  for (const Crash& crash : crashes_) {
+    if (!CountsFor(trait, crash)) continue;
+    for (const Suspect& suspect : crash.suspects) {
+      if (!HasSignature(suspect.traits, {trait})) continue;
+      Signature traits;
+      std::ranges::copy_if(
+          suspect.traits, std::back_inserter(traits),
+          [&](Trait other) { return CountsAgainst(other, crash); });
+      std::ranges::sort(traits);
+      const auto repeated = std::ranges::unique(traits);
+      traits.erase(repeated.begin(), repeated.end());
+      if (!common.has_value()) {
+        common = std::move(traits);
+        continue;
+      }
+      std::erase_if(*common, [&](Trait other) {
+        return !std::ranges::binary_search(traits, other);
+      });
+    }
+  }
+  return common.value_or(Signature{trait});
+}
+
 void CrashLedger::Judge(Change& change) {
   while (true) {
-    const auto tallies = CountUnexplained();
-    const auto was_quarantined = [&](Trait trait) {
-      return traits_.at(trait).quarantines > 0;
-    };
-    // Of two traits with equally many crashes, the more specific one is
-    // quarantined, so that fewer requests are rejected.
+    auto tallies = CountCrashes();
+    std::erase_if(tallies, [&](const auto& item) {
+      return !item.second.has_unexplained ||
+             item.second.crashes < limits_.crashes_to_quarantine;
+    });
     const auto worst = std::ranges::max_element(
-        tallies, {}, [&](const std::pair<const Trait, Tally>& item) {
-          return std::tuple(was_quarantined(item.first), item.second.crashes,
-                            item.second.position);
+        tallies, {}, [](const std::pair<const Trait, Tally>& item) {
+          return std::tuple(item.second.crashes, item.second.position);
         });
     if (worst == tallies.end()) return;
     const auto& [trait, tally] = *worst;
-    if (tally.crashes < limits_.crashes_to_quarantine &&
-        !was_quarantined(trait)) {
-      return;
-    }
-    Quarantine(trait, tally.last_crash, traits_.at(trait).quarantines + 1,
-               change);
+    StartQuarantine(SignatureOf(trait), {tally.last_crash, true, 1}, change);
   }
 }
 
@@ -233,33 +340,44 @@
          now - crashes_.front().time > limits_.crash_retention) {
     crashes_.pop_front();
   }
-  std::set<Trait> suspected;
-  for (const Crash& crash : crashes_) {
-    for (const Suspect& suspect : crash.suspects) {
-      suspected.insert(suspect.traits.begin(), suspect.traits.end());
-    }
-  }
-  for (auto& [trait, state] : traits_) {
-    if (!state.quarantined ||
-        now - state.last_crash < QuarantineTime(state.quarantines)) {
+  for (auto& [signature, quarantine] : quarantines_) {
+    if (!quarantine.is_active ||
+        now - quarantine.last_crash < QuarantineTime(quarantine.count)) {
       continue;
     }
-    state.quarantined = false;
-    state.judged_until = state.last_crash;
-    --quarantined_count_;
-    change.released.push_back(trait);
+    quarantine.is_active = false;
+    change.released.push_back(signature);
+    // They have been dealt with, and must not count for other traits now.
+    std::erase_if(crashes_, [&](const Crash& crash) {
+      return std::ranges::any_of(crash.suspects, [&](const Suspect& suspect) {
+        return HasSignature(suspect.traits, signature);
+      });
+    });
   }
-  std::erase_if(traits_, [&](const auto& item) {
-    const TraitState& state = item.second;
-    const bool is_remembered =
-        state.quarantines > 0 &&
-        now - state.last_crash <
-            QuarantineTime(state.quarantines) + limits_.offence_retention;
-    return !is_remembered && !suspected.contains(item.first);
+  std::erase_if(quarantines_, [&](const auto& item) {
+    const Quarantine& quarantine = item.second;
+    return !quarantine.is_active &&
+           now - quarantine.last_crash >=
+               QuarantineTime(quarantine.count) + limits_.offence_retention;
   });
+  ForgetUnusedTraits();
   return change;
 }
 
+void CrashLedger::ForgetUnusedTraits() {
+  std::set<Trait> used;
+  for (const Crash& crash : crashes_) {
+    for (const Suspect& suspect : crash.suspects) {
+      used.insert(suspect.traits.begin(), suspect.traits.end());
+    }
+  }
+  for (const auto& [signature, quarantine] : quarantines_) {
+    used.insert(signature.begin(), signature.end());
+  }
+  std::erase_if(traits_,
+                [&](const auto& item) { return !used.contains(item.first); });
+}
+
 Evidence CrashLedger::Share(BootTime now, BootTime new_since) {
   const std::size_t turn = turn_++;
   const auto is_shared = [&](BootTime learned_at) {
@@ -282,14 +400,15 @@
                  [&](const Learned& item) { return item.first >= new_since; }),
       std::back_inserter(evidence.crashes), &Learned::second);
   std::vector<TraitAge> survived;
-  std::vector<QuarantineReport> quarantined;
   for (const auto& [trait, state] : traits_) {
-    if (state.quarantined) {
-      quarantined.push_back(
-          {trait, AgeOf(state.last_crash, now), state.quarantines});
-    } else if (is_shared(state.survival_learned_at)) {
-      survived.push_back({trait, AgeOf(state.last_survival, now)});
-    }
+    if (!is_shared(state.survival_learned_at)) continue;
+    survived.push_back({trait, AgeOf(state.last_survival, now)});
+  }
+  std::vector<QuarantineReport> quarantined;
+  for (const auto& [signature, quarantine] : quarantines_) {
+    if (!quarantine.is_active) continue;
+    quarantined.push_back(
+        {signature, AgeOf(quarantine.last_crash, now), quarantine.count});
   }
   evidence.survived = TakeInTurn(
       std::move(survived), limits_.max_items_sent, turn,
@@ -302,15 +421,18 @@
   return evidence;
 }
 
-std::optional<Trait> CrashLedger::FindQuarantined(
+std::optional<Signature> CrashLedger::FindQuarantined(
     std::span<const Trait> traits) const {
-  if (quarantined_count_ == 0) return std::nullopt;
-  const auto found = std::ranges::find_if(traits, [&](Trait trait) {
-    const auto state = traits_.find(trait);
-    return state != traits_.end() && state->second.quarantined;
+  const auto found = std::ranges::find_if(quarantines_, [&](const auto& item) {
+    return item.second.is_active && HasSignature(traits, item.first);
   });
-  if (found == traits.end()) return std::nullopt;
-  return *found;
+  if (found == quarantines_.end()) return std::nullopt;
+  return found->first;
+}
+
+std::size_t CrashLedger::quarantined_count() const {
+  return static_cast<std::size_t>(std::ranges::count_if(
+      quarantines_, [](const auto& item) { return item.second.is_active; }));
 }
 
 int CrashLedger::CrashesOf(Trait trait) const {
--- a/libraries/quarantine/crash_ledger.h
+++ b/libraries/quarantine/crash_ledger.h
@@ -3,15 +3,21 @@
 // exchange their evidence, since each sees only its own runs.
 //
 // A run is suspected when its server crashes before the run has proved
-// harmless. A trait of a run, such as a part of its prompt, is quarantined when
+// harmless. A trait of a run, such as a part of its prompt, is guilty when
 // suspected runs have it in several crashes and no run with it has survived
-// since. Crashes that a quarantined trait explains do not count for other
-// traits. Servers that fail together, for example without power, cannot
-// quarantine anything: a crash counts only if the suspected run began after the
-// one that was counted before.
+// since. Which one of the traits that all these runs have is not known, so that
+// their combination, the signature, is quarantined: requests that have all of
+// it are rejected. One that lacks some of it either survives, which clears what
+// it has, or crashes its server, which leaves what both have in common. Thus a
+// signature shrinks to the trait that matters, while sound requests are served.
+//
+// Crashes that a signature explains do not count for traits outside of it.
+// Servers that fail together, for example without power, cannot quarantine
+// anything: a crash counts only if the suspected run began after the one that
+// was counted before.
 //
 // A quarantine ends after a time that doubles with each further one of the same
-// trait, until a run with the trait survives.
+// signature, until a run survives that clears it.
 #pragma once
 
 #include <chrono>
@@ -45,6 +51,10 @@
   bool operator==(const CrashReport&) const = default;
 };
 
+// Traits that together make a request suspicious. Sorted, without duplicates,
+// never empty.
+using Signature = std::vector<Trait>;
+
 struct TraitAge {
   Trait trait = 0;
   std::chrono::milliseconds age{0};
@@ -52,10 +62,10 @@
   bool operator==(const TraitAge&) const = default;
 };
 
-// A trait that has been quarantined `count` times, now because of a crash
+// A signature that has been quarantined `count` times, now because of a crash
 // `crash_age` ago.
 struct QuarantineReport {
-  Trait trait = 0;
+  Signature signature;
   std::chrono::milliseconds crash_age{0};
   int count = 1;
 
@@ -79,22 +89,22 @@
 struct Change {
   // The evidence was not known before, so that other processes may need it.
   bool is_news = false;
-  std::vector<Trait> quarantined;
-  std::vector<Trait> released;
+  std::vector<Signature> quarantined;
+  std::vector<Signature> released;
 };
 
 class CrashLedger {
  public:
   struct Limits {
-    // Crashes that quarantine a trait. One is enough for a trait that was
+    // Crashes that make a trait guilty. One is enough for a signature that was
     // quarantined before.
     int crashes_to_quarantine = 3;
-    // How long the first quarantine of a trait lasts after its last crash.
+    // How long the first quarantine lasts after the last crash.
     std::chrono::milliseconds first_quarantine{std::chrono::minutes(2)};
     std::chrono::milliseconds longest_quarantine{std::chrono::hours(1)};
     // How long a crash counts.
     std::chrono::milliseconds crash_retention{std::chrono::minutes(10)};
-    // How long it is remembered after a quarantine that the trait had one.
+    // How long it is remembered after a quarantine that there was one.
     std::chrono::milliseconds offence_retention{std::chrono::hours(1)};
     // How long evidence is passed on after it was learned. Quarantines are
     // passed on as long as they last, so that new processes learn of them.
@@ -121,12 +131,13 @@
   // then the rest in turn.
   Evidence Share(BootTime now, BootTime new_since);
 
-  // Returns the first of these traits that is quarantined.
-  std::optional<Trait> FindQuarantined(std::span<const Trait> traits) const;
+  // Returns a quarantined signature that is contained in these traits.
+  std::optional<Signature> FindQuarantined(std::span<const Trait> traits) const;
   // Number of crashes that count against the trait, since a run with it last
   // survived.
   int CrashesOf(Trait trait) const;
-  std::size_t quarantined_count() const { return quarantined_count_; }
+  // Number of signatures that are quarantined.
+  std::size_t quarantined_count() const;
   // Traits of which anything is remembered.
   std::size_t trait_count() const { return traits_.size(); }
 
@@ -147,15 +158,18 @@
     // Zero if no run with it has survived since it was first suspected.
     BootTime last_survival;
     BootTime survival_learned_at;
-    bool quarantined = false;
-    // Crashes until then led to a quarantine that has ended.
-    BootTime judged_until;
-    // Number of its quarantines since a run with it last survived.
-    int quarantines = 0;
+  };
+  struct Quarantine {
+    BootTime last_crash;
+    // False once its time is over; it is then remembered for a while.
+    bool is_active = true;
+    // Number of quarantines until a run survived that cleared the signature.
+    int count = 1;
   };
   // The crashes that count against a trait.
   struct Tally {
     int crashes = 0;
+    bool has_unexplained = false;
     BootTime last_crash;
     // The most specific position of the trait among those of its runs.
     std::size_t position = 0;
@@ -167,21 +181,37 @@
   // The crash in which the run was lost; null if it is not known yet.
   Crash* FindCrash(std::uint32_t server, BootTime run_began);
   bool CountsAgainst(Trait trait, const Crash& crash) const;
+  // Whether the crash counts for the trait: it has no other explanation than a
+  // signature that contains the trait.
+  bool CountsFor(Trait trait, const Crash& crash) const;
   bool IsExplained(const Crash& crash) const;
-  std::map<Trait, Tally> CountUnexplained() const;
-  // Quarantines traits as long as there are enough unexplained crashes.
+  std::map<Trait, Tally> CountCrashes() const;
+  // Quarantines signatures as long as crashes of guilty traits are unexplained.
   void Judge(Change& change);
-  void Quarantine(Trait trait, BootTime last_crash, int count, Change& change);
+  // The traits that all suspects have which have this one.
+  Signature SignatureOf(Trait trait) const;
+  // Quarantines of signatures that contain this one end, since it covers them.
+  void StartQuarantine(const Signature& signature, Quarantine quarantine,
+                       Change& change);
+  // Quarantines anew what was quarantined before, if the run has it.
+  void RenewQuarantines(const Suspect& suspect, BootTime crash_time,
+                        Change& change);
+  void MergeQuarantine(const QuarantineReport& report, BootTime now,
+                       Change& change);
   std::chrono::milliseconds QuarantineTime(int count) const;
   void OnTraitSurvived(Trait trait, BootTime time, BootTime now,
                        Change& change);
+  void ForgetUnusedTraits();
+  // The trait is harmless: takes it out of all signatures.
+  void ClearTrait(Trait trait, BootTime survived_at, Change& change);
 
   Limits limits_;
   // By time.
   std::deque<Crash> crashes_;
-  // All traits of `crashes_`, and all that are or were quarantined.
+  // All traits of `crashes_` and `quarantines_`.
   std::map<Trait, TraitState> traits_;
-  std::size_t quarantined_count_ = 0;
+  // No active signature contains another one.
+  std::map<Signature, Quarantine> quarantines_;
   // Number of times that evidence was shared.
   std::size_t turn_ = 0;
 };
--- a/services/gateway/admission.cc
+++ b/services/gateway/admission.cc
@@ -3,6 +3,8 @@
 #include "services/gateway/admission.h"
 
 #include <algorithm>
+#include <boost/algorithm/string/join.hpp>
+#include <cstddef>
 #include <iterator>
 #include <string>
 
@@ -77,15 +79,19 @@
 
 void LogQuarantined(const RequestMetadata& metadata,
                     std::span<const quarantine::Trait> traits,
-                    quarantine::Trait trait) {
-  const auto position = static_cast<std::size_t>(
-      std::ranges::distance(traits.begin(), std::ranges::find(traits, trait)));
-  // The last trait is the request itself.
-  const bool is_part = position + 1 < traits.size();
+                    const quarantine::Signature& signature) {
+  const auto is_in_signature = [&](quarantine::Trait trait) {
+    return std::ranges::binary_search(signature, trait);
+  };
+  std::vector<std::string> parts;
+  for (std::size_t i = 0; i < metadata.shared_parts.size(); ++i) {
+    if (is_in_signature(traits[i])) parts.push_back(metadata.shared_parts[i]);
+  }
   LogEvent("request_quarantined")
       .With("id", metadata.id)
-      .With("trait", trait)
-      .With("part", is_part ? metadata.shared_parts[position] : "");
+      .With("parts", boost::algorithm::join(parts, ","))
+      // The last trait is the request itself.
+      .With("whole", is_in_signature(traits.back()) ? 1 : 0);
 }
 
 std::variant<AdmittedRequest, Rejection> Admit(const GatewayContext& context,
@@ -121,8 +127,9 @@
   }
   request.demand = DemandOf(request, metadata);
   request.traits = TraitsOf(metadata, head, body);
-  if (const auto trait = context.crash_ledger.FindQuarantined(request.traits)) {
-    LogQuarantined(metadata, request.traits, *trait);
+  if (const auto signature =
+          context.crash_ledger.FindQuarantined(request.traits)) {
+    LogQuarantined(metadata, request.traits, *signature);
     return Rejection{kQuarantinedStatus, kQuarantined, {}};
   }
   return request;
--- a/services/gateway/admission.h
+++ b/services/gateway/admission.h
@@ -63,10 +63,10 @@
   std::optional<std::chrono::milliseconds> retry_after;
 };
 
-// Logs which trait of the request is quarantined.
+// Logs which traits of the request are quarantined.
 void LogQuarantined(const RequestMetadata& metadata,
                     std::span<const quarantine::Trait> traits,
-                    quarantine::Trait trait);
+                    const quarantine::Signature& signature);
 
 std::variant<AdmittedRequest, Rejection> Admit(const GatewayContext& context,
                                                const RequestMetadata& metadata,
--- a/services/gateway/gateway_node.cc
+++ b/services/gateway/gateway_node.cc
@@ -48,6 +48,15 @@
   return (std::uint64_t{device()} << 32) | device();
 }
 
+std::string ToText(const quarantine::Signature& signature) {
+  std::string text;
+  for (const quarantine::Trait trait : signature) {
+    if (!text.empty()) text += ',';
+    text += std::to_string(trait);
+  }
+  return text;
+}
+
 }  // namespace
 
 GatewayNode::GatewayNode(GatewaySettings settings, const Dialect& dialect)
@@ -165,7 +174,7 @@
       {"servers_ready", servers[directory::ServerState::kReady]},
       {"servers_lapsed", servers[directory::ServerState::kLapsed]},
       {"servers_leaving", servers[directory::ServerState::kLeaving]},
-      {"quarantined_traits",
+      {"quarantined_signatures",
        static_cast<double>(context_.crash_ledger.quarantined_count())},
       {"peers_alive", static_cast<double>(peers_.AlivePeers().size())},
       {"client_connections", static_cast<double>(clients_.size())},
@@ -407,13 +416,13 @@
 }
 
 void GatewayNode::LogQuarantineChanges(const quarantine::Change& change) {
-  for (const quarantine::Trait trait : change.quarantined) {
+  for (const quarantine::Signature& signature : change.quarantined) {
     LogEvent("quarantine_started", LogEvent::Level::kWarning)
-        .With("trait", trait)
-        .With("crashes", context_.crash_ledger.CrashesOf(trait));
+        .With("traits", ToText(signature))
+        .With("crashes", context_.crash_ledger.CrashesOf(signature.front()));
   }
-  for (const quarantine::Trait trait : change.released) {
-    LogEvent("quarantine_ended").With("trait", trait);
+  for (const quarantine::Signature& signature : change.released) {
+    LogEvent("quarantine_ended").With("traits", ToText(signature));
   }
 }
 
--- a/tests/libraries/gossip/gossip_test.cc
+++ b/tests/libraries/gossip/gossip_test.cc
@@ -94,7 +94,7 @@
                               std::chrono::milliseconds(900),
                               {12345678901234ULL, 2}}};
   digest.evidence.survived = {{2, std::chrono::milliseconds(3)}};
-  digest.evidence.quarantined = {{5, std::chrono::milliseconds(90000), 2}};
+  digest.evidence.quarantined = {{{5, 6}, std::chrono::milliseconds(90000), 2}};
   const std::string bytes = Encode(digest);
   const auto decoded = TryDecode(bytes);
   ASSERT_TRUE(decoded.has_value());
--- a/tests/libraries/quarantine/crash_ledger_test.cc
+++ b/tests/libraries/quarantine/crash_ledger_test.cc
@@ -14,6 +14,7 @@
 
 using std::chrono::milliseconds;
 using std::chrono::minutes;
+using testing::Contains;
 using testing::ElementsAre;
 using testing::IsEmpty;
 
@@ -42,9 +43,12 @@
     Pass(milliseconds(1));
     return ledger_.OnSurvived(parts, now_);
   }
-  bool IsQuarantined(Trait trait) const {
-    return ledger_.FindQuarantined(std::vector{trait}).has_value();
+  // Whether a new request with these parts is rejected.
+  bool IsQuarantined(std::vector<Trait> parts) {
+    parts.push_back(++last_request_);
+    return ledger_.FindQuarantined(parts).has_value();
   }
+  bool IsQuarantined(Trait part) { return IsQuarantined(std::vector{part}); }
 
   BootTime now_{std::chrono::hours(1)};
   CrashLedger ledger_{{}};
@@ -56,7 +60,8 @@
   EXPECT_TRUE(Crash({kDeadlyPart}).is_news);
   EXPECT_THAT(Crash({kDeadlyPart}).quarantined, IsEmpty());
   EXPECT_FALSE(IsQuarantined(kDeadlyPart));
-  EXPECT_THAT(Crash({kDeadlyPart}).quarantined, ElementsAre(kDeadlyPart));
+  EXPECT_THAT(Crash({kDeadlyPart}).quarantined,
+              ElementsAre(Signature{kDeadlyPart}));
   EXPECT_TRUE(IsQuarantined(kDeadlyPart));
 }
 
@@ -70,22 +75,84 @@
 }
 
 // All requests of a workspace crash servers for a while, so that nothing shows
-// which of their common parts is harmless.
-TEST_F(CrashLedgerTest, MostSpecificPartIsQuarantinedFirst) {
+// which of their common parts is harmless: sound requests, which have only some
+// of them, are served meanwhile.
+TEST_F(CrashLedgerTest, OnlyTheCombinationIsQuarantinedUntilMoreIsKnown) {
+  for (int i = 0; i < 3; ++i) {
+    Crash({kWorkspacePart, kSessionPart, kDeadlyPart});
+  }
+  EXPECT_TRUE(IsQuarantined({kWorkspacePart, kSessionPart, kDeadlyPart}));
+  EXPECT_FALSE(IsQuarantined({kWorkspacePart, kSessionPart}));
+  EXPECT_FALSE(IsQuarantined({kWorkspacePart, kDeadlyPart}));
+}
+
+TEST_F(CrashLedgerTest, SurvivorTakesItsPartsOutOfTheSignature) {
   for (int i = 0; i < 3; ++i) {
     Crash({kWorkspacePart, kSessionPart, kDeadlyPart});
   }
+  EXPECT_THAT(Survive({kWorkspacePart, kSessionPart}).quarantined,
+              Contains(Signature{kDeadlyPart}));
+  EXPECT_TRUE(IsQuarantined(kDeadlyPart));
+  EXPECT_FALSE(IsQuarantined({kWorkspacePart, kSessionPart}));
+}
+
+// A crash that lacks some of the signature shows that this is not the cause.
+TEST_F(CrashLedgerTest, OneMoreCrashLeavesWhatItHasInCommon) {
+  for (int i = 0; i < 3; ++i) Crash({kSessionPart, kDeadlyPart});
+  ASSERT_FALSE(IsQuarantined(kDeadlyPart));
+  EXPECT_THAT(Crash({kWorkspacePart, kDeadlyPart}).quarantined,
+              ElementsAre(Signature{kDeadlyPart}));
   EXPECT_TRUE(IsQuarantined(kDeadlyPart));
   EXPECT_FALSE(IsQuarantined(kSessionPart));
+  EXPECT_EQ(ledger_.quarantined_count(), 1U);
+}
+
+// Guards against requests that are repeated until they are quarantined one by
+// one, while the part that they share goes on crashing servers: twelve crashes
+// in one play (issue 26).
+TEST_F(CrashLedgerTest, RepeatedRequestsDoNotHideTheirPart) {
+  int crashes = 0;
+  for (Trait request = 101; request < 111; ++request) {
+    const std::vector<Trait> traits = {kWorkspacePart, kSessionPart,
+                                       kDeadlyPart, request};
+    for (int i = 0; i < 3 && !ledger_.FindQuarantined(traits); ++i) {
+      Pass(milliseconds(400));
+      ++crashes;
+      ledger_.OnCrash(
+          {++last_server_, milliseconds(0), milliseconds(50), traits}, now_);
+      Survive({kWorkspacePart});
+    }
+  }
+  EXPECT_LE(crashes, 4);
+  EXPECT_TRUE(IsQuarantined({kWorkspacePart, kSessionPart, kDeadlyPart}));
+}
+
+// A part that has been found does not make others guilty that requests with it
+// have by chance.
+TEST_F(CrashLedgerTest, ExplainedCrashesDoNotCountForOtherParts) {
+  for (int i = 0; i < 5; ++i) {
+    Crash({kWorkspacePart, kDeadlyPart});
+    if (i == 1) Survive({kWorkspacePart});
+  }
+  ASSERT_TRUE(IsQuarantined(kDeadlyPart) ||
+              IsQuarantined({kWorkspacePart, kDeadlyPart}));
+  Survive({kWorkspacePart});
+  for (int i = 0; i < 4; ++i) Crash({kWorkspacePart, kDeadlyPart});
+  Crash({kWorkspacePart, kSessionPart});
   EXPECT_FALSE(IsQuarantined(kWorkspacePart));
+  EXPECT_FALSE(IsQuarantined({kWorkspacePart, kSessionPart}));
 }
 
-// If the choice was wrong, crashes that it does not explain go on.
-TEST_F(CrashLedgerTest, NextPartIsQuarantinedIfCrashesGoOn) {
-  for (int i = 0; i < 3; ++i) Crash({kDeadlyPart, kSessionPart});
-  ASSERT_TRUE(IsQuarantined(kSessionPart));
-  for (int i = 0; i < 3; ++i) Crash({kDeadlyPart});
-  EXPECT_TRUE(IsQuarantined(kDeadlyPart));
+// The crashes that led to a quarantine are not counted again once it is over.
+TEST_F(CrashLedgerTest, EndOfQuarantineLeavesNobodyGuilty) {
+  for (int i = 0; i < 2; ++i) Crash({kWorkspacePart, kDeadlyPart});
+  Survive({kWorkspacePart});
+  for (int i = 0; i < 3; ++i) Crash({kWorkspacePart, kDeadlyPart});
+  Pass(minutes(2));
+  ledger_.DropExpired(now_);
+  ASSERT_EQ(ledger_.quarantined_count(), 0U);
+  Crash({kWorkspacePart, kSessionPart});
+  EXPECT_EQ(ledger_.quarantined_count(), 0U);
 }
 
 TEST_F(CrashLedgerTest, FindsTwoDeadlyParts) {
@@ -139,7 +206,8 @@
 TEST_F(CrashLedgerTest, SurvivorEndsQuarantine) {
   for (int i = 0; i < 3; ++i) Crash({kDeadlyPart});
   ASSERT_TRUE(IsQuarantined(kDeadlyPart));
-  EXPECT_THAT(Survive({kDeadlyPart}).released, ElementsAre(kDeadlyPart));
+  EXPECT_THAT(Survive({kDeadlyPart}).released,
+              ElementsAre(Signature{kDeadlyPart}));
   EXPECT_FALSE(IsQuarantined(kDeadlyPart));
   EXPECT_EQ(ledger_.quarantined_count(), 0U);
 }
@@ -147,11 +215,13 @@
 TEST_F(CrashLedgerTest, QuarantineEndsAndOneCrashRenewsItForLonger) {
   for (int i = 0; i < 3; ++i) Crash({kDeadlyPart});
   Pass(minutes(2));
-  EXPECT_THAT(ledger_.DropExpired(now_).released, ElementsAre(kDeadlyPart));
+  EXPECT_THAT(ledger_.DropExpired(now_).released,
+              ElementsAre(Signature{kDeadlyPart}));
   // A crash without the part does not renew it.
   Crash({kSessionPart});
   EXPECT_FALSE(IsQuarantined(kDeadlyPart));
-  EXPECT_THAT(Crash({kDeadlyPart}).quarantined, ElementsAre(kDeadlyPart));
+  EXPECT_THAT(Crash({kDeadlyPart}).quarantined,
+              ElementsAre(Signature{kDeadlyPart}));
   Pass(minutes(3));
   ledger_.DropExpired(now_);
   EXPECT_TRUE(IsQuarantined(kDeadlyPart));
@@ -297,7 +367,8 @@
                       {2, milliseconds(0), milliseconds(0),
                        std::vector<Trait>(1000, kDeadlyPart)},
                       {3, minutes(60), minutes(61), {kDeadlyPart}}};
-  evidence.quarantined = {{kDeadlyPart, minutes(60), 1}};
+  evidence.quarantined = {{{kDeadlyPart}, minutes(60), 1},
+                          {{}, milliseconds(0), 1}};
   EXPECT_FALSE(ledger_.Merge(evidence, now_).is_news);
   EXPECT_EQ(ledger_.trait_count(), 0U);
 }
--- a/tests/libraries/quarantine/deadly_part_fleet_test.cc
+++ b/tests/libraries/quarantine/deadly_part_fleet_test.cc
@@ -41,12 +41,14 @@
   // Share of them that have the deadly part.
   double deadly_share;
   double datagram_loss;
+  // How often a client sends a request again that crashed its engine.
+  int repeats;
   int seed;
 };
 
 void PrintTo(const Load& load, std::ostream* out) {
-  *out << load.gateways << " gateways, share " << load.deadly_share << ", seed "
-       << load.seed;
+  *out << load.gateways << " gateways, share " << load.deadly_share << ", "
+       << load.repeats << " repeats, seed " << load.seed;
 }
 
 class DeadlyPartFleetTest : public testing::TestWithParam<Load> {
@@ -113,30 +115,39 @@
     std::vector<Trait> traits = {kWorkspacePart};
     if (is_deadly) traits.push_back(kDeadlyPart);
     traits.push_back(100 + ++requests_);
+    Submit(is_deadly, traits, GetParam().repeats);
+    const double wait = std::exponential_distribution(GetParam().rate)(random_);
+    In(milliseconds(1 + static_cast<int>(wait * 1000.0)), [this] { Arrive(); });
+  }
+
+  // Sends the request to some gateway.
+  void Submit(bool is_deadly, const std::vector<Trait>& traits, int repeats) {
     const std::size_t gateway = Random(ledgers_.size());
     if (ledgers_[gateway].FindQuarantined(traits).has_value()) {
       if (!is_deadly) ++rejected_sound_;
     } else {
-      Run(gateway, is_deadly, traits);
+      Run(gateway, is_deadly, traits, repeats);
     }
-    const double wait = std::exponential_distribution(GetParam().rate)(random_);
-    In(milliseconds(1 + static_cast<int>(wait * 1000.0)), [this] { Arrive(); });
   }
 
   void Run(std::size_t gateway, bool is_deadly,
-           const std::vector<Trait>& traits) {
+           const std::vector<Trait>& traits, int repeats) {
     std::size_t engine = Random(engine_down_until_.size());
     if (engine_down_until_[engine] > now_) return;
     if (is_deadly) sent_deadly_.push_back(now_);
     if (!is_deadly) ++sent_sound_;
     const milliseconds prefill(300 + Random(400));
-    In(prefill, [this, gateway, engine, is_deadly, traits, sent = now_] {
+    In(prefill, [this, gateway, engine, is_deadly, traits, repeats,
+                 sent = now_] {
       // The engine crashed meanwhile, before it began to answer.
       if (last_crash_[engine] >= sent) return;
       const BootTime began = now_;
       if (is_deadly) {
-        In(milliseconds(50), [this, gateway, engine, traits, began] {
+        In(milliseconds(50), [this, gateway, engine, traits, repeats, began] {
           Crash(gateway, engine, traits, began);
+          if (repeats == 0) return;
+          In(milliseconds(10),
+             [this, traits, repeats] { Submit(true, traits, repeats - 1); });
         });
         return;
       }
@@ -219,8 +230,9 @@
            {380, 900, 400.0}}) {
     for (const double share : {0.02, 0.2, 0.5, 0.9}) {
       for (const int seed : {1, 2, 3}) {
-        loads.push_back({gateways, engines, rate, share, 0.05, seed});
+        loads.push_back({gateways, engines, rate, share, 0.05, 0, seed});
       }
+      loads.push_back({gateways, engines, rate, share, 0.05, 3, 4});
     }
   }
   return loads;
--- a/tests/services/gateway/deadly_part_test.cc
+++ b/tests/services/gateway/deadly_part_test.cc
@@ -68,7 +68,7 @@
   void QuarantineDeadlyPart() {
     quarantine::Evidence evidence;
     evidence.quarantined = {
-        {membership::StableHash("dead"), std::chrono::milliseconds(0), 1}};
+        {{membership::StableHash("dead")}, std::chrono::milliseconds(0), 1}};
     context_.crash_ledger.Merge(evidence, BootClock::now());
     exchange_->OnQuarantine();
   }
--- a/tests/services/gateway/peer_exchange_test.cc
+++ b/tests/services/gateway/peer_exchange_test.cc
@@ -197,7 +197,7 @@
 // it lasts.
 TEST_F(CrashEvidencePeerTest, QuarantineIsPassedOnAsLongAsItLasts) {
   quarantine::Evidence evidence;
-  evidence.quarantined = {{kDeadlyPart, milliseconds(60000), 1}};
+  evidence.quarantined = {{{kDeadlyPart}, milliseconds(60000), 1}};
   first_->context.crash_ledger.Merge(evidence, BootClock::now());
   EXPECT_TRUE(RunUntil([this] { return IsQuarantined(*second_); }));
 }
