Stop chats that share a message which crashes engines, in entries as well

The same request is stopped after two engines, but chats that differ rank other VMs each.

Change: a sidecar says of a finished run that it was suspected, that is its engine crashed before it had answered for 250 ms, and when. The entry counts it by the chat's messages but the last, in the same ledger as gateways; entries pass evidence on in their gossip, and at once to four others. A chat that has a quarantined signature is refused with 2006 before it is sent. The encoding of evidence moves from the digest's file to libraries/quarantine, since both use it.

Not changed: a prompt that is one string has no parts to compare; such requests are stopped one by one as before. Requests that already wait at a sidecar are not withdrawn.

--- a/libraries/execution/executor.cc
+++ b/libraries/execution/executor.cc
@@ -113,6 +113,7 @@
     step_model_.OnToken(static_cast<std::int64_t>(running_generations_),
                         (now.boot - *record->last_token_at) / new_tokens);
   }
+  if (!record->first_token_at.has_value()) record->first_token_at = now.boot;
   record->last_token_at = now.boot;
   resident_tokens_ += new_tokens;
   queue_.Charge(record->work.workspace, static_cast<double>(new_tokens));
@@ -183,6 +184,7 @@
   });
   crash_tracker_.OnCrash(fingerprints, now.boot);
   std::ranges::for_each(crashed, [&](LocalId other) {
+    Lookup(other)->is_suspected = !Lookup(other)->IsHarmless();
     Finish(*Lookup(other),
            Outcome::Unknown(
                ResultCode::kBackendServerLost,
--- a/libraries/execution/work_record.h
+++ b/libraries/execution/work_record.h
@@ -10,6 +10,7 @@
 #include "libraries/base/outcome.h"
 #include "libraries/execution/work_item.h"
 #include "libraries/generation/token_log.h"
+#include "libraries/quarantine/crash_ledger.h"
 
 namespace balsam::execution {
 
@@ -43,15 +44,24 @@
   BootTime started_at;
   BootTime done_at;
   BootTime resume_at;
+  std::optional<BootTime> first_token_at;
   // When the last tokens arrived.
   std::optional<BootTime> last_token_at;
   int resume_attempts = 0;
+  // The backend server crashed before the work proved harmless.
+  bool is_suspected = false;
   int readers = 0;
   // When the request is cancelled for want of a reader; unset while a reader
   // is attached.
   std::optional<BootTime> abandon_at;
 
   bool IsDone() const { return phase == Phase::kDone; }
+  // Whether the backend server has answered for long enough to show that the
+  // work does not crash it.
+  bool IsHarmless() const {
+    return first_token_at.has_value() &&
+           *last_token_at - *first_token_at >= quarantine::kHarmlessAfter;
+  }
   bool IsOverBudget() const {
     return work.over_budget > std::chrono::milliseconds(0);
   }
--- a/libraries/gossip/digest.cc
+++ b/libraries/gossip/digest.cc
@@ -1,11 +1,11 @@
 // Messages are encoded as CBOR arrays: positional fields keep them small.
 #include "libraries/gossip/digest.h"
 
-#include <algorithm>
 #include <boost/asio/ip/address_v4.hpp>
-#include <chrono>
 #include <nlohmann/json.hpp>
 
+#include "libraries/quarantine/evidence_codec.h"
+
 namespace balsam::gossip {
 namespace {
 
@@ -18,7 +18,6 @@
 constexpr int kLoadTotalsFormat = 11;
 constexpr int kLoadQueryFormat = 12;
 constexpr std::size_t kDigestElements = 10;
-constexpr std::chrono::milliseconds kMaxAge{std::chrono::hours(24)};
 constexpr std::size_t kLoadMessageElements = 3;
 
 // Token counts are sent in units of this size, rounded up: smaller numbers
@@ -59,63 +58,6 @@
   return list;
 }
 
-// Bounded, since a peer's message may hold any number.
-std::chrono::milliseconds ReadAge(const json& age) {
-  return std::chrono::milliseconds(
-      std::min<std::uint64_t>(age.get<std::uint64_t>(), kMaxAge.count()));
-}
-
-json ToJson(const std::vector<quarantine::TraitAge>& list) {
-  json items = json::array();
-  for (const quarantine::TraitAge& item : list) {
-    items.push_back({item.trait, item.age.count()});
-  }
-  return items;
-}
-
-std::vector<quarantine::TraitAge> ReadTraitAges(const json& items) {
-  std::vector<quarantine::TraitAge> list;
-  for (const json& item : items) {
-    list.push_back({item.at(0).get<quarantine::Trait>(), ReadAge(item.at(1))});
-  }
-  return list;
-}
-
-// Empty evidence, which is the rule, takes one byte.
-json ToJson(const quarantine::Evidence& evidence) {
-  if (evidence.empty()) return json::array();
-  json crashes = json::array();
-  for (const quarantine::CrashReport& report : evidence.crashes) {
-    crashes.push_back({report.server, report.crash_age.count(),
-                       report.run_age.count(), report.traits});
-  }
-  json quarantined = json::array();
-  for (const quarantine::QuarantineReport& report : evidence.quarantined) {
-    quarantined.push_back(
-        {report.signature, report.crash_age.count(), report.count});
-  }
-  return {std::move(crashes), ToJson(evidence.survived),
-          std::move(quarantined)};
-}
-
-quarantine::Evidence ReadEvidence(const json& message) {
-  quarantine::Evidence evidence;
-  if (message.empty()) return evidence;
-  for (const json& report : message.at(0)) {
-    evidence.crashes.push_back(
-        {report.at(0).get<std::uint32_t>(), ReadAge(report.at(1)),
-         ReadAge(report.at(2)),
-         report.at(3).get<std::vector<quarantine::Trait>>()});
-  }
-  evidence.survived = ReadTraitAges(message.at(1));
-  for (const json& report : message.at(2)) {
-    evidence.quarantined.push_back({report.at(0).get<quarantine::Signature>(),
-                                    ReadAge(report.at(1)),
-                                    report.at(2).get<int>()});
-  }
-  return evidence;
-}
-
 std::string ToCbor(const json& message) {
   std::string bytes;
   json::to_cbor(message, bytes);
@@ -129,7 +71,7 @@
   digest.revision = message[3].get<std::uint64_t>();
   digest.reaches_store = message[4].get<bool>();
   digest.peer_updates = ReadPeerUpdates(message[5]);
-  digest.evidence = ReadEvidence(message[6]);
+  digest.evidence = quarantine::ReadEvidence(message[6]);
   digest.leaving_servers = message[7].get<std::vector<std::string>>();
   digest.state_version = message[8].get<std::uint32_t>();
   digest.reply_requested = message[9].get<bool>();
@@ -164,9 +106,9 @@
 std::string Encode(const Digest& digest) {
   return ToCbor({kDigestFormat, digest.sequence, digest.incarnation,
                  digest.revision, digest.reaches_store,
-                 ToJson(digest.peer_updates), ToJson(digest.evidence),
-                 digest.leaving_servers, digest.state_version,
-                 digest.reply_requested});
+                 ToJson(digest.peer_updates),
+                 quarantine::ToJson(digest.evidence), digest.leaving_servers,
+                 digest.state_version, digest.reply_requested});
 }
 
 std::string Encode(const std::vector<PeerUpdate>& list) {
--- a/libraries/peer/messages.cc
+++ b/libraries/peer/messages.cc
@@ -306,6 +306,7 @@
   fields(3, message.list_revision);
   fields(4, message.wants_full_text);
   fields.Nested(5, message.list_change);
+  fields(6, message.crash_evidence);
 }
 
 template <typename Fields>
@@ -314,6 +315,7 @@
   fields(2, message.list_revision);
   fields.Nested(3, message.template_change);
   fields.Nested(4, message.list_change);
+  fields(5, message.crash_evidence);
 }
 
 template <typename Fields>
@@ -335,6 +337,9 @@
   fields.Nested(2, message.outcome);
   fields(3, message.crash_count);
   fields.Nested(4, message.load);
+  fields(5, message.is_suspected);
+  fields(6, message.crash_age);
+  fields(7, message.run_age);
 }
 
 template <typename Fields>
--- a/libraries/peer/messages.h
+++ b/libraries/peer/messages.h
@@ -79,6 +79,9 @@
   bool wants_full_text = false;
   // A change that the requester expects the receiver to lack; often empty.
   revisions::TextDelta list_change;
+  // What entries know of requests that crash backend servers
+  // (`quarantine::Encode`); often empty.
+  std::string crash_evidence;
 };
 
 struct GossipReply {
@@ -86,6 +89,7 @@
   std::uint64_t list_revision = 0;
   revisions::TextDelta template_change;
   revisions::TextDelta list_change;
+  std::string crash_evidence;
 };
 
 struct AcceptedReply {
@@ -106,6 +110,11 @@
   // Backend server crashes counted for the request at this sidecar.
   std::int64_t crash_count = 0;
   execution::LoadReport load;
+  // The backend server crashed before the work proved harmless: how long ago
+  // that was, and how long ago the work had begun to run.
+  bool is_suspected = false;
+  std::chrono::milliseconds crash_age{0};
+  std::chrono::milliseconds run_age{0};
 };
 
 // Sends a sidecar the order that operators published for its engine.
--- a/libraries/quarantine/crash_ledger.cc
+++ b/libraries/quarantine/crash_ledger.cc
@@ -52,6 +52,15 @@
 
 }  // namespace
 
+std::string ToText(const Signature& signature) {
+  std::string text;
+  for (const Trait trait : signature) {
+    if (!text.empty()) text += ',';
+    text += std::to_string(trait);
+  }
+  return text;
+}
+
 Change CrashLedger::OnCrash(const CrashReport& report, BootTime now) {
   return AddReport(report, milliseconds(0), now);
 }
--- a/libraries/quarantine/crash_ledger.h
+++ b/libraries/quarantine/crash_ledger.h
@@ -27,6 +27,7 @@
 #include <map>
 #include <optional>
 #include <span>
+#include <string>
 #include <vector>
 
 #include "libraries/base/boot_clock.h"
@@ -37,6 +38,10 @@
 // the whole request, which is repeated when the client retries it.
 using Trait = std::uint64_t;
 
+// A request that crashes servers does so when they begin to answer it. A run
+// that has answered for this long is harmless.
+inline constexpr std::chrono::milliseconds kHarmlessAfter{250};
+
 // A run that had not proved harmless when its server crashed.
 struct CrashReport {
   // A `dispatch::ServerKey`.
@@ -55,6 +60,9 @@
 // never empty.
 using Signature = std::vector<Trait>;
 
+// For log lines.
+std::string ToText(const Signature& signature);
+
 struct TraitAge {
   Trait trait = 0;
   std::chrono::milliseconds age{0};
--- /dev/null
+++ b/libraries/quarantine/evidence_codec.cc
@@ -0,0 +1,90 @@
+// Positional CBOR arrays, like the messages that contain them.
+#include "libraries/quarantine/evidence_codec.h"
+
+#include <algorithm>
+#include <chrono>
+#include <nlohmann/json.hpp>
+#include <utility>
+#include <vector>
+
+namespace balsam::quarantine {
+namespace {
+
+using nlohmann::json;
+
+constexpr std::chrono::milliseconds kMaxAge{std::chrono::hours(24)};
+
+// Bounded, since a peer's message may hold any number.
+std::chrono::milliseconds ReadAge(const json& age) {
+  return std::chrono::milliseconds(
+      std::min<std::uint64_t>(age.get<std::uint64_t>(), kMaxAge.count()));
+}
+
+json ToJson(const std::vector<TraitAge>& list) {
+  json items = json::array();
+  for (const TraitAge& item : list) {
+    items.push_back({item.trait, item.age.count()});
+  }
+  return items;
+}
+
+std::vector<TraitAge> ReadTraitAges(const json& items) {
+  std::vector<TraitAge> list;
+  for (const json& item : items) {
+    list.push_back({item.at(0).get<Trait>(), ReadAge(item.at(1))});
+  }
+  return list;
+}
+
+}  // namespace
+
+json ToJson(const Evidence& evidence) {
+  if (evidence.empty()) return json::array();
+  json crashes = json::array();
+  for (const CrashReport& report : evidence.crashes) {
+    crashes.push_back({report.server, report.crash_age.count(),
+                       report.run_age.count(), report.traits});
+  }
+  json quarantined = json::array();
+  for (const QuarantineReport& report : evidence.quarantined) {
+    quarantined.push_back(
+        {report.signature, report.crash_age.count(), report.count});
+  }
+  return {std::move(crashes), ToJson(evidence.survived),
+          std::move(quarantined)};
+}
+
+Evidence ReadEvidence(const json& message) {
+  Evidence evidence;
+  if (message.empty()) return evidence;
+  for (const json& report : message.at(0)) {
+    evidence.crashes.push_back({report.at(0).get<std::uint32_t>(),
+                                ReadAge(report.at(1)), ReadAge(report.at(2)),
+                                report.at(3).get<std::vector<Trait>>()});
+  }
+  evidence.survived = ReadTraitAges(message.at(1));
+  for (const json& report : message.at(2)) {
+    evidence.quarantined.push_back({report.at(0).get<Signature>(),
+                                    ReadAge(report.at(1)),
+                                    report.at(2).get<int>()});
+  }
+  return evidence;
+}
+
+std::string Encode(const Evidence& evidence) {
+  std::string bytes;
+  if (!evidence.empty()) json::to_cbor(ToJson(evidence), bytes);
+  return bytes;
+}
+
+Result<Evidence> DecodeEvidence(std::string_view bytes) {
+  if (bytes.empty()) return Evidence{};
+  const json message = json::from_cbor(bytes.begin(), bytes.end(), true, false);
+  try {
+    return ReadEvidence(message);
+  } catch (const json::exception& error) {
+    return Fail(ResultCode::kInvalidPeerMessage, error.what());
+  }
+}
+
+}  // namespace balsam::quarantine
--- a/services/entry/caller_request.cc
+++ b/services/entry/caller_request.cc
@@ -4,6 +4,7 @@
 #include <QCryptographicHash>
 #include <QUuid>
 #include <algorithm>
+#include <iterator>
 #include <nlohmann/json.hpp>
 
 #include "libraries/membership/rendezvous.h"
@@ -17,6 +18,8 @@
 constexpr std::size_t kBytesPerToken = 4;
 constexpr std::string_view kServicesPrefix = "/services/";
 constexpr std::size_t kMaxPathBytes = 2048;
+// Messages of a chat by which it is compared with chats that crashed servers.
+constexpr std::size_t kMaxSharedMessages = 32;
 
 std::string NewRequestId() {
   return QUuid::createUuid().toString(QUuid::WithoutBraces).toStdString();
@@ -68,6 +71,26 @@
               "\"content\" strings");
 }
 
+std::vector<quarantine::Trait> TraitsOf(const json& body, ResponseFormat format,
+                                        const execution::WorkItem& work) {
+  std::vector<quarantine::Trait> traits;
+  if (format == ResponseFormat::kChat) {
+    const json& messages = body["messages"];
+    // Longer chats are known by their first messages.
+    const std::size_t shared =
+        std::min(messages.size() - 1, kMaxSharedMessages);
+    std::transform(messages.begin(),
+                   messages.begin() + static_cast<std::ptrdiff_t>(shared),
+                   std::back_inserter(traits), [](const json& message) {
+                     return membership::StableHash(
+                         message["role"].get<std::string>() + '\n' +
+                         message["content"].get<std::string>());
+                   });
+  }
+  traits.push_back(work.fingerprint);
+  return traits;
+}
+
 Result<std::int64_t> ReadMaxTokens(const json& body, std::int64_t limit) {
   const auto field = body.find("max_tokens");
   if (field == body.end() || field->is_null()) return limit;
@@ -174,13 +197,14 @@
   work.prompt_tokens =
       static_cast<std::int64_t>(prompt.size() / kBytesPerToken + 1);
   work.path = raw.path;
+  std::vector<quarantine::Trait> traits = TraitsOf(body, format, work);
   // The backend server receives the caller's body with "stream" and
   // "max_tokens" set here.
   body["stream"] = true;
   body["max_tokens"] = max_tokens;
   work.body = body.dump();
   return CallerRequest{std::move(work), format, stream,
-                       *set.FindServiceOfModel(model)};
+                       *set.FindServiceOfModel(model), std::move(traits)};
 }
 
 Result<CallerRequest> ParseServiceCall(const RawCallerRequest& raw,
@@ -213,7 +237,8 @@
   work.run_deadline = service_method->deadline;
   work.path = path;
   work.body = raw.body;
-  return CallerRequest{std::move(work), ResponseFormat::kCall, false, service};
+  return CallerRequest{
+      std::move(work), ResponseFormat::kCall, false, service, {}};
 }
 
 }  // namespace balsam::entry
--- a/services/entry/caller_request.h
+++ b/services/entry/caller_request.h
@@ -4,10 +4,12 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 #include "libraries/base/boot_clock.h"
 #include "libraries/base/error.h"
 #include "libraries/execution/work_item.h"
+#include "libraries/quarantine/crash_ledger.h"
 #include "libraries/templates/template_set.h"
 
 namespace balsam::entry {
@@ -35,6 +37,10 @@
   bool stream = false;
   // The service whose backend servers may run the work.
   std::string service;
+  // What a generation may have in common with others that crash backend
+  // servers: the messages of its chat but the last, and last the request
+  // itself. Empty for a call.
+  std::vector<quarantine::Trait> traits;
 };
 
 // Returns the workspace of a bearer key. Fails with kUnknownBearerKey.
--- a/services/entry/caller_session.cc
+++ b/services/entry/caller_session.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "libraries/base/log_event.h"
+#include "libraries/membership/rendezvous.h"
 
 namespace balsam::entry {
 namespace {
@@ -113,6 +114,17 @@
     ExecuteSteps(relay_.OnNoServerAvailable(step.fallback_outcome, now));
     return;
   }
+  if (shared_.crash_evidence.FindQuarantined(request_.traits)) {
+    ExecuteSteps(relay_.OnNoServerAvailable(
+        step.is_retry
+            ? step.fallback_outcome
+            : Outcome::NotRun(ResultCode::kQuarantined,
+                              "requests with these messages crashed backend "
+                              "servers repeatedly",
+                              shared_.settings.suspicion_lifetime),
+        now));
+    return;
+  }
   request_.work.crash_count =
       std::max(step.crash_count, shared_.CrashesOf(request_.work.fingerprint));
   auto choice = pool_.SelectVm(request_, step.excluded);
@@ -186,6 +198,8 @@
     const auto id = generation::GenerationId::Parse(tokens->generation);
     if (!id.has_value()) return;
     const std::uint64_t previous_stray_tokens = relay_.stray_tokens();
+    if (!first_token_.has_value()) first_token_ = now;
+    if (now - *first_token_ >= quarantine::kHarmlessAfter) ProveHarmless();
     ExecuteSteps(relay_.OnTokens(*id, tokens->first, tokens->tokens, now));
     shared_.stray_tokens.fetch_add(
         relay_.stray_tokens() - previous_stray_tokens,
@@ -197,15 +211,26 @@
     finished_reply_received_ = true;
     if (end->outcome.code == ResultCode::kOk) {
       shared_.ClearCrashes(request_.work.fingerprint);
+      ProveHarmless();
     } else {
       shared_.RecordCrashes(request_.work.fingerprint, end->crash_count);
     }
+    if (end->is_suspected && !request_.traits.empty()) {
+      shared_.crash_evidence.OnCrash(
+          {static_cast<std::uint32_t>(membership::StableHash(vm)),
+           end->crash_age, end->run_age, request_.traits});
+    }
     ExecuteSteps(
         relay_.OnFinished(generation::GenerationId::Parse(end->generation),
                           end->outcome, end->crash_count, now));
   }
 }
 
+void CallerSession::ProveHarmless() {
+  if (std::exchange(proved_harmless_, true)) return;
+  shared_.crash_evidence.OnSurvived(request_.traits);
+}
+
 void CallerSession::OnStreamEnd(peer::StreamEnd end) {
   shared_.load_tracker.OnRequestClosed(vm_);
   if (finished_ || finished_reply_received_) return;
--- a/services/entry/caller_session.h
+++ b/services/entry/caller_session.h
@@ -47,6 +47,9 @@
   void DropStream();
   void CheckReaderStall(BootTime now);
   void ObserveTokens(BootTime now);
+  // A backend server has run the request for long enough to show that it does
+  // not crash it.
+  void ProveHarmless();
   void Finish();
 
   CallerRequest request_;
@@ -66,7 +69,10 @@
   QTimer resume_timer_;
   BootTime started_;
   BootTime last_write_;
+  // When tokens of this attempt or an earlier one first arrived.
+  std::optional<BootTime> first_token_;
   std::optional<BootTime> last_token_;
+  bool proved_harmless_ = false;
   std::optional<BootTime> paused_since_;
   std::chrono::nanoseconds stall_{0};
 };
--- a/services/entry/config_sync.cc
+++ b/services/entry/config_sync.cc
@@ -3,10 +3,12 @@
 
 #include <QHostAddress>
 #include <algorithm>
+#include <ranges>
 #include <utility>
 
 #include "libraries/base/log_event.h"
 #include "libraries/membership/rendezvous.h"
+#include "libraries/quarantine/evidence_codec.h"
 
 namespace balsam::entry {
 namespace {
@@ -19,6 +21,9 @@
 constexpr milliseconds kWatcherTimeout{3000};
 // How long the start waits for replies from other entries.
 constexpr milliseconds kStartupTimeout{2000};
+// Number of entries that crash evidence is announced to, each of which
+// announces it to as many.
+constexpr std::size_t kAnnounceFanout = 4;
 
 config_service::WatcherSettings MakeWatcherSettings(
     const EntrySettings& settings) {
@@ -66,6 +71,11 @@
                                    const peer::Message& message) {
     OnGossipRequest(stream, message);
   };
+  shared_.crash_evidence.on_news = [this] {
+    // News come from the threads of the workers.
+    QMetaObject::invokeMethod(this, &ConfigSync::AnnounceCrashEvidence,
+                              Qt::QueuedConnection);
+  };
   connect(&gossip_timer_, &QTimer::timeout, this, &ConfigSync::Tick);
 }
 
@@ -141,8 +151,29 @@
   });
 }
 
+void ConfigSync::AnnounceCrashEvidence() {
+  auto entries = OtherEntries(/*same_data_center=*/false);
+  std::ranges::shuffle(entries, random_);
+  std::ranges::for_each(entries | std::views::take(kAnnounceFanout),
+                        [this](const std::string& vm) { GossipWith(vm); });
+}
+
+void ConfigSync::MergeCrashEvidence(const std::string& bytes,
+                                    const std::string& source) {
+  const auto evidence =
+      TryOr([&] { return quarantine::DecodeEvidence(bytes); },
+            [&](const Error& error) {
+              LogEvent("change_unreadable", LogEvent::Level::kWarning)
+                  .With("source", source)
+                  .With("reason", error.detail);
+              return quarantine::Evidence{};
+            });
+  shared_.crash_evidence.Merge(evidence);
+}
+
 void ConfigSync::Tick() {
   UpdateWatching();
+  shared_.crash_evidence.DropExpired();
   CheckReady();
   const auto entries = OtherEntries(/*same_data_center=*/false);
   if (entries.empty()) return;
@@ -165,6 +196,7 @@
   request.template_revision = shared_.templates.Current()->revision();
   request.list_revision = shared_.vm_list.Read()->revision();
   request.wants_full_text = needs_full_text_;
+  request.crash_evidence = quarantine::Encode(shared_.crash_evidence.Share());
   return request;
 }
 
@@ -195,6 +227,7 @@
   handlers.on_message = [this, name](const peer::Message& message) {
     const auto* reply = std::get_if<peer::GossipReply>(&message);
     if (reply == nullptr) return;
+    MergeCrashEvidence(reply->crash_evidence, name);
     const auto watchers = Watchers();
     if (std::ranges::find(watchers, name) != watchers.end()) {
       last_watcher_reply_ = BootClock::now();
@@ -223,9 +256,11 @@
     stream.Refuse();
     return;
   }
+  MergeCrashEvidence(request->crash_evidence, request->vm);
   const auto set = shared_.templates.Current();
   const auto list = shared_.vm_list.Read();
   peer::GossipReply reply;
+  reply.crash_evidence = quarantine::Encode(shared_.crash_evidence.Share());
   reply.template_revision = set->revision();
   reply.list_revision = list->revision();
   const auto base_revision = [request](std::uint64_t revision,
--- a/services/entry/config_sync.h
+++ b/services/entry/config_sync.h
@@ -69,6 +69,10 @@
   peer::PeerLink& GetLink(const std::string& name,
                           const peer::PeerAddress& address);
   peer::PeerLink& GetLink(const membership::Vm& vm);
+  // Gossips at once with a few other entries, which pass on what is new to
+  // them.
+  void AnnounceCrashEvidence();
+  void MergeCrashEvidence(const std::string& bytes, const std::string& source);
   // Gossips at once with all other entries of this data centre.
   void NotifyEntries();
   // Sends the VM list to the sidecars that need it: those of services with
--- a/services/entry/shared_state.h
+++ b/services/entry/shared_state.h
@@ -15,6 +15,7 @@
 #include "libraries/revisions/revisioned_text.h"
 #include "libraries/telemetry/request_metrics.h"
 #include "libraries/templates/template_store.h"
+#include "services/entry/crash_evidence.h"
 #include "services/entry/entry_settings.h"
 
 namespace balsam::entry {
@@ -38,6 +39,7 @@
   admission::WorkspaceBudgets workspace_budgets;
   relay::RetryBudget retry_budget;
   telemetry::RequestMetrics metrics;
+  CrashEvidence crash_evidence;
   std::atomic<bool> draining{false};
   std::atomic<std::int64_t> open_requests{0};
   std::atomic<std::uint64_t> stray_tokens{0};
--- a/services/gateway/exchange_relay.cc
+++ b/services/gateway/exchange_relay.cc
@@ -16,9 +16,6 @@
 // are complete, so that a truncated one can be replaced by a response from
 // another server.
 constexpr std::size_t kMaxBufferedResponse = 256 << 10;
-// A request that crashes engines does so when they begin to answer it. One that
-// has produced events for this long is harmless.
-constexpr milliseconds kHarmlessAfter{250};
 // Outcome logged for a response that reached the client in full, whatever its
 // status.
 constexpr std::string_view kDelivered = "delivered";
@@ -125,7 +122,7 @@
     context_.wait_estimators[request_.service->name].OnWorkDone(work(), now);
     if (context_.on_capacity_freed) context_.on_capacity_freed();
   }
-  if (now - event_times_.first >= kHarmlessAfter) ProveHarmless();
+  if (now - event_times_.first >= quarantine::kHarmlessAfter) ProveHarmless();
   const bool first = !std::exchange(response_started_, true);
   if (first) sink_.BeginBody(attempt_->head);
   sink_.WriteBody(events);
--- a/services/gateway/gateway_node.cc
+++ b/services/gateway/gateway_node.cc
@@ -48,15 +48,6 @@
   return (std::uint64_t{device()} << 32) | device();
 }
 
-std::string ToText(const quarantine::Signature& signature) {
-  std::string text;
-  for (const quarantine::Trait trait : signature) {
-    if (!text.empty()) text += ',';
-    text += std::to_string(trait);
-  }
-  return text;
-}
-
 }  // namespace
 
 GatewayNode::GatewayNode(GatewaySettings settings, const Dialect& dialect)
@@ -418,11 +409,11 @@
 void GatewayNode::LogQuarantineChanges(const quarantine::Change& change) {
   for (const quarantine::Signature& signature : change.quarantined) {
     LogEvent("quarantine_started", LogEvent::Level::kWarning)
-        .With("traits", ToText(signature))
+        .With("traits", quarantine::ToText(signature))
         .With("crashes", context_.crash_ledger.CrashesOf(signature.front()));
   }
   for (const quarantine::Signature& signature : change.released) {
-    LogEvent("quarantine_ended").With("traits", ToText(signature));
+    LogEvent("quarantine_ended").With("traits", quarantine::ToText(signature));
   }
 }
 
--- a/services/sidecar/sidecar_node.cc
+++ b/services/sidecar/sidecar_node.cc
@@ -293,7 +293,7 @@
     reader.next += tokens.size();
   }
   if (reader.next < end || !record->IsDone()) return true;
-  SendFinished(stream, id, *record->outcome, record->work.fingerprint);
+  SendFinished(stream, id, *record);
   return false;
 }
 
@@ -309,6 +309,25 @@
               true);
 }
 
+void SidecarNode::SendFinished(const peer::ServerStream& stream,
+                               const std::string& generation,
+                               const execution::WorkRecord& record) {
+  const ClockReading now = ClockReading::Now();
+  const auto age_of = [now](BootTime time) {
+    return std::chrono::duration_cast<milliseconds>(now.boot - time);
+  };
+  peer::FinishedReply reply{
+      generation, *record.outcome,
+      executor_.crash_tracker().CrashesOf(record.work.fingerprint, now.boot),
+      executor_.Load(now)};
+  reply.is_suspected = record.is_suspected;
+  if (record.is_suspected) {
+    reply.crash_age = age_of(record.done_at);
+    reply.run_age = age_of(record.started_at);
+  }
+  stream.Send(reply, true);
+}
+
 // --- Executing decisions ---
 
 void SidecarNode::ApplyDecisions() {
--- a/services/sidecar/sidecar_node.h
+++ b/services/sidecar/sidecar_node.h
@@ -66,9 +66,14 @@
   // Sends the tokens that the reader has not got yet, up to a limit of queued
   // bytes. Returns false once the reader has everything.
   bool SendAvailableTokens(const peer::ServerStream& stream, Reader& reader);
+  // Ends a request that was not accepted.
   void SendFinished(const peer::ServerStream& stream,
                     const std::string& generation, const Outcome& outcome,
                     std::uint64_t fingerprint);
+  // Ends a request that has an outcome.
+  void SendFinished(const peer::ServerStream& stream,
+                    const std::string& generation,
+                    const execution::WorkRecord& record);
 
   // Executes the decisions that the executor made since the last call.
   void ApplyDecisions();
--- a/tests/libraries/peer/messages_test.cc
+++ b/tests/libraries/peer/messages_test.cc
@@ -57,10 +57,25 @@
                                   std::chrono::milliseconds(250));
   reply.load.peak_load = 0.5;
   reply.load.draining = true;
+  reply.is_suspected = true;
+  reply.crash_age = std::chrono::milliseconds(3);
+  reply.run_age = std::chrono::milliseconds(70);
   const auto message = TryDecode(Encode(reply));
   ASSERT_TRUE(message.has_value());
   EXPECT_EQ(std::get<FinishedReply>(*message).outcome, reply.outcome);
   EXPECT_EQ(std::get<FinishedReply>(*message).load, reply.load);
+  EXPECT_TRUE(std::get<FinishedReply>(*message).is_suspected);
+  EXPECT_EQ(std::get<FinishedReply>(*message).crash_age, reply.crash_age);
+  EXPECT_EQ(std::get<FinishedReply>(*message).run_age, reply.run_age);
+}
+
+TEST(MessagesTest, GossipCarriesCrashEvidence) {
+  GossipRequest request;
+  request.crash_evidence = std::string("\0bytes", 6);
+  const auto message = TryDecode(Encode(request));
+  ASSERT_TRUE(message.has_value());
+  EXPECT_EQ(std::get<GossipRequest>(*message).crash_evidence,
+            request.crash_evidence);
 }
 
 TEST(MessagesTest, InvalidFramesAreRejectedWithReason) {
--- a/tests/processes/membership_test.cc
+++ b/tests/processes/membership_test.cc
@@ -43,6 +43,20 @@
         "POST", cluster_.EntryUrl(entry) + "/v1/completions",
         CompletionBody(tokens, marker), headers);
   }
+  // A chat with a system message, which other requests may share.
+  std::unique_ptr<AsyncRequest> StartChat(const std::string& entry,
+                                          const std::string& system_message,
+                                          const std::string& question) {
+    const nlohmann::json body = {
+        {"model", "croeso"},
+        {"stream", true},
+        {"messages",
+         {{{"role", "system"}, {"content", system_message}},
+          {{"role", "user"}, {"content", "[[tokens=20]] " + question}}}}};
+    return std::make_unique<AsyncRequest>(
+        "POST", cluster_.EntryUrl(entry) + "/v1/chat/completions", body.dump(),
+        CallerHeaders());
+  }
   void SendCompletions(const std::string& entry, int count) {
     std::vector<std::unique_ptr<AsyncRequest>> requests;
     requests.reserve(static_cast<std::size_t>(count));
@@ -435,5 +449,32 @@
   EXPECT_EQ(last->response().Code(), 2006) << last->response().body;
 }
 
+// Guards against requests that differ, and share a message which crashes each
+// engine: every one of them crashed another engine (issue 26).
+TEST_F(PoisonProcessTest, RequestsThatShareAMessageAreStopped) {
+  // As on the operators' platform: crashes, and requests after them.
+  constexpr int kToleratedCrashes = 5 + 3;
+  StartCluster(4, 2);
+  int crashes = 0;
+  for (int i = 0; i < 16; ++i) {
+    const std::string entry = i % 2 == 0 ? "entry-1" : "entry-2";
+    const std::string question = "question " + std::to_string(i);
+    auto sound = StartChat(entry, "You are a concierge.", question);
+    ASSERT_TRUE(sound->Wait());
+    EXPECT_TRUE(ParseEventStream(sound->received()).done) << sound->received();
+    auto crashing = StartChat(entry, "[[crash]]", question);
+    ASSERT_TRUE(crashing->Wait());
+    ProcessEventsFor(milliseconds(100));
+    for (int vm = 1; vm <= 4; ++vm) {
+      const std::string engine = "llm-" + std::to_string(vm) + "/backend";
+      if (cluster_.process(engine).running()) continue;
+      ++crashes;
+      cluster_.Restart(engine);
+    }
+    ProcessEventsFor(milliseconds(300));
+  }
+  EXPECT_LE(crashes, kToleratedCrashes);
+}
+
 }  // namespace
 }  // namespace balsam::processes
