Do not repeat a request whose engine crashed when it began to answer

What callers saw: a request with a deadly part that may be repeated crashed two engines where its route allows two attempts, and broke off some five answers with each.

Cause: the retry looked at the route and at crashes of the same request, of which the first attempt has one. Few runs have a head and no event at any moment, so that the one that has when its engine crashes is most likely the cause. Change: no further attempt of a request whose stream broke after its head and before its first event.

Failing before: RequestWhoseEngineCrashedOnItsAnswerIsNotRepeated (two engines). The test of the two engines at most now breaks off before the head, where its rule still decides.

--- a/services/gateway/exchange.cc
+++ b/services/gateway/exchange.cc
@@ -206,6 +206,7 @@
   // the prompt's parts are not suspected, only the request as a whole.
   const bool is_answering = attempt_->head.status != 0 ||
                             request_.route->kind != RequestKind::kStream;
+  crashed_on_answer_ |= attempt_->streaming && !attempt_->has_output;
   std::vector<quarantine::Trait> traits = request_.traits;
   if (!is_answering) traits.erase(traits.begin(), std::prev(traits.end()));
   const quarantine::Change change = context_.crash_ledger.OnCrash(
@@ -242,7 +243,8 @@
 }
 
 bool Exchange::MayRetryAfterCrash() const {
-  return request_.route->MayRepeat() && !IsQuarantined() &&
+  return request_.route->MayRepeat() && !crashed_on_answer_ &&
+         !IsQuarantined() &&
          context_.crash_ledger.CrashesOf(request_.traits.back()) <
              kMaxCrashesPerRequest;
 }
--- a/services/gateway/exchange.h
+++ b/services/gateway/exchange.h
@@ -201,6 +201,9 @@
   EngineSearch search_;
   // The response head has been written to the client.
   bool response_started_ = false;
+  // A server crashed when it began to answer, most likely because of this
+  // request: few runs are that far at any moment.
+  bool crashed_on_answer_ = false;
   // A run of the request answered for long enough.
   bool proved_harmless_ = false;
   bool finished_ = false;
