--- a/services/entry/crash_evidence.cc
+++ b/services/entry/crash_evidence.cc
@@ -7,45 +7,35 @@
 
 using quarantine::Change;
 
-void CrashEvidence::OnCrash(const quarantine::CrashReport& report) {
+template <typename Step>
+void CrashEvidence::Update(Step&& step) {
   Change change;
   {
     const std::lock_guard lock(mutex_);
-    change = ledger_.OnCrash(report, BootClock::now());
-    has_evidence_.store(true, std::memory_order_release);
+    change = step(BootClock::now());
   }
   Handle(change);
 }
 
+void CrashEvidence::OnCrash(const quarantine::CrashReport& report) {
+  has_evidence_.store(true, std::memory_order_release);
+  Update([&](BootTime now) { return ledger_.OnCrash(report, now); });
+}
+
 void CrashEvidence::OnSurvived(std::span<const quarantine::Trait> traits) {
   if (!has_evidence_.load(std::memory_order_acquire)) return;
-  Change change;
-  {
-    const std::lock_guard lock(mutex_);
-    change = ledger_.OnSurvived(traits, BootClock::now());
-  }
-  Handle(change);
+  Update([&](BootTime now) { return ledger_.OnSurvived(traits, now); });
 }
 
 void CrashEvidence::Merge(const quarantine::Evidence& evidence) {
   if (evidence.empty()) return;
-  Change change;
-  {
-    const std::lock_guard lock(mutex_);
-    change = ledger_.Merge(evidence, BootClock::now());
-    has_evidence_.store(true, std::memory_order_release);
-  }
-  Handle(change);
+  has_evidence_.store(true, std::memory_order_release);
+  Update([&](BootTime now) { return ledger_.Merge(evidence, now); });
 }
 
 void CrashEvidence::DropExpired() {
   if (!has_evidence_.load(std::memory_order_acquire)) return;
-  Change change;
-  {
-    const std::lock_guard lock(mutex_);
-    change = ledger_.DropExpired(BootClock::now());
-  }
-  Handle(change);
+  Update([&](BootTime now) { return ledger_.DropExpired(now); });
 }
 
 quarantine::Evidence CrashEvidence::Share() {
--- a/services/entry/crash_evidence.h
+++ b/services/entry/crash_evidence.h
@@ -27,11 +27,15 @@
   std::function<void()> on_news;
 
  private:
+  // Runs `step(now)`, which changes the ledger, under the lock.
+  template <typename Step>
+  void Update(Step&& step);
   void Handle(const quarantine::Change& change);
 
   mutable std::mutex mutex_;
   quarantine::CrashLedger ledger_{{}};
-  // False until the first crash is known, so that most requests take no lock.
+  // False until a crash is about to be recorded, so that most requests take no
+  // lock.
   std::atomic<bool> has_evidence_{false};
 };
 
--- a/tests/libraries/execution/executor_test.cc
+++ b/tests/libraries/execution/executor_test.cc
@@ -427,5 +427,25 @@
   Accept(poison);
 }
 
+// Entries must not suspect what ran well beside the cause of a crash.
+TEST_F(ExecutorPoisonTest, OnlyRunsThatHadJustBegunAreSuspected) {
+  const LocalId old_run = Accept(Generation());
+  const LocalId new_run = Accept(Generation());
+  executor_.TakeDispatches(now_);
+  const std::vector<std::string> token = {"t"};
+  executor_.OnTokens(old_run, 0, token, now_);
+  now_ = now_ + quarantine::kHarmlessAfter;
+  executor_.OnTokens(old_run, 1, token, now_);
+  executor_.OnTokens(new_run, 0, token, now_);
+  for (const LocalId local_id : {old_run, new_run}) {
+    executor_.OnStreamBroken(local_id, "cut", now_);
+  }
+  now_ = now_ + seconds(1);
+  executor_.TakeResumes(now_);
+  executor_.OnResumeFailed(new_run, now_);
+  EXPECT_FALSE(executor_.Find(old_run)->is_suspected);
+  EXPECT_TRUE(executor_.Find(new_run)->is_suspected);
+}
+
 }  // namespace
 }  // namespace balsam::execution
