--- a/libraries/explanation/cause.cc
+++ b/libraries/explanation/cause.cc
@@ -49,7 +49,8 @@
        "the process was stopping and would have exited before the "
        "request's deadline"},
       {"quarantined",
-       "servers repeatedly failed while they were running this request"},
+       "servers repeatedly crashed while they were running this request, or "
+       "others that share parts of its prompt"},
       {"no_backend_server", "no backend server of its service is known"},
       {"no_room_in_time",
        "all servers were full, and the expected wait exceeded its "
