--- a/libraries/directory/backend_directory.h
+++ b/libraries/directory/backend_directory.h
@@ -160,7 +160,7 @@
     bool announced = true;
     // Until then, a restored announcement does not make the server ready; zero
     // if it was not restored, or was confirmed.
-    BootTime doubted_until;
+    BootTime doubted_until{};
   };
 
   // Returns whether the restored announcement of a server that counts as
--- a/tests/libraries/gossip/gossip_test.cc
+++ b/tests/libraries/gossip/gossip_test.cc
@@ -470,6 +470,7 @@
     table_.OnDigest("10.0.0.1", digest, now_);
   };
   std::vector<PeerUpdate> updates;
+  updates.reserve(kPeers);
   for (int peer = 0; peer < kPeers; ++peer) {
     updates.push_back({ip_of(peer), 1, PeerUpdate::State::kAlive, false});
   }
