Log what tells the hypotheses of joined stream pieces apart

attempt_ended and sent say how many bytes of an incomplete event are buffered and which event the client has; attempt_ended also names a response that is delivered into a begun one, and how many bytes of a response that is no stream went into the client's. A refused resume of a migrated run was not logged at all: resume_refused. request says whether the response had no framing. No change of logic.

--- a/libraries/migration/event_stream_merger.h
+++ b/libraries/migration/event_stream_merger.h
@@ -34,6 +34,7 @@
   std::optional<std::uint64_t> last_event() const { return last_event_; }
   // Whether part of an event is buffered.
   bool has_partial() const { return !partial_.empty(); }
+  std::size_t partial_bytes() const { return partial_.size(); }
   std::uint64_t events() const { return events_; }
   Fault fault() const { return fault_; }
 
--- a/services/gateway/exchange.cc
+++ b/services/gateway/exchange.cc
@@ -143,6 +143,8 @@
       .With("server", attempt_->server_id)
       .With("sent", sent_attempts_)
       .With("goes_on", attempt_->is_resumed ? 1 : 0)
+      .With("after", events_.last_event().value_or(0))
+      .With("partial", events_.partial_bytes())
       .With("waited", now - received_)
       .With("rounds", search_.rounds())
       .With("requests", usage.requests)
@@ -289,11 +291,19 @@
   EndAttempt(ToAttemptResult(end));
   request_.demand.excluded.insert(attempt_->server_id);
   if (attempt_->is_resumed) {
+    LogEvent("resume_refused", LogEvent::Level::kWarning)
+        .With("id", metadata_.id)
+        .With("server", attempt_->server_id)
+        .With("end", retry::NameOf(end))
+        .With("status", attempt_->head.status)
+        .With("events", events_.events())
+        .With("partial", events_.partial_bytes())
+        .With("foreign", attempt_->foreign_bytes);
     migration_->OnResumeResult(false);
     return;
   }
   const retry::NextStep step = DecideNextStep(end);
-  if (end != AttemptEnd::kAnswered) {
+  if (end != AttemptEnd::kAnswered || response_started_) {
     LogEvent("attempt_ended", LogEvent::Level::kWarning)
         .With("id", metadata_.id)
         .With("server", attempt_->server_id)
@@ -301,6 +311,9 @@
         .With("status", attempt_->head.status)
         .With("sent", sent_attempts_)
         .With("next", retry::NameOf(step))
+        .With("events", events_.events())
+        .With("partial", events_.partial_bytes())
+        .With("foreign", attempt_->foreign_bytes)
         .With("took", BootClock::now() - attempt_->started);
   }
   switch (step) {
@@ -464,6 +477,7 @@
       .With("server", attempt_.has_value() ? attempt_->server_id : "")
       .With("attempts", sent_attempts_)
       .With("events", events_.events())
+      .With("unframed", attempt_.has_value() && attempt_->is_unframed ? 1 : 0)
       .With("first", event_times_.first == BootTime{}
                          ? std::chrono::nanoseconds(0)
                          : event_times_.first - received_)
--- a/services/gateway/exchange.h
+++ b/services/gateway/exchange.h
@@ -82,6 +82,9 @@
     // The attempt was already reported as slow or failed because its response
     // took too long.
     bool reported_slow = false;
+    // Bytes of a response that is not a stream which were written into the
+    // client's stream. For the log only.
+    std::size_t foreign_bytes = 0;
   };
 
   // Timing of the relayed events.
--- a/services/gateway/exchange_relay.cc
+++ b/services/gateway/exchange_relay.cc
@@ -76,6 +76,7 @@
     return;
   }
   if (response_started_) {
+    if (events_.events() > 0) attempt_->foreign_bytes += bytes.size();
     sink_.WriteBody(bytes);
   } else {
     attempt_->body += bytes;
@@ -167,6 +168,7 @@
         .With("id", metadata_.id)
         .With("server", attempt_->server_id)
         .With("events", events_.events())
+        .With("partial", events_.partial_bytes())
         .With("moving", migration_ != nullptr ? 1 : 0)
         .With("took", BootClock::now() - attempt_->started);
   }
