--- a/tests/services/gateway/exchange_fixture.h
+++ b/tests/services/gateway/exchange_fixture.h
@@ -89,7 +89,7 @@
     route.prefix = "/";
     route.kind = kind;
     route.timeout = route_timeout_;
-    route.latency_objective = std::chrono::seconds(10);
+    route.latency_objective = latency_objective_;
     route.max_attempts = attempts;
     route.resumable = resumable;
     route.services = {{"s", 1.0}};
@@ -154,6 +154,7 @@
   static void EndStream(QTcpSocket* socket) { socket->write("0\r\n\r\n"); }
 
   std::chrono::milliseconds route_timeout_{15000};
+  std::chrono::milliseconds latency_objective_{10000};
   platform::WireDialect dialect_;
   ScriptedEngine first_;
   ScriptedEngine second_;
--- /dev/null
+++ b/tests/services/gateway/stream_continuation_test.cc
@@ -0,0 +1,148 @@
+// Streams that a second run continues after the first one ended early, against
+// scripted engines.
+#include "tests/services/gateway/exchange_fixture.h"
+
+namespace balsam::gateway {
+namespace {
+
+constexpr char kFirstTwoEvents[] = "id: 1\ndata: t\n\nid: 2\ndata: t\n\n";
+
+class StreamContinuationTest : public ExchangeTest {
+ protected:
+  static void Write(QTcpSocket* socket, const std::string& text) {
+    socket->write(text.data(), static_cast<qint64>(text.size()));
+  }
+
+  // Sends a request whose stream may continue at the second engine.
+  void SendResumable() {
+    Offer(routing::RequestKind::kStream, 2, /*resumable=*/true);
+    SendRequest();
+  }
+
+  // Returns a handler for an engine that breaks off after two events.
+  static auto BreakingOffAfterTwoEvents() {
+    return [](const ScriptedEngine::Request& request) {
+      BeginStream(request.socket, 1, 2);
+      request.socket->flush();
+      request.socket->disconnectFromHost();
+    };
+  }
+
+  static auto Failing(const std::string& status, const std::string& body) {
+    return [status, body](const ScriptedEngine::Request& request) {
+      Reply(request.socket, status, "Request-Id: r-1\r\n", body);
+    };
+  }
+
+  void ExpectBrokenOffAfterTwoEvents() {
+    EXPECT_EQ(sink_.complete, false);
+    EXPECT_EQ(sink_.status, 200);
+    EXPECT_EQ(sink_.text, kFirstTwoEvents);
+    EXPECT_EQ(second_.heads.size(), 1U);
+  }
+};
+
+// Guards against joining events of two runs: an engine stalled within its first
+// event, and the bytes of that event were continued with those of the engine
+// that the request was sent to instead.
+TEST_F(StreamContinuationTest, PartialEventOfSlowRunIsNotJoined) {
+  latency_objective_ = std::chrono::milliseconds(50);
+  first_.on_request = [](const auto& request) {
+    BeginStream(request.socket, 1, 0);
+    Write(request.socket, http1::EncodeChunk("id: 1\ndata: stal"));
+  };
+  second_.on_request = [](const auto& request) {
+    BeginStream(request.socket, 1, 2);
+    EndStream(request.socket);
+  };
+  SendResumable();
+  RunUntilDone();
+  EXPECT_EQ(sink_.complete, true);
+  EXPECT_EQ(sink_.text, kFirstTwoEvents);
+}
+
+// Guards against an error's text within a stream: a stream broke off, and the
+// body of the next engine's error was relayed as if it continued the stream.
+TEST_F(StreamContinuationTest, FailureOfNextEngineIsNotRelayed) {
+  first_.on_request = BreakingOffAfterTwoEvents();
+  second_.on_request = Failing("500 Internal Server Error", "out of memory\n");
+  SendResumable();
+  RunUntilDone();
+  ExpectBrokenOffAfterTwoEvents();
+}
+
+// The same for an engine that refuses to resume a run from its copy, after
+// which the run resumes at its source.
+TEST_F(StreamContinuationTest, RefusalToResumeFromCopyIsNotRelayed) {
+  first_.on_request = [](const auto& request) {
+    if (request.IsTo("/kv-move")) {
+      Reply(request.socket, "200 OK", "", R"({"handle":"c-1","created":2})");
+      return;
+    }
+    const bool is_resume = request.head.find("Kv-From") != std::string::npos;
+    BeginStream(request.socket, is_resume ? 3 : 1, is_resume ? 4 : 2);
+    if (is_resume) EndStream(request.socket);
+  };
+  second_.on_request = Failing("503 Service Unavailable", "no such copy\n");
+  bool noticed = false;
+  sink_.on_text = [&] {
+    if (std::exchange(noticed, true)) return;
+    Announce("i-1", first_, true);
+    exchange_->OnServerLeaving("i-1");
+  };
+  Send(routing::RequestKind::kStream, 1);
+  RunUntilDone();
+  EXPECT_EQ(second_.heads.size(), 1U);
+  EXPECT_EQ(sink_.complete, true);
+  EXPECT_EQ(sink_.text, std::string(kFirstTwoEvents) +
+                            "id: 3\ndata: t\n\nid: 4\ndata: t\n\n");
+}
+
+// Guards against a truncated stream that looks complete: the next engine
+// rejected the request, and the end of its response ended the stream.
+TEST_F(StreamContinuationTest, RejectionByNextEngineDoesNotCompleteStream) {
+  first_.on_request = BreakingOffAfterTwoEvents();
+  second_.on_request = Failing("404 Not Found", "");
+  SendResumable();
+  RunUntilDone();
+  ExpectBrokenOffAfterTwoEvents();
+}
+
+// Guards against a truncated stream that looks complete: the next engine's
+// response had neither a length nor chunks, and its connection closed before
+// the first event.
+TEST_F(StreamContinuationTest, EmptyUnframedRunDoesNotCompleteStream) {
+  first_.on_request = BreakingOffAfterTwoEvents();
+  second_.on_request = [](const auto& request) {
+    Write(request.socket,
+          "HTTP/1.1 200 OK\r\nRequest-Id: r-1\r\nResponse-Seal: s\r\n\r\n");
+    request.socket->flush();
+    request.socket->disconnectFromHost();
+  };
+  SendResumable();
+  RunUntilDone();
+  ExpectBrokenOffAfterTwoEvents();
+}
+
+// Guards against events of another request: an engine sent a second response
+// after one that had neither a length nor chunks, and its later events were
+// relayed as those of the first.
+TEST_F(StreamContinuationTest, ResponseAfterUnframedStreamIsNotRelayed) {
+  first_.on_request = [](const auto& request) {
+    Write(request.socket,
+          "HTTP/1.1 200 OK\r\nRequest-Id: r-1\r\nResponse-Seal: s\r\n\r\n" +
+              std::string(kFirstTwoEvents));
+    Write(request.socket,
+          "HTTP/1.1 200 OK\r\nRequest-Id: r-0\r\nResponse-Seal: s\r\n\r\n"
+          "id: 1\ndata: other\n\nid: 2\ndata: other\n\n"
+          "id: 3\ndata: other\n\n");
+    request.socket->flush();
+    request.socket->disconnectFromHost();
+  };
+  Send(routing::RequestKind::kStream, 1);
+  RunUntilDone();
+  EXPECT_EQ(sink_.text, kFirstTwoEvents);
+}
+
+}  // namespace
+}  // namespace balsam::gateway
