Give each run of a stream its own event buffer

Callers saw a piece that joined the beginning of one run's event with another run's bytes. An engine that stalled within its first event was given up as slow, the request went to another engine, and the incomplete event stayed in the buffer, which belonged to the request. Two of three ways to end a run cleared it; the one for slow attempts did not.

The splitter now belongs to the attempt and ends with it, so no way of ending a run can leave anything for the next one. The merger keeps only what belongs to the client's stream: the last event that was relayed.

The tests of the merger check as before, with a splitter for each engine.

--- /dev/null
+++ b/libraries/migration/event_splitter.h
@@ -0,0 +1,39 @@
+// Splits the event stream of one run into its events. What an unfinished run
+// left of an event ends with its splitter, so that it cannot be continued with
+// the bytes of another run.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace balsam::migration {
+
+class EventSplitter {
+ public:
+  // Maximum size of an event in bytes: longer than any engine sends.
+  static constexpr std::size_t kMaxEventBytes = 256 << 10;
+
+  // Appends bytes that the run sent.
+  void Append(std::string_view bytes);
+  // Returns the next whole event with the empty line that ends it, or nothing
+  // if none is complete. Valid until the next call of `Append`.
+  std::optional<std::string_view> Next();
+
+  // Bytes of the event that is not complete yet.
+  std::size_t partial_bytes() const { return buffer_.size() - begin_; }
+  // The incomplete event is longer than any engine sends.
+  bool is_too_long() const { return partial_bytes() > kMaxEventBytes; }
+  // Events returned so far.
+  std::uint64_t events() const { return events_; }
+
+ private:
+  // The bytes from `begin_` on have not been returned yet.
+  std::string buffer_;
+  std::size_t begin_ = 0;
+  std::uint64_t events_ = 0;
+};
+
+}  // namespace balsam::migration
--- a/libraries/migration/event_stream_merger.cc
+++ b/libraries/migration/event_stream_merger.cc
@@ -1,4 +1,4 @@
-// Splits a byte stream into server-sent events (WHATWG HTML, 9.2).
+// Orders events by their numbers.
 #include "libraries/migration/event_stream_merger.h"
 
 #include <charconv>
@@ -6,7 +6,6 @@
 namespace balsam::migration {
 namespace {
 
-constexpr std::string_view kEventEnd = "\n\n";
 constexpr std::string_view kIdField = "id:";
 
 }  // namespace
@@ -29,17 +28,14 @@
   return std::nullopt;
 }
 
-std::string EventStreamMerger::Append(std::string_view bytes) {
-  partial_ += bytes;
+std::string EventStreamMerger::Append(EventSplitter& run,
+                                      std::string_view bytes) {
+  run.Append(bytes);
   std::string whole_events;
-  std::size_t begin = 0;
-  for (std::size_t end = partial_.find(kEventEnd);
-       end != std::string::npos && fault_ == Fault::kNone;
-       end = partial_.find(kEventEnd, begin)) {
-    const std::string_view event = std::string_view(partial_).substr(
-        begin, end + kEventEnd.size() - begin);
-    begin = end + kEventEnd.size();
-    const std::optional<std::uint64_t> number = EventNumber(event);
+  while (fault_ == Fault::kNone) {
+    const std::optional<std::string_view> event = run.Next();
+    if (!event.has_value()) break;
+    const std::optional<std::uint64_t> number = EventNumber(*event);
     if (number.has_value() && last_event_.has_value()) {
       if (*number <= *last_event_) continue;
       if (*number != *last_event_ + 1) {
@@ -49,10 +45,9 @@
     }
     if (number.has_value()) last_event_ = number;
     ++events_;
-    whole_events += event;
+    whole_events += *event;
   }
-  partial_.erase(0, begin);
-  if (partial_.size() > kMaxEventBytes) fault_ = Fault::kTooLong;
+  if (run.is_too_long()) fault_ = Fault::kTooLong;
   return whole_events;
 }
 
--- a/libraries/migration/event_stream_merger.h
+++ b/libraries/migration/event_stream_merger.h
@@ -1,6 +1,6 @@
 // Merges the event streams of a generation that runs on several engines in
 // succession into the single stream sent to its client. The client receives
-// only whole events, each exactly once and in order.
+// only whole events of single runs, each exactly once and in order.
 #pragma once
 
 #include <cstdint>
@@ -8,6 +8,8 @@
 #include <string>
 #include <string_view>
 
+#include "libraries/migration/event_splitter.h"
+
 namespace balsam::migration {
 
 class EventStreamMerger {
@@ -20,21 +22,13 @@
     kTooLong,
   };
 
-  // Maximum size of a buffered event in bytes.
-  static constexpr std::size_t kMaxEventBytes = 256 << 10;
-
-  // Appends bytes from the current engine; returns the whole events that the
-  // client has not received yet. Events without a number are always passed on.
-  std::string Append(std::string_view bytes);
-  // The generation continues on another engine. A partial event is dropped,
-  // since the next engine sends it again.
-  void OnEngineChanged() { partial_.clear(); }
+  // Appends bytes of the run that `run` splits; returns the whole events that
+  // the client has not received yet. Events without a number are always passed
+  // on.
+  std::string Append(EventSplitter& run, std::string_view bytes);
 
   // Number of the last event returned; nothing before the first.
   std::optional<std::uint64_t> last_event() const { return last_event_; }
-  // Whether part of an event is buffered.
-  bool has_partial() const { return !partial_.empty(); }
-  std::size_t partial_bytes() const { return partial_.size(); }
   std::uint64_t events() const { return events_; }
   Fault fault() const { return fault_; }
 
@@ -42,7 +36,6 @@
   // Returns the number in the "id:" line of an event; nothing if there is none.
   static std::optional<std::uint64_t> EventNumber(std::string_view event);
 
-  std::string partial_;
   std::optional<std::uint64_t> last_event_;
   std::uint64_t events_ = 0;
   Fault fault_ = Fault::kNone;
--- a/services/gateway/exchange.cc
+++ b/services/gateway/exchange.cc
@@ -144,7 +144,6 @@
       .With("sent", sent_attempts_)
       .With("goes_on", attempt_->is_resumed ? 1 : 0)
       .With("after", events_.last_event().value_or(0))
-      .With("partial", events_.partial_bytes())
       .With("waited", now - received_)
       .With("rounds", search_.rounds())
       .With("requests", usage.requests)
@@ -190,7 +189,7 @@
 
 bool Exchange::IsStreamCutShort() const {
   if (!attempt_->streaming) return false;
-  return events_.has_partial() ||
+  return attempt_->splitter.partial_bytes() > 0 ||
          (events_.events() == 0 && attempt_->is_unframed);
 }
 
@@ -297,7 +296,7 @@
         .With("end", retry::NameOf(end))
         .With("status", attempt_->head.status)
         .With("events", events_.events())
-        .With("partial", events_.partial_bytes())
+        .With("partial", attempt_->splitter.partial_bytes())
         .With("foreign", attempt_->foreign_bytes);
     migration_->OnResumeResult(false);
     return;
@@ -312,7 +311,7 @@
         .With("sent", sent_attempts_)
         .With("next", retry::NameOf(step))
         .With("events", events_.events())
-        .With("partial", events_.partial_bytes())
+        .With("partial", attempt_->splitter.partial_bytes())
         .With("foreign", attempt_->foreign_bytes)
         .With("took", BootClock::now() - attempt_->started);
   }
--- a/services/gateway/exchange.h
+++ b/services/gateway/exchange.h
@@ -74,6 +74,7 @@
     bool is_unframed = false;
     // The response is being streamed to the client.
     bool streaming = false;
+    migration::EventSplitter splitter;
     std::string body;
     // True if the run resumes from memory copied from another engine.
     bool is_resumed = false;
--- a/services/gateway/exchange_relay.cc
+++ b/services/gateway/exchange_relay.cc
@@ -94,7 +94,7 @@
 }
 
 void Exchange::RelayEvents(std::string_view bytes) {
-  const std::string events = events_.Append(bytes);
+  const std::string events = events_.Append(attempt_->splitter, bytes);
   if (events_.fault() != migration::EventStreamMerger::Fault::kNone) {
     const bool too_long =
         events_.fault() == migration::EventStreamMerger::Fault::kTooLong;
@@ -168,7 +168,7 @@
         .With("id", metadata_.id)
         .With("server", attempt_->server_id)
         .With("events", events_.events())
-        .With("partial", events_.partial_bytes())
+        .With("partial", attempt_->splitter.partial_bytes())
         .With("moving", migration_ != nullptr ? 1 : 0)
         .With("took", BootClock::now() - attempt_->started);
   }
@@ -181,7 +181,6 @@
 
 void Exchange::OnStreamLost() {
   EndMigration();
-  events_.OnEngineChanged();
   ++sent_attempts_;
   request_.demand.excluded.insert(attempt_->server_id);
   // A new run can continue after the last event that the client received.
@@ -257,7 +256,6 @@
   // Events that the source still had to send have arrived, or are generated
   // again by the engine that resumes the run.
   AbortAttempt(AttemptResult::kInconclusive);
-  events_.OnEngineChanged();
   DispatchOptions options;
   options.memory = resume_point.memory;
   options.last_event = events_.last_event();
--- a/tests/libraries/migration/event_stream_test.cc
+++ b/tests/libraries/migration/event_stream_test.cc
@@ -20,36 +20,43 @@
 
 TEST(EventStreamMergerTest, PassesOnWholeEventsOnly) {
   EventStreamMerger stream;
-  EXPECT_EQ(stream.Append("id: 1\nda"), "");
-  EXPECT_TRUE(stream.has_partial());
-  EXPECT_EQ(stream.Append("ta: x\n\nid: 2"), "id: 1\ndata: x\n\n");
+  EventSplitter run;
+  EXPECT_EQ(stream.Append(run, "id: 1\nda"), "");
+  EXPECT_EQ(run.partial_bytes(), 8U);
+  EXPECT_EQ(stream.Append(run, "ta: x\n\nid: 2"), "id: 1\ndata: x\n\n");
+  EXPECT_EQ(run.partial_bytes(), 5U);
+  EXPECT_EQ(run.events(), 1U);
   EXPECT_EQ(stream.last_event(), 1U);
 }
 
 TEST(EventStreamMergerTest, DropsAPartialEventWhenTheEngineChanges) {
   EventStreamMerger stream;
-  EXPECT_EQ(stream.Append(Event(1) + "id: 2\ndata: to"), Event(1));
-  stream.OnEngineChanged();
-  EXPECT_EQ(stream.Append(Event(2)), Event(2));
+  EventSplitter first;
+  EXPECT_EQ(stream.Append(first, Event(1) + "id: 2\ndata: to"), Event(1));
+  EventSplitter second;
+  EXPECT_EQ(stream.Append(second, Event(2)), Event(2));
 }
 
 TEST(EventStreamMergerTest, GapIsAFault) {
   EventStreamMerger stream;
-  EXPECT_EQ(stream.Append(Event(1) + Event(3)), Event(1));
+  EventSplitter run;
+  EXPECT_EQ(stream.Append(run, Event(1) + Event(3)), Event(1));
   EXPECT_EQ(stream.fault(), EventStreamMerger::Fault::kGap);
-  EXPECT_EQ(stream.Append(Event(2)), "");
+  EXPECT_EQ(stream.Append(run, Event(2)), "");
 }
 
 TEST(EventStreamMergerTest, LineBeforeTheNumberIsPartOfTheEvent) {
   EventStreamMerger stream;
+  EventSplitter run;
   const std::string event = "weight-versions: 2\nid: 7\ndata: x\n\n";
-  EXPECT_EQ(stream.Append(event), event);
+  EXPECT_EQ(stream.Append(run, event), event);
   EXPECT_EQ(stream.last_event(), 7U);
 }
 
 TEST(EventStreamMergerTest, OversizedEventIsAFault) {
   EventStreamMerger stream;
-  stream.Append(std::string(EventStreamMerger::kMaxEventBytes + 1, 'x'));
+  EventSplitter run;
+  stream.Append(run, std::string(EventSplitter::kMaxEventBytes + 1, 'x'));
   EXPECT_EQ(stream.fault(), EventStreamMerger::Fault::kTooLong);
 }
 
@@ -66,10 +73,10 @@
     if (engines < 5) {
       text.resize(*rc::gen::inRange<std::size_t>(0, text.size()));
     }
-    stream.OnEngineChanged();
+    EventSplitter run;
     while (!text.empty()) {
       const auto size = *rc::gen::inRange<std::size_t>(1, text.size() + 1);
-      seen += stream.Append(text.substr(0, size));
+      seen += stream.Append(run, text.substr(0, size));
       text.erase(0, size);
     }
   }
