Relay only bytes of the response that the client's stream continues

Callers found the text of an error, or of a refused resume, in the middle of their stream. Whether a body was relayed depended on whether the client had part of a response already, which is true of the request once its first run has sent an event. A later attempt's failure is another response, and its body was relayed all the same.

Whether a response is relayed as it arrives is now said of the attempt. The body of any other response is held back, and dropped where a stream has begun; one without end is cut off at the same size as before.

FailureOfNextEngineIsNotRelayed (`out of memory` after the second event) and RefusalToResumeFromCopyIsNotRelayed (`no such copy` joined with the third event) failed before.

--- a/services/gateway/exchange.cc
+++ b/services/gateway/exchange.cc
@@ -296,8 +296,7 @@
         .With("end", retry::NameOf(end))
         .With("status", attempt_->head.status)
         .With("events", events_.events())
-        .With("partial", attempt_->splitter.partial_bytes())
-        .With("foreign", attempt_->foreign_bytes);
+        .With("partial", attempt_->splitter.partial_bytes());
     migration_->OnResumeResult(false);
     return;
   }
@@ -312,7 +311,6 @@
         .With("next", retry::NameOf(step))
         .With("events", events_.events())
         .With("partial", attempt_->splitter.partial_bytes())
-        .With("foreign", attempt_->foreign_bytes)
         .With("took", BootClock::now() - attempt_->started);
   }
   switch (step) {
--- a/services/gateway/exchange.h
+++ b/services/gateway/exchange.h
@@ -72,9 +72,12 @@
     // The response has neither a length nor chunks: its end looks like a crash
     // of the server.
     bool is_unframed = false;
-    // The response is being streamed to the client.
+    // The response is a stream, whose events are relayed.
     bool streaming = false;
     migration::EventSplitter splitter;
+    // The response is no stream, and is relayed as it arrives, because it is
+    // too long to be held back until it is complete.
+    bool is_relayed = false;
     std::string body;
     // True if the run resumes from memory copied from another engine.
     bool is_resumed = false;
@@ -83,9 +86,6 @@
     // The attempt was already reported as slow or failed because its response
     // took too long.
     bool reported_slow = false;
-    // Bytes of a response that is not a stream which were written into the
-    // client's stream. For the log only.
-    std::size_t foreign_bytes = 0;
   };
 
   // Timing of the relayed events.
--- a/services/gateway/exchange_relay.cc
+++ b/services/gateway/exchange_relay.cc
@@ -75,20 +75,19 @@
     RelayEvents(bytes);
     return;
   }
-  if (response_started_) {
-    if (events_.events() > 0) attempt_->foreign_bytes += bytes.size();
+  if (attempt_->is_relayed) {
     sink_.WriteBody(bytes);
   } else {
     attempt_->body += bytes;
-    if (attempt_->body.size() > kMaxBufferedResponse) {
-      if (!http1::IsSuccess(attempt_->head.status)) {
-        RejectResponse("failure_too_long");
-        return;
-      }
-      response_started_ = true;
-      sink_.BeginBody(attempt_->head);
-      sink_.WriteBody(std::exchange(attempt_->body, {}));
+    if (attempt_->body.size() <= kMaxBufferedResponse) return;
+    if (response_started_ || !http1::IsSuccess(attempt_->head.status)) {
+      RejectResponse("failure_too_long");
+      return;
     }
+    response_started_ = true;
+    attempt_->is_relayed = true;
+    sink_.BeginBody(attempt_->head);
+    sink_.WriteBody(std::exchange(attempt_->body, {}));
   }
   if (sink_.IsFull()) attempt_->connection->SetPaused(true);
 }
