Break off a begun stream whose next engine answers with a rejection

Callers could get a truncated stream that looked complete: the stream broke off, the next engine answered 4xx, and as that is a complete response of its own, its end was written as the end of the stream.

The decision after an attempt knew that a part of some response had been sent, not of which. It now also knows whether that part is of this attempt's response; only then does the attempt's end complete it.

The row for the only case in which such a response is completed was missing and is added.

--- a/libraries/retry/attempt_policy.cc
+++ b/libraries/retry/attempt_policy.cc
@@ -12,9 +12,11 @@
 }  // namespace
 
 NextStep DecideNextStep(const AttemptState& state) {
-  if (state.response_started && state.end != AttemptEnd::kAnswered) {
-    return NextStep::kBreakOff;
-  }
+  // Another response, whatever its status, cannot complete the one that the
+  // client has a part of.
+  const bool is_completed =
+      state.end == AttemptEnd::kAnswered && state.is_relayed;
+  if (state.response_started && !is_completed) return NextStep::kBreakOff;
   switch (state.end) {
     case AttemptEnd::kAnswered:
       return NextStep::kDeliver;
--- a/libraries/retry/attempt_policy.h
+++ b/libraries/retry/attempt_policy.h
@@ -41,8 +41,10 @@
 struct AttemptState {
   AttemptEnd end = AttemptEnd::kUnknown;
   bool may_repeat = false;
-  // Part of the response has been sent to the client.
+  // Part of a response has been sent to the client.
   bool response_started = false;
+  // That part is of this attempt's response.
+  bool is_relayed = false;
   // Number of servers to which the request was sent, including this one, and
   // the maximum.
   int sent_attempts = 1;
--- a/services/gateway/exchange.cc
+++ b/services/gateway/exchange.cc
@@ -337,6 +337,7 @@
   state.end = end;
   state.may_repeat = MayRetryAfterCrash();
   state.response_started = response_started_;
+  state.is_relayed = attempt_->is_relayed;
   state.sent_attempts = sent_attempts_;
   state.max_attempts = request_.route->max_attempts;
   state.time_left = TimeLeft() > milliseconds(0);
--- a/tests/libraries/retry/retry_test.cc
+++ b/tests/libraries/retry/retry_test.cc
@@ -84,6 +84,16 @@
         PolicyCase{"StartedResponseIsBrokenOff",
                    WithField(MakeState(AttemptEnd::kUnknown, true, 1, 5),
                              &AttemptState::response_started, true),
+                   NextStep::kBreakOff},
+        PolicyCase{
+            "StartedResponseIsCompletedByItsOwnAttempt",
+            WithField(WithField(MakeState(AttemptEnd::kAnswered, false, 1, 1),
+                                &AttemptState::response_started, true),
+                      &AttemptState::is_relayed, true),
+            NextStep::kDeliver},
+        PolicyCase{"StartedResponseIsNotCompletedByAnotherAttempt",
+                   WithField(MakeState(AttemptEnd::kAnswered, true, 2, 2),
+                             &AttemptState::response_started, true),
                    NextStep::kBreakOff}),
     [](const auto& info) { return std::string(info.param.name); });
 
