Do not complete a begun stream with an empty run without framing

Callers could get a truncated stream that looked complete: the stream broke off, and the engine that it went to sent a head without a length or chunks and closed before its first event, as one that crashes does. An unframed run without events counts as cut short, but the events of all runs of the request were counted, and the first run had sent some.

The events of the run itself are counted. EmptyUnframedRunDoesNotCompleteStream failed before. A run that resumes behind the last event and has nothing to add is broken off too if it has no framing; its client lacks nothing but the end.

--- a/services/gateway/exchange.cc
+++ b/services/gateway/exchange.cc
@@ -190,7 +190,7 @@
 bool Exchange::IsStreamCutShort() const {
   if (!attempt_->streaming) return false;
   return attempt_->splitter.partial_bytes() > 0 ||
-         (events_.events() == 0 && attempt_->is_unframed);
+         (attempt_->splitter.events() == 0 && attempt_->is_unframed);
 }
 
 void Exchange::RecordCrashIfBroken(OutboundConnection::EndReason end) {
