End a run without framing where another response begins

Callers could get events of another request: an engine sent a second response after one that has neither a length nor chunks, and its events were relayed where their numbers followed those of the first. Such a run can only be told from what follows it by the status line, which is no line of an event. The run now ends there, and what still arrives is dropped.

A status line within an event is its text, as before. Not covered: an engine that breaks off such a response within an event and sends another one at once.

--- a/libraries/migration/event_splitter.h
+++ b/libraries/migration/event_splitter.h
@@ -13,13 +13,25 @@
 
 class EventSplitter {
  public:
+  enum class Framing {
+    // The run's response has a length or chunks.
+    kMarked,
+    // The response ends with its connection, so that another response that the
+    // engine sends after it looks like a part of it.
+    kUnmarked,
+  };
+
+  explicit EventSplitter(Framing framing = Framing::kMarked)
+      : framing_(framing) {}
+
   // Maximum size of an event in bytes: longer than any engine sends.
   static constexpr std::size_t kMaxEventBytes = 256 << 10;
 
   // Appends bytes that the run sent.
   void Append(std::string_view bytes);
   // Returns the next whole event with the empty line that ends it, or nothing
-  // if none is complete. Valid until the next call of `Append`.
+  // if none is complete. Valid until the next call of `Append`. The run ends
+  // where another response begins.
   std::optional<std::string_view> Next();
 
   // Bytes of the event that is not complete yet.
@@ -30,6 +42,12 @@
   std::uint64_t events() const { return events_; }
 
  private:
+  // Whether another response begins at `begin_`.
+  bool IsAtOtherResponse() const;
+
+  Framing framing_;
+  // Another response has begun; what still arrives is dropped.
+  bool ended_ = false;
   // The bytes from `begin_` on have not been returned yet.
   std::string buffer_;
   std::size_t begin_ = 0;
--- a/services/gateway/exchange_relay.cc
+++ b/services/gateway/exchange_relay.cc
@@ -54,6 +54,10 @@
   }
   attempt_->streaming = http1::IsSuccess(head.status) &&
                         request_.route->kind == routing::RequestKind::kStream;
+  if (attempt_->streaming && attempt_->is_unframed) {
+    attempt_->splitter =
+        migration::EventSplitter(migration::EventSplitter::Framing::kUnmarked);
+  }
   if (!attempt_->streaming || !attempt_->is_resumed) return;
   migration_->OnResumeResult(true);
   // The engine that resumes the run may have started leaving in the meantime.
--- a/tests/libraries/migration/event_stream_test.cc
+++ b/tests/libraries/migration/event_stream_test.cc
@@ -60,6 +60,30 @@
   EXPECT_EQ(stream.fault(), EventStreamMerger::Fault::kTooLong);
 }
 
+// Guards against events of another request: without framing, a response that
+// follows the run's own was split into events as well.
+TEST(EventSplitterTest, RunWithoutFramingEndsAtAnotherResponse) {
+  EventStreamMerger stream;
+  EventSplitter run(EventSplitter::Framing::kUnmarked);
+  EXPECT_EQ(stream.Append(run, Event(1) + "HTT"), Event(1));
+  EXPECT_EQ(run.partial_bytes(), 3U);
+  EXPECT_EQ(stream.Append(run, "P/1.1 200 OK\r\n\r\n" + Event(2)), "");
+  EXPECT_EQ(stream.Append(run, Event(2)), "");
+  EXPECT_EQ(run.partial_bytes(), 0U);
+  EXPECT_EQ(run.events(), 1U);
+}
+
+// The text of an event may be about HTTP.
+TEST(EventSplitterTest, StatusLineWithinAnEventIsText) {
+  const std::string event = "id: 1\ndata: HTTP/1.1 200 OK\n\n";
+  for (const auto framing :
+       {EventSplitter::Framing::kMarked, EventSplitter::Framing::kUnmarked}) {
+    EventStreamMerger stream;
+    EventSplitter run(framing);
+    EXPECT_EQ(stream.Append(run, event), event);
+  }
+}
+
 // Engines fail after any byte, and the next one resumes before or after the
 // last event that the client received.
 RC_GTEST_PROP(EventStreamMergerPropertyTest, ClientReceivesEachEventOnce, ()) {
