Compare what a resumed stream's engine sends with what its client has

A client that resumes names the last event that it has. The gateway told the engine, and did not count that event itself: an engine that began before it had its first events relayed once more, and one that began after the next hid the gap. Events of a run were only compared with those of earlier runs of the same request.

The merger begins at the client's last event. Both tests of ClientResumesTest failed before.

--- a/libraries/migration/event_stream_merger.h
+++ b/libraries/migration/event_stream_merger.h
@@ -22,12 +22,18 @@
     kTooLong,
   };
 
+  // `client_last_event`: the last event that the client has from an earlier
+  // connection, if any.
+  explicit EventStreamMerger(
+      std::optional<std::uint64_t> client_last_event = std::nullopt)
+      : last_event_(client_last_event) {}
+
   // Appends bytes of the run that `run` splits; returns the whole events that
   // the client has not received yet. Events without a number are always passed
   // on.
   std::string Append(EventSplitter& run, std::string_view bytes);
 
-  // Number of the last event returned; nothing before the first.
+  // Number of the last event that the client has; nothing before the first.
   std::optional<std::uint64_t> last_event() const { return last_event_; }
   std::uint64_t events() const { return events_; }
   Fault fault() const { return fault_; }
--- a/services/gateway/exchange.cc
+++ b/services/gateway/exchange.cc
@@ -73,6 +73,7 @@
 
 void Exchange::Start() {
   metadata_ = context_.dialect.ParseRequest(head_);
+  events_ = migration::EventStreamMerger(metadata_.last_event);
   auto admission = Admit(context_, metadata_, head_, body_, received_);
   if (const auto* rejection = std::get_if<Rejection>(&admission)) {
     Answer(rejection->status, rejection->reason, rejection->retry_after);
--- a/services/gateway/exchange_placement.cc
+++ b/services/gateway/exchange_placement.cc
@@ -146,8 +146,7 @@
         telemetry::Seconds(BootClock::now() - received_));
   }
   DispatchOptions options;
-  options.last_event =
-      response_started_ ? events_.last_event() : metadata_.last_event;
+  options.last_event = events_.last_event();
   StartAttempt(choice.id, choice.endpoint, request_.demand, std::move(options));
 }
 
--- a/tests/services/gateway/exchange_fixture.h
+++ b/tests/services/gateway/exchange_fixture.h
@@ -115,6 +115,9 @@
     head.fields.Add("Host", "h");
     head.fields.Add("Request-Id", "r-1");
     head.fields.Add("Token-Usage", "100,100");
+    if (client_last_event_.has_value()) {
+      head.fields.Add("Last-Event-Id", std::to_string(*client_last_event_));
+    }
     exchange_ = std::make_unique<Exchange>(context_, sink_, std::move(head),
                                            "body", BootClock::now());
     exchange_->Start();
@@ -155,6 +158,8 @@
 
   std::chrono::milliseconds route_timeout_{15000};
   std::chrono::milliseconds latency_objective_{10000};
+  // The last event that the client has from an earlier connection.
+  std::optional<int> client_last_event_;
   platform::WireDialect dialect_;
   ScriptedEngine first_;
   ScriptedEngine second_;
--- a/tests/services/gateway/stream_continuation_test.cc
+++ b/tests/services/gateway/stream_continuation_test.cc
@@ -144,5 +144,35 @@
   EXPECT_EQ(sink_.text, kFirstTwoEvents);
 }
 
+// Guards against repeated and missing events for a client that resumes: what it
+// has was told to the engine and not compared with what the engine sent.
+class ClientResumesTest : public StreamContinuationTest {
+ protected:
+  // The client has two events, and the engine sends these.
+  void SendAndReceive(int first, int last) {
+    client_last_event_ = 2;
+    first_.on_request = [first, last](const auto& request) {
+      BeginStream(request.socket, first, last);
+      EndStream(request.socket);
+    };
+    Offer(routing::RequestKind::kStream, 1, /*resumable=*/true);
+    SendRequest();
+    RunUntilDone();
+    EXPECT_NE(first_.heads.at(0).find("Last-Event-Id: 2"), std::string::npos);
+  }
+};
+
+TEST_F(ClientResumesTest, RepeatedEventIsNotRelayed) {
+  SendAndReceive(2, 3);
+  EXPECT_EQ(sink_.complete, true);
+  EXPECT_EQ(sink_.text, "id: 3\ndata: t\n\n");
+}
+
+TEST_F(ClientResumesTest, StreamWithMissingEventIsNotRelayed) {
+  SendAndReceive(4, 5);
+  EXPECT_EQ(sink_.status, 502);
+  EXPECT_EQ(sink_.text.find("id: 4"), std::string::npos);
+}
+
 }  // namespace
 }  // namespace balsam::gateway
