--- a/tests/services/gateway/exchange_fixture.h
+++ b/tests/services/gateway/exchange_fixture.h
@@ -108,7 +108,9 @@
     context_.selector.OnStart("i-2", busy);
   }
 
-  void SendRequest() {
+  void SendRequest() { SendRequestFor(sink_); }
+
+  void SendRequestFor(ResponseSink& sink) {
     http1::RequestHead head;
     head.method = "POST";
     head.target = "/x";
@@ -118,7 +120,7 @@
     if (client_last_event_.has_value()) {
       head.fields.Add("Last-Event-Id", std::to_string(*client_last_event_));
     }
-    exchange_ = std::make_unique<Exchange>(context_, sink_, std::move(head),
+    exchange_ = std::make_unique<Exchange>(context_, sink, std::move(head),
                                            "body", BootClock::now());
     exchange_->Start();
   }
