Refuse deeply nested CBOR of peers before it is decoded

What callers would see: a process that a peer, or anything else at the peer's address, sends a small message ends with a stack overflow, and its clients' connections with it.

Cause: nlohmann's from_cbor calls itself for each level of an array, a map or a text of unknown length.

Digests, load messages, peer lists, change sets and crash evidence are decoded through it, which are all uses of from_cbor.

Ruled out: entries of the store do not come to this decoder; change sets carry them as texts. Messages of the product's own deployment are read by Qt, which has a limit of its own.

--- a/libraries/gossip/change_set.cc
+++ b/libraries/gossip/change_set.cc
@@ -5,6 +5,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "libraries/decoding/bounded_json.h"
+
 namespace balsam::gossip {
 
 using nlohmann::json;
@@ -25,7 +27,7 @@
 }
 
 Result<ChangeSet> DecodeChangeSet(std::string_view bytes) {
-  const json message = json::from_cbor(bytes.begin(), bytes.end(), true, false);
+  const json message = decoding::ParseCbor(bytes);
   try {
     ChangeSet change_set;
     change_set.revision = message.at(0).get<std::uint64_t>();
--- a/libraries/gossip/digest.cc
+++ b/libraries/gossip/digest.cc
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 
 #include "libraries/quarantine/evidence_codec.h"
+#include "libraries/decoding/bounded_json.h"
 
 namespace balsam::gossip {
 namespace {
@@ -128,7 +129,7 @@
 }
 
 Result<Message> Decode(std::string_view bytes) {
-  const json message = json::from_cbor(bytes.begin(), bytes.end(), true, false);
+  const json message = decoding::ParseCbor(bytes);
   try {
     if (message.is_array() && message.size() == kDigestElements &&
         message[0] == kDigestFormat) {
@@ -154,7 +155,7 @@
 }
 
 Result<std::vector<PeerUpdate>> DecodePeerList(std::string_view bytes) {
-  const json numbers = json::from_cbor(bytes.begin(), bytes.end(), true, false);
+  const json numbers = decoding::ParseCbor(bytes);
   try {
     if (numbers.is_array()) return ReadPeerUpdates(numbers);
   } catch (const json::exception& error) {
--- a/libraries/quarantine/evidence_codec.cc
+++ b/libraries/quarantine/evidence_codec.cc
@@ -7,6 +7,8 @@
 #include <utility>
 #include <vector>
 
+#include "libraries/decoding/bounded_json.h"
+
 namespace balsam::quarantine {
 namespace {
 
@@ -79,7 +81,7 @@
 
 Result<Evidence> DecodeEvidence(std::string_view bytes) {
   if (bytes.empty()) return Evidence{};
-  const json message = json::from_cbor(bytes.begin(), bytes.end(), true, false);
+  const json message = decoding::ParseCbor(bytes);
   try {
     return ReadEvidence(message);
   } catch (const json::exception& error) {
--- a/tests/libraries/gossip/gossip_test.cc
+++ b/tests/libraries/gossip/gossip_test.cc
@@ -4,11 +4,13 @@
 #include <algorithm>
 #include <iterator>
 #include <map>
+#include <ostream>
 
 #include "libraries/gossip/change_set.h"
 #include "libraries/gossip/digest.h"
 #include "libraries/gossip/peer_table.h"
 #include "libraries/gossip/send_rate_limiter.h"
+#include "libraries/quarantine/evidence_codec.h"
 
 namespace balsam::gossip {
 namespace {
@@ -183,6 +185,60 @@
   }
 }
 
+// What another writer may send instead of a message; the decoders of the
+// project produce none of it.
+struct OddMessage {
+  const char* name;
+  std::string bytes;
+};
+
+void PrintTo(const OddMessage& message, std::ostream* out) {
+  *out << message.name;
+}
+
+// As large as a datagram.
+constexpr std::size_t kDatagramBytes = 60'000;
+// As large as the changes that a peer may send (OutboundConnection).
+constexpr std::size_t kFetchBytes = 8 << 20;
+
+class OddMessageTest : public testing::TestWithParam<OddMessage> {};
+
+// The process ended: the decoder called itself for each level until the stack
+// was exhausted (issue 30).
+TEST_P(OddMessageTest, IsRefused) {
+  const std::string& bytes = GetParam().bytes;
+  EXPECT_FALSE(TryDecode(bytes).has_value());
+  EXPECT_FALSE(TryDecodeChanges(bytes).has_value());
+  EXPECT_FALSE(TryOr(
+      [&]() -> Result<bool> {
+        BOOST_LEAF_CHECK(DecodePeerList(bytes));
+        return true;
+      },
+      [](const Error&) { return false; }));
+  EXPECT_FALSE(TryOr(
+      [&]() -> Result<bool> {
+        BOOST_LEAF_CHECK(quarantine::DecodeEvidence(bytes));
+        return true;
+      },
+      [](const Error&) { return false; }));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Messages, OddMessageTest,
+    testing::Values(
+        OddMessage{"arrays", std::string(kDatagramBytes, '\x81')},
+        OddMessage{"more_arrays", std::string(kFetchBytes, '\x81')},
+        OddMessage{"open_arrays", std::string(kFetchBytes, '\x9f')},
+        OddMessage{"open_maps", std::string(kFetchBytes, '\xbf')},
+        OddMessage{"open_texts", std::string(kFetchBytes, '\x7f')},
+        OddMessage{"open_bytes", std::string(kFetchBytes, '\x5f')},
+        OddMessage{"tags", std::string(kFetchBytes, '\xc1')},
+        // An array that claims 2^60 elements.
+        OddMessage{"huge_array", std::string("\x9b\x10\0\0\0\0\0\0\0", 9)},
+        OddMessage{"huge_map", std::string("\xbb\x10\0\0\0\0\0\0\0", 9)},
+        OddMessage{"huge_text", std::string("\x7b\x10\0\0\0\0\0\0\0", 9)}),
+    [](const auto& info) { return std::string(info.param.name); });
+
 class PeerTableTest : public testing::Test {
  protected:
   BootTime now_ = BootTime{} + std::chrono::hours(1);
