Bound the counts that peers report

What callers would see: nothing reliable. A load of 2^63 - 64 requests, or a negative one, was added up with others and multiplied, which overflows; an engine then counts as empty or as full.

Cause: the decoder of load messages takes any 64-bit number, and that of crash evidence narrows any number of quarantines to an int, to which one is added.

Evidence: LoadUpdateTest.BoundsCounts read requests and a negative load on the code before.

Fix: counts are clamped to 0 and 2^40, numbers of quarantines to 1,000, beyond which they make no difference. Ages were bounded already.

Ruled out: state versions and revisions of peers. They are compared, not added up; a peer that sends the highest possible one is not defended against.

--- a/libraries/gossip/digest.cc
+++ b/libraries/gossip/digest.cc
@@ -1,11 +1,12 @@
 // Messages are encoded as CBOR arrays: positional fields keep them small.
 #include "libraries/gossip/digest.h"
 
+#include <algorithm>
 #include <boost/asio/ip/address_v4.hpp>
 #include <nlohmann/json.hpp>
 
-#include "libraries/quarantine/evidence_codec.h"
 #include "libraries/decoding/bounded_json.h"
+#include "libraries/quarantine/evidence_codec.h"
 
 namespace balsam::gossip {
 namespace {
@@ -25,6 +26,9 @@
 // encode in fewer bytes, and loads are estimates anyway.
 constexpr std::int64_t kTokensPerUnit = 64;
 
+// No load is higher.
+constexpr std::int64_t kMaxCount = std::int64_t{1} << 40;
+
 std::int64_t ToTokenUnits(std::int64_t tokens) {
   return (tokens + kTokensPerUnit - 1) / kTokensPerUnit;
 }
@@ -79,14 +83,18 @@
   return digest;
 }
 
+// Bounded, since a message may hold any number, and loads are added up.
+std::int64_t ReadCount(const json& number) {
+  return std::clamp<std::int64_t>(number.get<std::int64_t>(), 0, kMaxCount);
+}
+
 dispatch::UsageByServer ReadLoad(const json& list) {
   dispatch::UsageByServer load;
   for (const json& usage : list) {
     load[usage.at(0).get<std::uint32_t>()] = {
-        usage.at(1).get<std::int64_t>(),
-        usage.at(2).get<std::int64_t>() * kTokensPerUnit,
-        usage.at(3).get<std::int64_t>() * kTokensPerUnit,
-        usage.size() > 4 ? usage.at(4).get<std::int64_t>() : 0};
+        ReadCount(usage.at(1)), ReadCount(usage.at(2)) * kTokensPerUnit,
+        ReadCount(usage.at(3)) * kTokensPerUnit,
+        usage.size() > 4 ? ReadCount(usage.at(4)) : 0};
   }
   return load;
 }
--- a/libraries/quarantine/evidence_codec.cc
+++ b/libraries/quarantine/evidence_codec.cc
@@ -15,6 +15,8 @@
 using nlohmann::json;
 
 constexpr std::chrono::milliseconds kMaxAge{std::chrono::hours(24)};
+// Each lasts twice as long as the one before, so that more make no difference.
+constexpr std::uint64_t kMaxQuarantines = 1000;
 
 // Bounded, since a peer's message may hold any number.
 std::chrono::milliseconds ReadAge(const json& age) {
@@ -22,6 +24,11 @@
       std::min<std::uint64_t>(age.get<std::uint64_t>(), kMaxAge.count()));
 }
 
+int ReadQuarantineCount(const json& count) {
+  return static_cast<int>(
+      std::min<std::uint64_t>(count.get<std::uint64_t>(), kMaxQuarantines));
+}
+
 json ToJson(const std::vector<TraitAge>& list) {
   json items = json::array();
   for (const TraitAge& item : list) {
@@ -68,7 +75,7 @@
   for (const json& report : message.at(2)) {
     evidence.quarantined.push_back({report.at(0).get<Signature>(),
                                     ReadAge(report.at(1)),
-                                    report.at(2).get<int>()});
+                                    ReadQuarantineCount(report.at(2))});
   }
   return evidence;
 }
--- a/tests/libraries/gossip/gossip_test.cc
+++ b/tests/libraries/gossip/gossip_test.cc
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <limits>
 #include <map>
 #include <ostream>
 
@@ -239,6 +240,21 @@
         OddMessage{"huge_text", std::string("\x7b\x10\0\0\0\0\0\0\0", 9)}),
     [](const auto& info) { return std::string(info.param.name); });
 
+// Loads are added up, which overflowed.
+TEST(LoadUpdateTest, BoundsCounts) {
+  constexpr auto kMost = std::numeric_limits<std::int64_t>::max() - 63;
+  LoadUpdate update;
+  update.load = {{1, {kMost, kMost, kMost, kMost}}, {2, {-5, -6400, -64, 0}}};
+  const auto decoded = TryDecode<LoadUpdate>(Encode(update));
+  ASSERT_TRUE(decoded.has_value());
+  dispatch::Usage sum = decoded->load.at(1);
+  for (int i = 0; i < 1000; ++i) sum += decoded->load.at(1);
+  EXPECT_GT(sum.requests, 0);
+  EXPECT_EQ(decoded->load.at(1).requests, std::int64_t{1} << 40);
+  EXPECT_EQ(decoded->load.at(1).tokens, std::int64_t{1} << 46);
+  EXPECT_EQ(decoded->load.at(2), dispatch::Usage{});
+}
+
 class PeerTableTest : public testing::Test {
  protected:
   BootTime now_ = BootTime{} + std::chrono::hours(1);
