--- a/tests/platform/wire_dialect_test.cc
+++ b/tests/platform/wire_dialect_test.cc
@@ -4,6 +4,7 @@
 #include <gtest/gtest.h>
 
 #include <ostream>
+#include <string>
 
 namespace balsam::platform {
 namespace {
@@ -330,6 +331,16 @@
   EXPECT_EQ(configuration.workspaces[0].priority, 1);
 }
 
+// The process ended: the handle was written out again, one call for each level,
+// until the stack was exhausted (issue 30).
+TEST(WireDialectTest, CopyResponseWithNestedHandleHasNone) {
+  constexpr std::size_t kDepth = 1 << 20;
+  const auto response = WireDialect().ParseCopyResponse(
+      200, R"({"handle":)" + std::string(kDepth, '[') +
+               std::string(kDepth, ']') + "}");
+  EXPECT_EQ(response.handle, "");
+}
+
 TEST(WireDialectTest, FullServerIsNotUnhealthy) {
   http1::ResponseHead head;
   head.status = 503;
--- /dev/null
+++ b/tests/services/gateway/odd_entry_test.cc
@@ -0,0 +1,199 @@
+// A complete gateway that reads and watches a scripted store in which another
+// writer left odd entries among sound ones (issue 30): machines that read such
+// a list ended again and again, or did not follow it any more.
+#include <gtest/gtest.h>
+#include <sys/resource.h>
+
+#include <QByteArray>
+#include <deque>
+#include <memory>
+#include <ostream>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "platform/store_client.h"
+#include "services/gateway/simple_http_server.h"
+#include "tests/services/gateway/gateway_node_fixture.h"
+
+namespace balsam::gateway {
+namespace {
+
+using revisions::RevisionedEntry;
+using std::chrono::milliseconds;
+
+constexpr std::size_t kLargestValue = 1 << 20;
+
+// The greatest size that this process had in memory.
+std::size_t PeakBytes() {
+  rusage usage{};
+  getrusage(RUSAGE_SELF, &usage);
+  return static_cast<std::size_t>(usage.ru_maxrss) << 10;
+}
+
+std::string ItemOf(const RevisionedEntry& entry) {
+  const nlohmann::json key = entry.key;
+  std::string item =
+      R"({"key":)" + key.dump() + R"(,"rev":)" + std::to_string(entry.revision);
+  if (!entry.value.has_value()) return item + R"(,"deleted":true})";
+  return item + R"(,"created":1,"lease":0,"value":")" +
+         QByteArray::fromStdString(*entry.value).toBase64().toStdString() +
+         "\"}";
+}
+
+class OddEntryFixture : public GatewayNodeTest {
+ protected:
+  OddEntryFixture()
+      : store_([this](const http1::RequestHead&, const std::string&) {
+          if (responses_.empty()) return HttpResponse{503, "text/plain", {}};
+          HttpResponse response = responses_.front();
+          responses_.pop_front();
+          return response;
+        }) {}
+
+  void SetUp() override {
+    GatewayNodeTest::SetUp();
+    ASSERT_TRUE(RetryWithOtherPorts([this] {
+      const directory::Endpoint endpoint{"127.0.0.1", FreePort()};
+      platform::StoreClient::Limits limits;
+      limits.min_retry_delay = milliseconds(1);
+      limits.max_retry_delay = milliseconds(2);
+      client_ = std::make_unique<platform::StoreClient>(endpoint, limits);
+      return TryOr(
+          [&]() -> Result<bool> {
+            BOOST_LEAF_CHECK(store_.Listen(endpoint));
+            return true;
+          },
+          [](const Error&) { return false; });
+    }));
+    client_->on_changes = [this](const auto& changes, std::uint64_t revision) {
+      node_->OnStoreChanges(changes, revision);
+    };
+    client_->on_snapshot = [this](const auto& entries, std::uint64_t revision) {
+      node_->OnStoreSnapshot(entries, revision);
+    };
+  }
+
+  // The store responds once with these entries, to a read or to a watch.
+  void Respond(const char* list, const std::vector<RevisionedEntry>& entries) {
+    std::string body = std::string(R"({"truncated":false,"storeRevision":)") +
+                       std::to_string(revision_) + R"(,")" + list + R"(":[)";
+    for (const RevisionedEntry& entry : entries) {
+      if (&entry != entries.data()) body += ',';
+      body += ItemOf(entry);
+    }
+    responses_.push_back({200, "application/json", body + "]}"});
+  }
+  // Runs until the gateway has everything that the store has responded.
+  void RunUntilFollowed() {
+    ASSERT_TRUE(
+        RunUntil([this] { return node_->known_revision() == revision_; }));
+  }
+
+  RevisionedEntry OddEntry(const std::string& key, const std::string& value) {
+    return {key, ++revision_, value};
+  }
+  // The same engine is about to leave.
+  RevisionedEntry Draining(RevisionedEntry entry) {
+    nlohmann::json fields = nlohmann::json::parse(*entry.value);
+    fields["state"] = "draining";
+    return {entry.key, ++revision_, fields.dump()};
+  }
+
+  SimpleHttpServer store_;
+  std::deque<HttpResponse> responses_;
+  std::unique_ptr<platform::StoreClient> client_;
+};
+
+struct OddCase {
+  const char* name;
+  std::string value;
+  // Replaces the key of an engine's entry if it is not empty.
+  std::string key;
+};
+
+void PrintTo(const OddCase& value, std::ostream* out) { *out << value.name; }
+
+// Stands for the port of the engine that an odd entry names.
+constexpr std::string_view kPort = "PORT";
+
+std::string EngineWith(const std::string& members) {
+  return R"({"service":"s","addr":"127.0.0.1:PORT","zone":"z","slots":8,)"
+         R"("state":"ready",)" +
+         members + "}";
+}
+
+std::string Nested(std::size_t depth) {
+  return std::string(depth, '[') + std::string(depth, ']');
+}
+
+class OddEntryTest : public OddEntryFixture,
+                     public testing::WithParamInterface<OddCase> {
+ protected:
+  // The parameter's value, with the port of an engine that is to get nothing.
+  std::string Value() {
+    std::string value = GetParam().value;
+    const std::size_t at = value.find(kPort);
+    if (at == std::string::npos) return value;
+    return value.replace(at, kPort.size(), std::to_string(odd_.port()));
+  }
+  RevisionedEntry Odd() {
+    const std::string& key = GetParam().key;
+    return OddEntry(key.empty() ? "servers/i-odd" : key, Value());
+  }
+  // Requests are sent to this engine and to no other.
+  void ExpectServedBy(ScriptedEngine& engine) {
+    const std::size_t before = Requests(engine);
+    for (int i = 0; i < 3; ++i) EXPECT_EQ(RequestStatus(), 200);
+    EXPECT_EQ(Requests(engine), before + 3);
+    EXPECT_TRUE(odd_.heads.empty());
+  }
+
+  ScriptedEngine odd_;
+};
+
+TEST_P(OddEntryTest, OthersServeAndAreFollowed) {
+  const std::size_t peak = PeakBytes();
+  const RevisionedEntry first = EntryOf(0, first_, 1);
+  Respond("items", {Odd(), ConfigurationEntry(1, true), first});
+  client_->Start();
+  RunUntilFollowed();
+  ExpectServedBy(first_);
+  // The odd entry changes, and in the same response one engine replaces the
+  // other.
+  Respond("events", {Odd(), Draining(first), EntryOf(1, second_, 1), Odd()});
+  RunUntilFollowed();
+  ExpectServedBy(second_);
+  if (GetParam().key.empty()) {
+    // The entry of the engine itself becomes odd.
+    Respond("events", {OddEntry("servers/i-1", Value())});
+    RunUntilFollowed();
+    EXPECT_EQ(RequestStatus(), 503);
+  }
+  // Later changes are followed.
+  Respond("events", {EntryOf(1, second_, 2), Odd()});
+  RunUntilFollowed();
+  ExpectServedBy(second_);
+  // A machine has 88 MB.
+  EXPECT_LT(PeakBytes() - peak, std::size_t{32} << 20);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Entries, OddEntryTest,
+    testing::Values(
+        OddCase{"Empty", "", ""}, OddCase{"Null", "null", ""},
+        OddCase{"NotJson", "\xff\xfe", ""},
+        OddCase{"NestedArrays", EngineWith(R"("x":)" + Nested(100'000)), ""},
+        OddCase{"LargestNesting", std::string(kLargestValue, '['), ""},
+        OddCase{"LargestNestedArrays", Nested(kLargestValue / 2), ""},
+        OddCase{"LargestNestedObjects",
+                [] {
+                  std::string text;
+                  while (text.size() + 5 <= kLargestValue) text += R"({"a":)";
+                  return text;
+                }(),
+                ""}),
+    [](const auto& info) { return std::string(info.param.name); });
+
+}  // namespace
+}  // namespace balsam::gateway
