--- a/tests/platform/wire_dialect_test.cc
+++ b/tests/platform/wire_dialect_test.cc
@@ -277,6 +277,88 @@
                       "slots":1,"state":"sleeping"})"}),
     [](const auto& info) { return std::string(info.param.name); });
 
+// An entry with these members beside sound ones, which they precede.
+std::string EntryWith(const std::string& members) {
+  return R"({"service":"s","addr":"10.0.0.1:80","zone":"z","slots":8,)"
+         R"("state":"ready",)" +
+         members + "}";
+}
+
+struct OddEntryCase {
+  const char* name;
+  std::string text;
+};
+
+void PrintTo(const OddEntryCase& value, std::ostream* out) {
+  *out << value.name;
+}
+
+class OddEntryTest : public testing::TestWithParam<OddEntryCase> {};
+
+// Another writer's entry with a number too large was taken for an engine with
+// room for two thousand million requests, so that all of them went to it; or
+// with whatever the conversion made of the number (issue 30).
+TEST_P(OddEntryTest, NamesNoServer) {
+  const std::string reason = TryOr(
+      [&]() -> Result<std::string> {
+        BOOST_LEAF_CHECK(WireDialect().ParseServer("i-1", GetParam().text));
+        return std::string();
+      },
+      [](const Error& error) { return error.detail; });
+  EXPECT_FALSE(reason.empty());
+  // It goes to the log.
+  EXPECT_LT(reason.size(), 300U);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Entries, OddEntryTest,
+    testing::Values(
+        OddEntryCase{"Null", "null"},
+        OddEntryCase{"HugeSlots", EntryWith(R"("slots":1e20)")},
+        OddEntryCase{"OverflowingSlots", EntryWith(R"("slots":1e400)")},
+        OddEntryCase{"MostSlots", EntryWith(R"("slots":2147483647)")},
+        OddEntryCase{"WrappedSlots", EntryWith(R"("slots":4294967297)")},
+        OddEntryCase{"SlotsBeyond64Bits",
+                     EntryWith(R"("slots":99999999999999999999)")},
+        OddEntryCase{"NegativeSlots", EntryWith(R"("slots":-1)")},
+        OddEntryCase{"FractionalSlots", EntryWith(R"("slots":2.5)")},
+        OddEntryCase{"BooleanSlots", EntryWith(R"("slots":true)")},
+        OddEntryCase{"NullSlots", EntryWith(R"("slots":null)")},
+        OddEntryCase{"PortZero", EntryWith(R"("addr":"10.0.0.1:0")")},
+        OddEntryCase{"NegativePort", EntryWith(R"("addr":"10.0.0.1:-80")")},
+        OddEntryCase{"PortJustBeyondRange",
+                     EntryWith(R"("addr":"10.0.0.1:65536")")},
+        OddEntryCase{"PortBeyondRange",
+                     EntryWith(R"("addr":"10.0.0.1:99999")")},
+        OddEntryCase{"PortBeyond64Bits",
+                     EntryWith(R"("addr":"10.0.0.1:99999999999999999999")")},
+        OddEntryCase{"PortAfterSpace", EntryWith(R"("addr":"10.0.0.1: 80")")},
+        OddEntryCase{"PortBeforeSpace", EntryWith(R"("addr":"10.0.0.1:80 ")")},
+        OddEntryCase{"EmptyPort", EntryWith(R"("addr":"10.0.0.1:")")},
+        OddEntryCase{"NoPort", EntryWith(R"("addr":"10.0.0.1")")},
+        OddEntryCase{"NoAddress", EntryWith(R"("addr":":80")")},
+        OddEntryCase{"UnspecifiedAddress", EntryWith(R"("addr":"0.0.0.0:80")")},
+        OddEntryCase{"BroadcastAddress",
+                     EntryWith(R"("addr":"255.255.255.255:80")")},
+        OddEntryCase{"MulticastAddress", EntryWith(R"("addr":"224.0.0.1:80")")},
+        OddEntryCase{"NestedAddress",
+                     EntryWith(R"("addr":)" + std::string(30, '[') +
+                               std::string(30, ']'))},
+        OddEntryCase{"NestedExtra",
+                     EntryWith(R"("x":)" + std::string(100'000, '[') +
+                               std::string(100'000, ']'))},
+        OddEntryCase{"NestedObjects",
+                     [] {
+                       std::string text;
+                       for (int i = 0; i < 100'000; ++i) text += R"({"a":)";
+                       return EntryWith(R"("x":)" + text);
+                     }()},
+        OddEntryCase{"LongState", EntryWith(R"("state":")" +
+                                            std::string(1 << 20, 'x') + '"')},
+        OddEntryCase{"InvalidUtf8", EntryWith("\"x\":\"\xff\"")},
+        OddEntryCase{"LoneSurrogate", EntryWith(R"("x":"\udc80")")}),
+    [](const auto& info) { return std::string(info.param.name); });
+
 TEST(WireDialectTest, ParsesServerEntry) {
   const auto server = TryOr(
       [&]() -> Result<directory::BackendServer> {
--- a/tests/services/gateway/odd_entry_test.cc
+++ b/tests/services/gateway/odd_entry_test.cc
@@ -192,6 +192,23 @@
                   while (text.size() + 5 <= kLargestValue) text += R"({"a":)";
                   return text;
                 }(),
+                ""},
+        OddCase{"HugeSlots", EngineWith(R"("slots":1e300)"), ""},
+        OddCase{"OverflowingSlots", EngineWith(R"("slots":1e400)"), ""},
+        OddCase{"SlotsBeyond64Bits",
+                EngineWith(R"("slots":99999999999999999999)"), ""},
+        OddCase{"MostSlots", EngineWith(R"("slots":2147483647)"), ""},
+        OddCase{"NegativeSlots", EngineWith(R"("slots":-1)"), ""},
+        OddCase{"PortBeyondRange", EngineWith(R"("addr":"127.0.0.1:65536")"),
+                ""},
+        OddCase{"PortFarBeyondRange", EngineWith(R"("addr":"127.0.0.1:99999")"),
+                ""},
+        OddCase{"PortZero", EngineWith(R"("addr":"127.0.0.1:0")"), ""},
+        OddCase{"NegativePort", EngineWith(R"("addr":"127.0.0.1:-1")"), ""},
+        OddCase{"OwnAddress", EngineWith(R"("addr":"0.0.0.0:PORT")"), ""},
+        OddCase{"LargestState",
+                EngineWith(R"("state":")" +
+                           std::string(kLargestValue - 200, 'x') + '"'),
                 ""}),
     [](const auto& info) { return std::string(info.param.name); });
 
