--- a/tests/platform/wire_dialect_test.cc
+++ b/tests/platform/wire_dialect_test.cc
@@ -359,6 +359,28 @@
         OddEntryCase{"LoneSurrogate", EntryWith(R"("x":"\udc80")")}),
     [](const auto& info) { return std::string(info.param.name); });
 
+// The id goes into a header field of each request to the engine: with the end
+// of a line in it, the field could carry a request of its own.
+class OddServerIdTest : public testing::TestWithParam<const char*> {};
+
+TEST_P(OddServerIdTest, NamesNoServer) {
+  const auto usable = [](const std::string& id) {
+    return TryOr(
+        [&]() -> Result<bool> {
+          BOOST_LEAF_CHECK(
+              WireDialect().ParseServer(id, EntryWith(R"("seq":1)")));
+          return true;
+        },
+        [](const Error&) { return false; });
+  };
+  EXPECT_TRUE(usable("i-1"));
+  EXPECT_FALSE(usable(GetParam()));
+}
+
+INSTANTIATE_TEST_SUITE_P(Ids, OddServerIdTest,
+                         testing::Values("", "i 1", "i\r\nTenant: w", "i\n",
+                                         "i\t1", "i\x7f", "i\xc3\xa9"));
+
 TEST(WireDialectTest, ParsesServerEntry) {
   const auto server = TryOr(
       [&]() -> Result<directory::BackendServer> {
@@ -413,6 +435,43 @@
   EXPECT_EQ(configuration.workspaces[0].priority, 1);
 }
 
+// The tenant's name goes into a header field of requests, and the health path
+// into the head of a call.
+TEST(WireDialectTest, ConfigurationWithLineEndsIsRefused) {
+  const auto is_accepted = [](const std::string& tenant,
+                              const std::string& path) {
+    return TryOr(
+        [&]() -> Result<bool> {
+          BOOST_LEAF_CHECK(WireDialect().ParseConfiguration(
+              R"({"version":7,"routes":[],"services":[{"name":"s",)"
+              R"("healthPath":")" +
+              path + R"("}],"tenants":[{"name":")" + tenant + R"("}]})"));
+          return true;
+        },
+        [](const Error&) { return false; });
+  };
+  EXPECT_TRUE(is_accepted("t 1 \xc3\xa9", "/health"));
+  EXPECT_FALSE(is_accepted(R"(t\r\nHold: 1)", "/health"));
+  EXPECT_FALSE(is_accepted(R"(t\u0000)", "/health"));
+  EXPECT_FALSE(is_accepted("t", R"(/health HTTP/1.1\r\nHost: x)"));
+}
+
+// The handle goes into the target and a field of later requests.
+TEST(WireDialectTest, CopyResponseWithOddHandleHasNone) {
+  const WireDialect dialect;
+  using migration::CopyResult;
+  EXPECT_EQ(dialect.ParseCopyResponse(200, R"({"handle":7})").handle, "7");
+  for (const std::string& handle :
+       {std::string(R"("h\r\nTenant: w")"), std::string(R"("h 1")"),
+        std::string(R"("")"), std::string("null"), std::string("1e300"),
+        std::string("[7]"), '"' + std::string(100'000, 'h') + '"'}) {
+    const auto response =
+        dialect.ParseCopyResponse(200, R"({"handle":)" + handle + "}");
+    EXPECT_EQ(response.result, CopyResult::kNoResponse) << handle.substr(0, 40);
+    EXPECT_EQ(response.handle, "") << handle.substr(0, 40);
+  }
+}
+
 // The process ended: the handle was written out again, one call for each level,
 // until the stack was exhausted (issue 30).
 TEST(WireDialectTest, CopyResponseWithNestedHandleHasNone) {
--- a/tests/services/gateway/odd_entry_test.cc
+++ b/tests/services/gateway/odd_entry_test.cc
@@ -212,5 +212,14 @@
                 ""}),
     [](const auto& info) { return std::string(info.param.name); });
 
+// Entries that are sound apart from the key.
+INSTANTIATE_TEST_SUITE_P(
+    Keys, OddEntryTest,
+    testing::Values(OddCase{"EmptyId", EngineWith(R"("seq":1e300)"),
+                            "servers/"},
+                    OddCase{"IdWithLineEnd", EngineWith(R"("seq":-1)"),
+                            "servers/i\r\nTenant: w"}),
+    [](const auto& info) { return std::string(info.param.name); });
+
 }  // namespace
 }  // namespace balsam::gateway
