Refuse a configuration with an odd version, and bound its numbers

What callers would see: after a configuration whose version is negative, each later one is ignored until the gateways are restarted. Sizes, weights and priorities beyond their types were whatever the conversion made of them.

Cause: -1 was converted to 2^64 - 1, which no later version exceeds; a version of 1e300 or true was taken as well. Numbers were converted to int or to 64 bits without a bound, which is undefined for those that do not fit. A weight was multiplied by 1,000 and converted in the same way.

Fix: a version is a whole number that is not negative. Other numbers are clamped before they are converted. A header limit of zero or less, with which every request would be refused, makes the configuration invalid; the one before stays in force, as with any that cannot be read.

Ruled out: the store accepts only valid configurations, so that this needs a faulty writer.

--- a/tests/platform/wire_dialect_test.cc
+++ b/tests/platform/wire_dialect_test.cc
@@ -3,6 +3,7 @@
 
 #include <gtest/gtest.h>
 
+#include <optional>
 #include <ostream>
 #include <string>
 
@@ -435,6 +436,64 @@
   EXPECT_EQ(configuration.workspaces[0].priority, 1);
 }
 
+std::optional<routing::Configuration> ConfigurationWith(
+    const std::string& version, const std::string& route_members,
+    const std::string& limits) {
+  return TryOr(
+      [&]() -> Result<std::optional<routing::Configuration>> {
+        BOOST_LEAF_AUTO(
+            configuration,
+            WireDialect().ParseConfiguration(
+                R"({"version":)" + version +
+                R"(,"routes":[{"name":"r","host":"h","prefix":"/",)" +
+                R"("kind":"stream","service":"s")" + route_members +
+                R"(}],"services":[{"name":"s","engine":{"slots":1e300,)" +
+                R"("kvCapacity":-1e300}}],"limits":{)" + limits + "}}"));
+        return std::optional(std::move(configuration));
+      },
+      [](const Error&) { return std::optional<routing::Configuration>(); });
+}
+
+// A version that wrapped around to a huge one would stay in force for ever.
+TEST(WireDialectTest, ConfigurationWithOddVersionIsRefused) {
+  EXPECT_TRUE(ConfigurationWith("7", "", "").has_value());
+  for (const char* version :
+       {"-1", "1e300", "1e400", "1.5", "99999999999999999999", "\"7\"", "null",
+        "true", "[7]"}) {
+    EXPECT_FALSE(ConfigurationWith(version, "", "").has_value()) << version;
+  }
+  EXPECT_FALSE(ConfigurationWith(std::string(500'000, '['), "", ""));
+}
+
+// No request would be accepted.
+TEST(WireDialectTest, ConfigurationWithoutRoomForHeadersIsRefused) {
+  for (const char* limit : {"0", "-1", "-1e300"}) {
+    EXPECT_FALSE(
+        ConfigurationWith("7", "", R"("maxHeaderBytes":)" + std::string(limit))
+            .has_value())
+        << limit;
+  }
+}
+
+TEST(WireDialectTest, BoundsNumbersInConfiguration) {
+  const auto configuration = ConfigurationWith(
+      "7",
+      R"(,"priority":1e300,"attempts":1e300,"timeoutMs":1e300,)"
+      R"("split":[{"service":"s","weight":1e300},{"service":"s","weight":-5}])",
+      R"("maxHeaderBytes":1e300,"maxBodyBytes":1e300)");
+  ASSERT_TRUE(configuration.has_value());
+  const routing::Route& route = configuration->routes[0];
+  EXPECT_EQ(route.priority, 1000);
+  EXPECT_EQ(route.max_attempts, 1000);
+  EXPECT_EQ(route.timeout, std::chrono::hours(24));
+  EXPECT_EQ(route.services[0].weight, 1e6);
+  EXPECT_EQ(route.services[1].weight, 0.0);
+  EXPECT_EQ(configuration->limits.max_header_bytes, 1U << 20);
+  EXPECT_EQ(configuration->limits.max_body_bytes, 1U << 30);
+  EXPECT_EQ(configuration->services[0].engine->slots, 4096);
+  EXPECT_EQ(configuration->services[0].engine->memory_tokens, 0);
+}
+
 // The tenant's name goes into a header field of requests, and the health path
 // into the head of a call.
 TEST(WireDialectTest, ConfigurationWithLineEndsIsRefused) {
