--- a/tests/platform/wire_dialect_test.cc
+++ b/tests/platform/wire_dialect_test.cc
@@ -541,6 +541,14 @@
   EXPECT_EQ(response.handle, "");
 }
 
+// The process ended: a client's id that is not UTF-8 cannot be written as JSON,
+// which threw an exception that nobody caught, when its run was migrated.
+TEST(WireDialectTest, CopiesRunOfAnyRequestId) {
+  const auto call =
+      WireDialect().MakeCopyCall("r-\xff\xc3", {"10.0.0.1", 80}, false);
+  EXPECT_NE(call.body.find("10.0.0.1:80"), std::string::npos);
+}
+
 TEST(WireDialectTest, FullServerIsNotUnhealthy) {
   http1::ResponseHead head;
   head.status = 503;
