--- a/services/gateway/outbound_connection.cc
+++ b/services/gateway/outbound_connection.cc
@@ -1,6 +1,7 @@
 // The client side of HTTP/1.1.
 #include "services/gateway/outbound_connection.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace balsam::gateway {
@@ -10,6 +11,8 @@
 // A server that sends more interim responses than this is assumed never to send
 // the final one.
 constexpr int kMaxInterimResponses = 16;
+// A longer time is meaningless, and would overflow in milliseconds.
+constexpr std::chrono::seconds kMaxKeepAlive = std::chrono::hours(24);
 
 std::optional<std::chrono::milliseconds> KeepAliveTimeout(
     const http1::FieldList& fields) {
@@ -23,7 +26,7 @@
   const auto [number_end, error] =
       std::from_chars(first, value->data() + value->size(), seconds);
   if (error != std::errc() || seconds < 0) return std::nullopt;
-  return std::chrono::seconds(seconds);
+  return std::min(std::chrono::seconds(seconds), kMaxKeepAlive);
 }
 
 }  // namespace
--- a/tests/platform/wire_dialect_test.cc
+++ b/tests/platform/wire_dialect_test.cc
@@ -549,6 +549,26 @@
   EXPECT_NE(call.body.find("10.0.0.1:80"), std::string::npos);
 }
 
+// A time beyond 64 bits was converted without a bound, which is undefined.
+TEST(WireDialectTest, BoundsLeavingTimeInReport) {
+  const auto leaves_in = [](const char* text) {
+    return TryOr([&] { return WireDialect().ParseReport(200, text); },
+                 [](const Error&) { return gateway::EngineReport{}; })
+        .leaves_in;
+  };
+  EXPECT_EQ(leaves_in(R"({"leaves_ms":1e300})"), std::chrono::hours(24));
+  EXPECT_EQ(leaves_in(R"({"leaves_ms":-1e300})"), milliseconds(0));
+  EXPECT_EQ(leaves_in(R"({"leaves_ms":99999999999999999999})"),
+            std::chrono::hours(24));
+}
+
+// Sums with the largest time overflow.
+TEST(WireDialectTest, BoundsDeadline) {
+  http1::RequestHead head;
+  head.fields.Add("Deadline-Ms", "9223372036854775807");
+  EXPECT_EQ(WireDialect().ParseRequest(head).time_left, std::chrono::hours(24));
+}
+
 TEST(WireDialectTest, FullServerIsNotUnhealthy) {
   http1::ResponseHead head;
   head.status = 503;
--- a/tests/services/gateway/outbound_connection_test.cc
+++ b/tests/services/gateway/outbound_connection_test.cc
@@ -58,6 +58,25 @@
   EXPECT_TRUE(connection_->reusable());
 }
 
+// The time overflowed in milliseconds and was negative, so that no connection
+// to this server was used twice.
+TEST_F(OutboundConnectionTest, BoundsKeepAliveTime) {
+  const auto idle_limit = [this](const std::string& value) {
+    Script([value](QTcpSocket* socket) {
+      const std::string text = "HTTP/1.1 200 OK\r\nKeep-Alive: " + value +
+                               "\r\nContent-Length: 2\r\n\r\nab";
+      socket->write(text.data(), static_cast<qint64>(text.size()));
+    });
+    Call(engine_.port());
+    return connection_->idle_limit();
+  };
+  EXPECT_EQ(idle_limit("timeout=5, max=100"), std::chrono::seconds(5));
+  EXPECT_EQ(idle_limit("timeout=9223372036854775807"), std::chrono::hours(24));
+  EXPECT_FALSE(idle_limit("timeout=99999999999999999999").has_value());
+  EXPECT_FALSE(idle_limit("timeout=-5").has_value());
+  EXPECT_FALSE(idle_limit("timeout=").has_value());
+}
+
 TEST_F(OutboundConnectionTest, OrderlyCloseEndsBodyWithoutLength) {
   Script([](QTcpSocket* socket) {
     socket->write("HTTP/1.1 200 OK\r\n\r\nab");
