--- a/tests/platform/store_client_test.cc
+++ b/tests/platform/store_client_test.cc
@@ -322,6 +322,125 @@
   EXPECT_EQ(revision_, *revisions::MakeRevision(2, 13));
 }
 
+// The values of items that another writer may leave, as they may arrive.
+class OddValueTest : public StoreClientTest,
+                     public testing::WithParamInterface<const char*> {
+ protected:
+  static std::string OddItem(int revision) {
+    return R"({"key":"odd","rev":)" + std::to_string(revision) + GetParam() +
+           "}";
+  }
+  static const revisions::RevisionedEntry* Find(
+      const StoreClient::Entries& entries, const std::string& key) {
+    const auto found =
+        std::ranges::find(entries, key, &revisions::RevisionedEntry::key);
+    return found == entries.end() ? nullptr : &*found;
+  }
+};
+
+// One item made the whole response unreadable, which was asked for again and
+// again: nothing else that changed became known (issue 30).
+TEST_P(OddValueTest, OtherItemsAreRead) {
+  StartWithResponses({Page(Item("a", 3) + "," + OddItem(4), 5, true),
+                      Page(Item("b", 5), 5, false),
+                      Events(OddItem(6) + "," + Item("c", 7), 7),
+                      Events(Item("d", 8), 8)});
+  ASSERT_TRUE(RunUntil([this] { return changes_.size() >= 2; }));
+  ASSERT_EQ(snapshots_.size(), 1U);
+  EXPECT_NE(Find(snapshots_[0], "a"), nullptr);
+  EXPECT_NE(Find(snapshots_[0], "b"), nullptr);
+  EXPECT_NE(Find(changes_[0], "c"), nullptr);
+  // What the key held before does not remain.
+  ASSERT_NE(Find(changes_[0], "odd"), nullptr);
+  EXPECT_NE(Find(changes_[0], "odd")->value, "v");
+  EXPECT_EQ(changes_[1][0].key, "d");
+  EXPECT_EQ(std::ranges::find(availability_, false), availability_.end());
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Values, OddValueTest,
+    testing::Values("", R"(,"value":null)", R"(,"value":7)",
+                    R"(,"value":["dg=="])", R"(,"value":"%&/")",
+                    R"(,"value":"","created":-1,"lease":1e300)",
+                    R"(,"value":"dg","value":"","deleted":"no")"));
+
+class UnreadableItemTest : public StoreClientTest,
+                           public testing::WithParamInterface<const char*> {};
+
+// An item without a key or a revision may have been damaged on its way, so that
+// the response is asked for again, but not for ever.
+TEST_P(UnreadableItemTest, IsLeftOutWhenItComesAgain) {
+  const std::string items = Item("a", 3) + "," + GetParam();
+  const HttpResponse page = Page(items, 7, false);
+  const HttpResponse events =
+      Events(std::string(GetParam()) + "," + Item("b", 8), 8);
+  StartWithResponses(
+      {page, page, page, events, events, events, Events(Item("c", 9), 9)});
+  ASSERT_TRUE(RunUntil([this] { return changes_.size() >= 2; }));
+  ASSERT_EQ(snapshots_.size(), 1U);
+  ASSERT_EQ(snapshots_[0].size(), 1U);
+  EXPECT_EQ(snapshots_[0][0].key, "a");
+  ASSERT_EQ(changes_[0].size(), 1U);
+  EXPECT_EQ(changes_[0][0].key, "b");
+  EXPECT_EQ(changes_[1][0].key, "c");
+  EXPECT_EQ(revision_, 9U);
+}
+
+// The last revision is beyond those that fit beside an era.
+INSTANTIATE_TEST_SUITE_P(
+    Items, UnreadableItemTest,
+    testing::Values("null", "7", "[]", "{}", R"({"key":"k"})",
+                    R"({"rev":4,"value":"dg=="})",
+                    R"({"key":7,"rev":4,"value":"dg=="})",
+                    R"({"key":"k","rev":"4","value":"dg=="})",
+                    R"({"key":"k","rev":-4,"value":"dg=="})",
+                    R"({"key":"k","rev":4.5,"value":"dg=="})",
+                    R"({"key":"k","rev":1e300,"value":"dg=="})",
+                    R"({"key":"k","rev":99999999999999999999,"value":""})",
+                    R"({"key":"k","rev":281474976710656,"value":"dg=="})"));
+
+// The same page would be read again and again, without a pause.
+TEST_F(StoreClientTest, TruncatedPageWithoutItemsIsFailure) {
+  StartWithResponses({Page(Item("a", 3), 7, true), Page("", 7, true),
+                      Page(Item("b", 4), 7, false)});
+  ASSERT_TRUE(RunUntil([this] { return !snapshots_.empty(); }));
+  EXPECT_EQ(snapshots_[0].size(), 2U);
+  // The second one counted as a failure, which is followed by a pause.
+  ASSERT_GE(availability_.size(), 3U);
+  EXPECT_FALSE(availability_[1]);
+  EXPECT_TRUE(availability_[2]);
+}
+
+TEST_F(StoreClientTest, PageWithoutTruncatedIsTheLast) {
+  StartWithResponses(
+      {Json(R"({"items":[)" + Item("a", 3) + R"(],"storeRevision":7})")});
+  ASSERT_TRUE(RunUntil([this] { return !snapshots_.empty(); }));
+  EXPECT_EQ(snapshots_[0].size(), 1U);
+}
+
+// A watch that returned more than is read at once returned it again each time,
+// until the store had dropped that history.
+TEST_F(StoreClientTest, TooLongWatchResponseTriggersFullRead) {
+  const std::string text(9 << 20, 'x');
+  StartWithResponses(
+      {Page(Item("a", 3), 7, false),
+       Events(R"({"key":"long","rev":8,"value":")" + text + "\"}", 8),
+       Page(Item("b", 8), 9, false)});
+  ASSERT_TRUE(RunUntil([this] { return snapshots_.size() >= 2; }));
+  EXPECT_EQ(snapshots_[1][0].key, "b");
+}
+
+// No later response would be of that era.
+TEST_F(StoreClientTest, EraBeyondRevisionsIsIgnored) {
+  HttpResponse watch = Events("", 7);
+  watch.fields.Add("Store-Era", "99999999999");
+  StartWithResponses(
+      {Page(Item("a", 3), 7, false), watch, Events(Item("b", 8), 8)});
+  ASSERT_TRUE(RunUntil([this] { return changes_.size() >= 2; }));
+  EXPECT_EQ(changes_[1][0].key, "b");
+  EXPECT_EQ(revision_, 8U);
+}
+
 class InvalidResponseTest : public StoreClientTest,
                             public testing::WithParamInterface<const char*> {};
 
