Keep no texts of the store that nothing here reads

What callers would see: where another writer leaves an entry of 1 MiB among those of the engines, or keys of its own in the store, gateways on slow links learn late or never of other changes.

Cause: the replica of a gateway holds the text of every key, and gives its peers the texts that are new to them. On a link of 10 Mbit/s 1 MiB takes 0.84 s of the second that a peer waits for it, and all peers ask at once; 8 MiB are more than a peer reads.

The time on a slow link was computed, not played.

Fix: what comes from the store or from a peer is applied without the texts of keys that nothing here reads, and of servers' entries above 64 KiB, which name no server. The keys and revisions stay, so that what they held before is replaced.

Ruled out: configurations, which may have 1 MiB and are needed.

--- a/services/gateway/gateway_node.cc
+++ b/services/gateway/gateway_node.cc
@@ -43,6 +43,10 @@
 // and more), and a small part of an engine's leave notice.
 constexpr milliseconds kMaxWatchDelay{200};
 
+// The entry of a server has some hundred bytes. A longer one is not one, and
+// peers would be sent it each time that they lack a change.
+constexpr std::size_t kMaxServerEntryBytes = 64 << 10;
+
 std::uint64_t RandomNumber() {
   std::random_device device;
   return (std::uint64_t{device()} << 32) | device();
@@ -198,9 +202,30 @@
   };
 }
 
-void GatewayNode::OnStoreChanges(const std::vector<RevisionedEntry>& changes,
+std::vector<RevisionedEntry> GatewayNode::WithoutUnusableTexts(
+    std::vector<RevisionedEntry> entries) const {
+  for (RevisionedEntry& entry : entries) {
+    if (!entry.value.has_value() ||
+        context_.dialect.IsConfigurationKey(entry.key)) {
+      continue;
+    }
+    const bool is_server = context_.dialect.ServerIdOf(entry.key).has_value();
+    if (is_server && entry.value->size() <= kMaxServerEntryBytes) continue;
+    if (is_server) {
+      LogEvent("store_text_dropped", LogEvent::Level::kWarning)
+          .With("key", entry.key)
+          .With("bytes", entry.value->size());
+    }
+    // The key stays, so that what it held before is replaced.
+    entry.value.emplace();
+  }
+  return entries;
+}
+
+void GatewayNode::OnStoreChanges(std::vector<RevisionedEntry> changes,
                                  std::uint64_t store_revision) {
   const std::uint64_t before = replica_.revision();
+  changes = WithoutUnusableTexts(std::move(changes));
   for (const RevisionedEntry& entry : changes) {
     if (replica_.Apply(entry)) OnEntry(entry, false);
   }
@@ -208,13 +233,14 @@
   if (replica_.revision() > before) peers_.AnnounceRevision();
 }
 
-void GatewayNode::OnStoreSnapshot(const std::vector<RevisionedEntry>& entries,
+void GatewayNode::OnStoreSnapshot(std::vector<RevisionedEntry> entries,
                                   std::uint64_t store_revision) {
   // A snapshot older than the replica has no new information.
   if (store_revision < replica_.revision()) return;
   const std::uint64_t before = replica_.revision();
   const bool is_restored =
       before > 0 && revisions::EraOf(store_revision) > revisions::EraOf(before);
+  entries = WithoutUnusableTexts(std::move(entries));
   const auto changes = replica_.ApplySnapshot({}, entries, store_revision);
   if (is_restored) {
     // Servers that are missing from the copy announce themselves again.
--- a/services/gateway/gateway_node.h
+++ b/services/gateway/gateway_node.h
@@ -39,11 +39,11 @@
   void BeginStop();
 
   // Applies changes read from the store; the newest revision is last.
-  void OnStoreChanges(const std::vector<revisions::RevisionedEntry>& changes,
+  void OnStoreChanges(std::vector<revisions::RevisionedEntry> changes,
                       std::uint64_t store_revision);
   // Applies a complete read of all keys. One of a later era than what is known
   // (`revisions::EraOf`) is a copy that lacks what was written lately.
-  void OnStoreSnapshot(const std::vector<revisions::RevisionedEntry>& entries,
+  void OnStoreSnapshot(std::vector<revisions::RevisionedEntry> entries,
                        std::uint64_t store_revision);
   void OnStoreAvailable(bool available);
   // The store client is on standby, because enough other gateways watch the
@@ -73,6 +73,11 @@
   void OnServerChange(const directory::ServerChange& change);
   // Returns a copy, since the set changes while its members are called.
   std::vector<Exchange*> Exchanges() const;
+  // Returns the entries, with an empty text where it is of no use here: of
+  // keys that nothing here reads, and of servers' entries that are far too
+  // long. Replicas and peers need not keep and pass on what others store.
+  std::vector<revisions::RevisionedEntry> WithoutUnusableTexts(
+      std::vector<revisions::RevisionedEntry> entries) const;
   // Whether this gateway has had uninterrupted access to the store for
   // `kStoreRecoveryTime`, so that no entry is missing because of an outage.
   bool ReachesStore() const;
--- a/tests/services/gateway/gateway_node_fixture.h
+++ b/tests/services/gateway/gateway_node_fixture.h
@@ -37,6 +37,7 @@
     settings.gossip_port = FreePort();
     settings.retry_slack = 50.0;
     client_port_ = settings.clients.port;
+    peer_port_ = settings.peers.port;
     node_ = std::make_unique<GatewayNode>(settings, dialect_);
     const bool started = TryOr(
         [&]() -> Result<bool> {
@@ -135,6 +136,8 @@
   ScriptedEngine second_;
   std::unique_ptr<GatewayNode> node_;
   std::uint16_t client_port_ = 0;
+  // Where other gateways fetch changes.
+  std::uint16_t peer_port_ = 0;
   std::uint64_t revision_ = 0;
 };
 
--- a/tests/services/gateway/odd_entry_test.cc
+++ b/tests/services/gateway/odd_entry_test.cc
@@ -5,6 +5,7 @@
 #include <sys/resource.h>
 
 #include <QByteArray>
+#include <QTcpSocket>
 #include <deque>
 #include <memory>
 #include <ostream>
@@ -221,5 +222,32 @@
                             "servers/i\r\nTenant: w"}),
     [](const auto& info) { return std::string(info.param.name); });
 
+// Each gateway that lacks a change is sent the texts of all entries that are
+// new to it: one of 1 MiB takes most of the time that it waits for them on a
+// link of 10 Mbit/s, and several exceed the largest response, so that it would
+// never learn of the others.
+TEST_F(OddEntryFixture, PeersAreNotSentTextsOfNoUse) {
+  const std::string text(kLargestValue, '[');
+  std::vector<RevisionedEntry> entries = {ConfigurationEntry(1, true),
+                                          EntryOf(0, first_, 1)};
+  for (int i = 0; i < 9; ++i) {
+    entries.push_back(OddEntry("servers/i-odd-" + std::to_string(i), text));
+    entries.push_back(OddEntry("elsewhere/" + std::to_string(i), text));
+  }
+  node_->OnStoreSnapshot(entries, revision_);
+  QTcpSocket peer;
+  peer.connectToHost("127.0.0.1", peer_port_);
+  peer.write(
+      "GET /changes?after=0 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+  std::string response;
+  EXPECT_TRUE(RunUntil([&] {
+    response += peer.readAll().toStdString();
+    return peer.state() == QAbstractSocket::UnconnectedState;
+  }));
+  EXPECT_NE(response.find("servers/i-0"), std::string::npos);
+  EXPECT_LT(response.size(), std::size_t{8} << 10);
+  EXPECT_EQ(RequestStatus(), 200);
+}
+
 }  // namespace
 }  // namespace balsam::gateway
