Report the first hundred problems of a document only

What callers would see: a process that serves nothing for minutes after a request, a VM list or templates of 1 MB in which a key comes again and again.

Cause: the position of each duplicate key is counted from the start of the text, which takes time that grows with the square of its length.

Fix: parsing ends at the hundredth problem.

Regression test: JsonDocumentTest.ReportsFirstProblemsOnly.

--- a/libraries/settings/json_document.cc
+++ b/libraries/settings/json_document.cc
@@ -15,6 +15,9 @@
 // Maximum nesting depth. Deeply nested documents would overflow the stack when
 // they are copied or freed.
 constexpr std::size_t kMaxDepth = 32;
+// Later problems are not reported: the position of each is counted from the
+// start of the text.
+constexpr std::size_t kMaxProblems = 100;
 
 // An input iterator over characters that reports its offset.
 class CountingIterator {
@@ -99,6 +102,7 @@
     if (!level.keys.insert(name).second) {
       problems_.push_back(
           {document_.source_, PositionAt(text_, start), name, "duplicate key"});
+      if (problems_.size() >= kMaxProblems) return false;
     }
     document_.offsets_.emplace(Pointer(), start);
     return true;
--- a/tests/libraries/settings/settings_test.cc
+++ b/tests/libraries/settings/settings_test.cc
@@ -4,6 +4,7 @@
 #include <string>
 #include <vector>
 
+#include "libraries/settings/json_document.h"
 #include "services/entry/entry_settings.h"
 #include "services/sidecar/sidecar_settings.h"
 
@@ -35,6 +36,18 @@
   return text.replace(at, from.size(), to);
 }
 
+// The position of each problem is counted from the start of the text: a text of
+// 1 MB with the same key again and again, which any caller may send, kept the
+// process from everything else for minutes.
+TEST(JsonDocumentTest, ReportsFirstProblemsOnly) {
+  std::string text = R"({"k":0)";
+  for (int i = 0; i < 150'000; ++i) text += R"(,"k":0)";
+  std::vector<Problem> problems;
+  JsonDocument::Parse("body", text + "}", problems);
+  EXPECT_EQ(problems.size(), 100U);
+  EXPECT_EQ(problems[0].ToLine(), "body:1:8: \"k\": duplicate key");
+}
+
 struct InvalidCase {
   std::string name;
   std::string text;
