Leave single odd VMs out of the platform's list, not the list

What callers would see: entries and sidecars that use engines that left, and not those that came, for as long as one VM of the list is odd.

Cause: the list is one text, and one VM with a port out of range, a number too large, nested too deeply or with an unknown key made all of it invalid, and each later revision of it.

The list is refused as before if it is not complete, is not a list of VMs, or if most of it is odd: rather the text is not understood than that most VMs are gone.

Ruled out: templates and orders. They are one document of the operators, checked as a whole by intention; the one before stays in force, and a later one is read.

--- a/libraries/membership/vm_list.h
+++ b/libraries/membership/vm_list.h
@@ -34,8 +34,10 @@
  public:
   VmList() = default;
 
-  // Parses `{"vms": [...]}`. Fails with kInvalidVmList and a detail that names
-  // the key and its position.
+  // Parses `{"vms": [...]}`. A VM that is not described properly is left out,
+  // so that the list can be followed nevertheless; see `problems`. Fails with
+  // kInvalidVmList if there is no such list or most of it is left out, and with
+  // a detail that names the key and its position.
   static Result<VmList> Parse(std::uint64_t revision, std::string_view text);
   // Builds a list from VMs, for embedders with a source of their own.
   static VmList FromVms(std::uint64_t revision, std::vector<Vm> vms);
@@ -45,6 +47,10 @@
   // The text that `Parse` read, for forwarding to peers; empty after `FromVms`.
   const std::string& text() const { return text_; }
 
+  // Why VMs were left out, a line for each reason and a few at most; empty if
+  // none was.
+  const std::vector<std::string>& problems() const { return problems_; }
+
   // Returns null if no VM has this id.
   const Vm* Find(std::string_view id) const;
 
@@ -58,6 +64,7 @@
   std::uint64_t revision_ = 0;
   std::vector<Vm> vms_;
   std::string text_;
+  std::vector<std::string> problems_;
 };
 
 }  // namespace balsam::membership
--- a/services/entry/config_sync.cc
+++ b/services/entry/config_sync.cc
@@ -383,6 +383,12 @@
         return nullptr;
       });
   if (list == nullptr) return;
+  for (const std::string& problem : list->problems()) {
+    LogEvent("vm_refused", LogEvent::Level::kWarning)
+        .With("revision", revision)
+        .With("source", source)
+        .With("reason", problem);
+  }
   std::set<std::string> listed;
   std::ranges::transform(list->vms(), std::inserter(listed, listed.end()),
                          &membership::Vm::id);
--- a/services/sidecar/service_peers.cc
+++ b/services/sidecar/service_peers.cc
@@ -28,6 +28,11 @@
   TryOr(
       [&]() -> Result<bool> {
         BOOST_LEAF_AUTO(list, membership::VmList::Parse(revision, text));
+        for (const std::string& problem : list.problems()) {
+          LogEvent("vm_refused", LogEvent::Level::kWarning)
+              .With("revision", revision)
+              .With("reason", problem);
+        }
         list_ = std::move(list);
         list_history_.SetCurrent(revision, text);
         executor_.key_ownership().AdoptList(list_, ClockReading::Now().wall);
