Show that nested and endless frames of peers are refused

Qt's decoder of CBOR has a limit on depth, and lengths beyond the frame are refused: MessagesTest.DeeplyNestedFramesAreRejected and HugeLengthsAreRejected hold on the code before as well. They guard against a change of the decoder.

--- a/tests/libraries/peer/messages_test.cc
+++ b/tests/libraries/peer/messages_test.cc
@@ -99,6 +99,34 @@
   }
 }
 
+// Gateways ended when a peer's message was nested so deeply that the decoder,
+// another one, exhausted the stack (issue 30). Qt's decoder has a limit.
+TEST(MessagesTest, DeeplyNestedFramesAreRejected) {
+  constexpr qsizetype kBytes = 8 << 20;
+  for (const char nesting :
+       {'\x81', '\x9f', '\xa1', '\xbf', '\x7f', '\x5f', '\xc1', '\xd9'}) {
+    EXPECT_FALSE(TryDecode(QByteArray(kBytes, nesting)).has_value());
+    // The field of a message, also of one that it does not have.
+    for (const char field : {'\x01', '\x17'}) {
+      const QByteArray frame =
+          QByteArray("\x82\x00\xa1", 3) + field + QByteArray(kBytes, nesting);
+      EXPECT_FALSE(TryDecode(frame).has_value());
+    }
+  }
+}
+
+TEST(MessagesTest, HugeLengthsAreRejected) {
+  for (const char kind : {'\x9b', '\xbb', '\x7b', '\x5b'}) {
+    for (const char length : {'\x00', '\x10', '\x7f', '\xff'}) {
+      const QByteArray head =
+          QByteArray(1, kind) + QByteArray(1, length) + QByteArray(7, '\xff');
+      EXPECT_FALSE(TryDecode(head).has_value());
+      EXPECT_FALSE(
+          TryDecode(QByteArray("\x82\x00\xa1\x01", 4) + head).has_value());
+    }
+  }
+}
+
 TEST(MessagesTest, UnknownFieldsAreIgnored) {
   const QCborArray frame{9, QCborMap{{1, QByteArray("a~1~1")}, {77, 1}}};
   const auto message = TryDecode(QCborValue(frame).toCbor());
