Bound the memory that JSON takes in entries and sidecars

What callers would see: a sidecar that an engine's line of 1 MiB of brackets takes 78 MB, and so an entry that reads a response of the platform of that form; balsamctl status ends on a nested field of a process's state, since it writes the field out with one call for each level.

Fix: events and states of engines, the platform's responses and the states of processes are parsed within the limits of libraries/decoding.

Evidence: BoundedJsonTest, for the parser; these uses have no test of their own.

--- a/libraries/backend/backend_client.cc
+++ b/libraries/backend/backend_client.cc
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "libraries/backend/one_shot_body.h"
+#include "libraries/decoding/bounded_json.h"
 
 namespace balsam::backend {
 namespace {
@@ -198,8 +199,8 @@
     exchange.received_done = true;
     return;
   }
-  const json event = json::parse(data.begin(), data.end(), nullptr,
-                                 /*allow_exceptions=*/false);
+  const json event =
+      decoding::ParseJson({data.data(), static_cast<std::size_t>(data.size())});
   if (!event.is_object()) return;
   if (event.contains("preempted")) {
     if (on_preempted) on_preempted(local_id);
--- a/libraries/backend/engine_controller.cc
+++ b/libraries/backend/engine_controller.cc
@@ -6,6 +6,7 @@
 
 #include "libraries/backend/one_shot_body.h"
 #include "libraries/base/log_event.h"
+#include "libraries/decoding/bounded_json.h"
 
 namespace balsam::backend {
 namespace {
@@ -100,8 +101,7 @@
   QNetworkReply* reply = manager_.get(RequestFor("/engine/state"));
   connect(reply, &QNetworkReply::finished, this, [this, reply] {
     reply->deleteLater();
-    const json state = json::parse(reply->readAll().toStdString(), nullptr,
-                                   /*allow_exceptions=*/false);
+    const json state = decoding::ParseJson(reply->readAll().toStdString());
     if (StatusOf(*reply) != kHttpOk || !state.is_object()) return;
     const auto number = state.find("fencing_number");
     const bool has_number =
--- a/libraries/config_service/value_watcher.cc
+++ b/libraries/config_service/value_watcher.cc
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "libraries/base/log_event.h"
+#include "libraries/decoding/bounded_json.h"
 
 namespace balsam::config_service {
 namespace {
@@ -75,8 +76,8 @@
   const int status =
       reply->attribute(QNetworkRequest::HttpStatusCodeAttribute).toInt();
   const QByteArray body = reply->readAll();
-  const json response = json::parse(body.begin(), body.end(), nullptr,
-                                    /*allow_exceptions=*/false);
+  const json response =
+      decoding::ParseJson({body.data(), static_cast<std::size_t>(body.size())});
   const bool has_value = status == kHttpOk && response.is_object() &&
                          response.contains("revision") &&
                          response["revision"].is_number_unsigned() &&
--- a/utilities/balsamctl/main.cc
+++ b/utilities/balsamctl/main.cc
@@ -14,6 +14,7 @@
 #include <nlohmann/json.hpp>
 #include <set>
 
+#include "libraries/decoding/bounded_json.h"
 #include "libraries/membership/vm_list.h"
 #include "libraries/templates/template_set.h"
 #include "services/entry/entry_settings.h"
@@ -118,7 +119,7 @@
   if (reply->error() != QNetworkReply::NoError) {
     response.failure = reply->errorString().toStdString();
   } else {
-    response.body = json::parse(reply->readAll().toStdString(), nullptr, false);
+    response.body = balsam::decoding::ParseJson(reply->readAll().toStdString());
   }
   delete reply;
   return response;
