--- a/tests/platform/store_client_test.cc
+++ b/tests/platform/store_client_test.cc
@@ -364,6 +364,30 @@
                     R"(,"value":"","created":-1,"lease":1e300)",
                     R"(,"value":"dg","value":"","deleted":"no")"));
 
+class OddKeyTest : public StoreClientTest,
+                   public testing::WithParamInterface<const char*> {};
+
+// A key that is not Unicode made the response invalid JSON, which was asked for
+// again and again (issue 30).
+TEST_P(OddKeyTest, OtherItemsAreRead) {
+  const std::string key = GetParam();
+  StartWithResponses({Page(Item("a\\ud83d\\ude00", 3) + "," + Item(key, 4) +
+                               "," + Item("b", 5),
+                           5, false),
+                      Events(Item(key, 6) + "," + Item("c", 7), 7)});
+  ASSERT_TRUE(RunUntil([this] { return !changes_.empty(); }));
+  ASSERT_EQ(snapshots_[0].size(), 3U);
+  // A pair of surrogates is one character.
+  EXPECT_EQ(snapshots_[0][0].key, "a\xf0\x9f\x98\x80");
+  EXPECT_EQ(snapshots_[0][1].key, "k\xef\xbf\xbd");
+  EXPECT_EQ(snapshots_[0][2].key, "b");
+  EXPECT_EQ(changes_[0][1].key, "c");
+}
+
+INSTANTIATE_TEST_SUITE_P(Keys, OddKeyTest,
+                         testing::Values("k\xff", "k\xc3", "k\\ud800",
+                                         "k\\udc80", "k\\uDBFF"));
+
 class UnreadableItemTest : public StoreClientTest,
                            public testing::WithParamInterface<const char*> {};
 
