--- a/tests/services/gateway/odd_entry_test.cc
+++ b/tests/services/gateway/odd_entry_test.cc
@@ -222,6 +222,38 @@
                             "servers/i\r\nTenant: w"}),
     [](const auto& info) { return std::string(info.param.name); });
 
+// A configuration that cannot be read leaves the one before in force, and does
+// not keep later ones from taking its place: with a negative version, it did.
+TEST_F(OddEntryFixture, OddConfigurationChangesNothing) {
+  const std::vector<std::string> odd_texts = {
+      "",
+      "null",
+      "\xff\xfe",
+      std::string(kLargestValue, '['),
+      Nested(kLargestValue / 2),
+      R"({"version":1e400,"routes":[],"services":[]})",
+      R"({"version":99999999999999999999,"routes":[],"services":[]})",
+      R"({"version":2,"routes":)" + Nested(100) + R"(,"services":[]})",
+      R"({"version":2,"routes":[],"services":[null]})",
+      R"({"version":-1,"routes":[],"services":[]})"};
+  // The first read has one, too.
+  Respond("items",
+          {OddEntry("op/config", odd_texts[3]), EntryOf(0, first_, 1)});
+  client_->Start();
+  RunUntilFollowed();
+  EXPECT_EQ(RequestStatus(), 503);
+  Respond("events", {ConfigurationEntry(1, true)});
+  RunUntilFollowed();
+  for (const std::string& text : odd_texts) {
+    Respond("events", {OddEntry("op/config", text)});
+    RunUntilFollowed();
+    EXPECT_EQ(RequestStatus(), 200) << text.substr(0, 80);
+  }
+  Respond("events", {ConfigurationEntry(2, false)});
+  RunUntilFollowed();
+  EXPECT_EQ(RequestStatus(), 401);
+}
+
 // Each gateway that lacks a change is sent the texts of all entries that are
 // new to it: one of 1 MiB takes most of the time that it waits for them on a
 // link of 10 Mbit/s, and several exceed the largest response, so that it would
