--- a/tests/platform/wire_dialect_test.cc
+++ b/tests/platform/wire_dialect_test.cc
@@ -3,7 +3,9 @@
 
 #include <gtest/gtest.h>
 
+#include <optional>
 #include <ostream>
+#include <string>
 
 namespace balsam::platform {
 namespace {
@@ -276,6 +278,110 @@
                       "slots":1,"state":"sleeping"})"}),
     [](const auto& info) { return std::string(info.param.name); });
 
+// An entry with these members beside sound ones, which they precede.
+std::string EntryWith(const std::string& members) {
+  return R"({"service":"s","addr":"10.0.0.1:80","zone":"z","slots":8,)"
+         R"("state":"ready",)" +
+         members + "}";
+}
+
+struct OddEntryCase {
+  const char* name;
+  std::string text;
+};
+
+void PrintTo(const OddEntryCase& value, std::ostream* out) {
+  *out << value.name;
+}
+
+class OddEntryTest : public testing::TestWithParam<OddEntryCase> {};
+
+// Another writer's entry with a number too large was taken for an engine with
+// room for two thousand million requests, so that all of them went to it; or
+// with whatever the conversion made of the number (issue 30).
+TEST_P(OddEntryTest, NamesNoServer) {
+  const std::string reason = TryOr(
+      [&]() -> Result<std::string> {
+        BOOST_LEAF_CHECK(WireDialect().ParseServer("i-1", GetParam().text));
+        return std::string();
+      },
+      [](const Error& error) { return error.detail; });
+  EXPECT_FALSE(reason.empty());
+  // It goes to the log.
+  EXPECT_LT(reason.size(), 300U);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Entries, OddEntryTest,
+    testing::Values(
+        OddEntryCase{"Null", "null"},
+        OddEntryCase{"HugeSlots", EntryWith(R"("slots":1e20)")},
+        OddEntryCase{"OverflowingSlots", EntryWith(R"("slots":1e400)")},
+        OddEntryCase{"MostSlots", EntryWith(R"("slots":2147483647)")},
+        OddEntryCase{"WrappedSlots", EntryWith(R"("slots":4294967297)")},
+        OddEntryCase{"SlotsBeyond64Bits",
+                     EntryWith(R"("slots":99999999999999999999)")},
+        OddEntryCase{"NegativeSlots", EntryWith(R"("slots":-1)")},
+        OddEntryCase{"FractionalSlots", EntryWith(R"("slots":2.5)")},
+        OddEntryCase{"BooleanSlots", EntryWith(R"("slots":true)")},
+        OddEntryCase{"NullSlots", EntryWith(R"("slots":null)")},
+        OddEntryCase{"PortZero", EntryWith(R"("addr":"10.0.0.1:0")")},
+        OddEntryCase{"NegativePort", EntryWith(R"("addr":"10.0.0.1:-80")")},
+        OddEntryCase{"PortJustBeyondRange",
+                     EntryWith(R"("addr":"10.0.0.1:65536")")},
+        OddEntryCase{"PortBeyondRange",
+                     EntryWith(R"("addr":"10.0.0.1:99999")")},
+        OddEntryCase{"PortBeyond64Bits",
+                     EntryWith(R"("addr":"10.0.0.1:99999999999999999999")")},
+        OddEntryCase{"PortAfterSpace", EntryWith(R"("addr":"10.0.0.1: 80")")},
+        OddEntryCase{"PortBeforeSpace", EntryWith(R"("addr":"10.0.0.1:80 ")")},
+        OddEntryCase{"EmptyPort", EntryWith(R"("addr":"10.0.0.1:")")},
+        OddEntryCase{"NoPort", EntryWith(R"("addr":"10.0.0.1")")},
+        OddEntryCase{"NoAddress", EntryWith(R"("addr":":80")")},
+        OddEntryCase{"UnspecifiedAddress", EntryWith(R"("addr":"0.0.0.0:80")")},
+        OddEntryCase{"BroadcastAddress",
+                     EntryWith(R"("addr":"255.255.255.255:80")")},
+        OddEntryCase{"MulticastAddress", EntryWith(R"("addr":"224.0.0.1:80")")},
+        OddEntryCase{"NestedAddress",
+                     EntryWith(R"("addr":)" + std::string(30, '[') +
+                               std::string(30, ']'))},
+        OddEntryCase{"NestedExtra",
+                     EntryWith(R"("x":)" + std::string(100'000, '[') +
+                               std::string(100'000, ']'))},
+        OddEntryCase{"NestedObjects",
+                     [] {
+                       std::string text;
+                       for (int i = 0; i < 100'000; ++i) text += R"({"a":)";
+                       return EntryWith(R"("x":)" + text);
+                     }()},
+        OddEntryCase{"LongState", EntryWith(R"("state":")" +
+                                            std::string(1 << 20, 'x') + '"')},
+        OddEntryCase{"InvalidUtf8", EntryWith("\"x\":\"\xff\"")},
+        OddEntryCase{"LoneSurrogate", EntryWith(R"("x":"\udc80")")}),
+    [](const auto& info) { return std::string(info.param.name); });
+
+// The id goes into a header field of each request to the engine: with the end
+// of a line in it, the field could carry a request of its own.
+class OddServerIdTest : public testing::TestWithParam<const char*> {};
+
+TEST_P(OddServerIdTest, NamesNoServer) {
+  const auto usable = [](const std::string& id) {
+    return TryOr(
+        [&]() -> Result<bool> {
+          BOOST_LEAF_CHECK(
+              WireDialect().ParseServer(id, EntryWith(R"("seq":1)")));
+          return true;
+        },
+        [](const Error&) { return false; });
+  };
+  EXPECT_TRUE(usable("i-1"));
+  EXPECT_FALSE(usable(GetParam()));
+}
+
+INSTANTIATE_TEST_SUITE_P(Ids, OddServerIdTest,
+                         testing::Values("", "i 1", "i\r\nTenant: w", "i\n",
+                                         "i\t1", "i\x7f", "i\xc3\xa9"));
+
 TEST(WireDialectTest, ParsesServerEntry) {
   const auto server = TryOr(
       [&]() -> Result<directory::BackendServer> {
@@ -330,6 +436,139 @@
   EXPECT_EQ(configuration.workspaces[0].priority, 1);
 }
 
+std::optional<routing::Configuration> ConfigurationWith(
+    const std::string& version, const std::string& route_members,
+    const std::string& limits) {
+  return TryOr(
+      [&]() -> Result<std::optional<routing::Configuration>> {
+        BOOST_LEAF_AUTO(
+            configuration,
+            WireDialect().ParseConfiguration(
+                R"({"version":)" + version +
+                R"(,"routes":[{"name":"r","host":"h","prefix":"/",)" +
+                R"("kind":"stream","service":"s")" + route_members +
+                R"(}],"services":[{"name":"s","engine":{"slots":1e300,)" +
+                R"("kvCapacity":-1e300}}],"limits":{)" + limits + "}}"));
+        return std::optional(std::move(configuration));
+      },
+      [](const Error&) { return std::optional<routing::Configuration>(); });
+}
+
+// A version that wrapped around to a huge one would stay in force for ever.
+TEST(WireDialectTest, ConfigurationWithOddVersionIsRefused) {
+  EXPECT_TRUE(ConfigurationWith("7", "", "").has_value());
+  for (const char* version :
+       {"-1", "1e300", "1e400", "1.5", "99999999999999999999", "\"7\"", "null",
+        "true", "[7]"}) {
+    EXPECT_FALSE(ConfigurationWith(version, "", "").has_value()) << version;
+  }
+  EXPECT_FALSE(ConfigurationWith(std::string(500'000, '['), "", ""));
+}
+
+// No request would be accepted.
+TEST(WireDialectTest, ConfigurationWithoutRoomForHeadersIsRefused) {
+  for (const char* limit : {"0", "-1", "-1e300"}) {
+    EXPECT_FALSE(
+        ConfigurationWith("7", "", R"("maxHeaderBytes":)" + std::string(limit))
+            .has_value())
+        << limit;
+  }
+}
+
+TEST(WireDialectTest, BoundsNumbersInConfiguration) {
+  const auto configuration = ConfigurationWith(
+      "7",
+      R"(,"priority":1e300,"attempts":1e300,"timeoutMs":1e300,)"
+      R"("split":[{"service":"s","weight":1e300},{"service":"s","weight":-5}])",
+      R"("maxHeaderBytes":1e300,"maxBodyBytes":1e300)");
+  ASSERT_TRUE(configuration.has_value());
+  const routing::Route& route = configuration->routes[0];
+  EXPECT_EQ(route.priority, 1000);
+  EXPECT_EQ(route.max_attempts, 1000);
+  EXPECT_EQ(route.timeout, std::chrono::hours(24));
+  EXPECT_EQ(route.services[0].weight, 1e6);
+  EXPECT_EQ(route.services[1].weight, 0.0);
+  EXPECT_EQ(configuration->limits.max_header_bytes, 1U << 20);
+  EXPECT_EQ(configuration->limits.max_body_bytes, 1U << 30);
+  EXPECT_EQ(configuration->services[0].engine->slots, 4096);
+  EXPECT_EQ(configuration->services[0].engine->memory_tokens, 0);
+}
+
+// The tenant's name goes into a header field of requests, and the health path
+// into the head of a call.
+TEST(WireDialectTest, ConfigurationWithLineEndsIsRefused) {
+  const auto is_accepted = [](const std::string& tenant,
+                              const std::string& path) {
+    return TryOr(
+        [&]() -> Result<bool> {
+          BOOST_LEAF_CHECK(WireDialect().ParseConfiguration(
+              R"({"version":7,"routes":[],"services":[{"name":"s",)"
+              R"("healthPath":")" +
+              path + R"("}],"tenants":[{"name":")" + tenant + R"("}]})"));
+          return true;
+        },
+        [](const Error&) { return false; });
+  };
+  EXPECT_TRUE(is_accepted("t 1 \xc3\xa9", "/health"));
+  EXPECT_FALSE(is_accepted(R"(t\r\nHold: 1)", "/health"));
+  EXPECT_FALSE(is_accepted(R"(t\u0000)", "/health"));
+  EXPECT_FALSE(is_accepted("t", R"(/health HTTP/1.1\r\nHost: x)"));
+}
+
+// The handle goes into the target and a field of later requests.
+TEST(WireDialectTest, CopyResponseWithOddHandleHasNone) {
+  const WireDialect dialect;
+  using migration::CopyResult;
+  EXPECT_EQ(dialect.ParseCopyResponse(200, R"({"handle":7})").handle, "7");
+  for (const std::string& handle :
+       {std::string(R"("h\r\nTenant: w")"), std::string(R"("h 1")"),
+        std::string(R"("")"), std::string("null"), std::string("1e300"),
+        std::string("[7]"), '"' + std::string(100'000, 'h') + '"'}) {
+    const auto response =
+        dialect.ParseCopyResponse(200, R"({"handle":)" + handle + "}");
+    EXPECT_EQ(response.result, CopyResult::kNoResponse) << handle.substr(0, 40);
+    EXPECT_EQ(response.handle, "") << handle.substr(0, 40);
+  }
+}
+
+// The process ended: the handle was written out again, one call for each level,
+// until the stack was exhausted (issue 30).
+TEST(WireDialectTest, CopyResponseWithNestedHandleHasNone) {
+  constexpr std::size_t kDepth = 1 << 20;
+  const auto response = WireDialect().ParseCopyResponse(
+      200, R"({"handle":)" + std::string(kDepth, '[') +
+               std::string(kDepth, ']') + "}");
+  EXPECT_EQ(response.handle, "");
+}
+
+// The process ended: a client's id that is not UTF-8 cannot be written as JSON,
+// which threw an exception that nobody caught, when its run was migrated.
+TEST(WireDialectTest, CopiesRunOfAnyRequestId) {
+  const auto call =
+      WireDialect().MakeCopyCall("r-\xff\xc3", {"10.0.0.1", 80}, false);
+  EXPECT_NE(call.body.find("10.0.0.1:80"), std::string::npos);
+}
+
+// A time beyond 64 bits was converted without a bound, which is undefined.
+TEST(WireDialectTest, BoundsLeavingTimeInReport) {
+  const auto leaves_in = [](const char* text) {
+    return TryOr([&] { return WireDialect().ParseReport(200, text); },
+                 [](const Error&) { return gateway::EngineReport{}; })
+        .leaves_in;
+  };
+  EXPECT_EQ(leaves_in(R"({"leaves_ms":1e300})"), std::chrono::hours(24));
+  EXPECT_EQ(leaves_in(R"({"leaves_ms":-1e300})"), milliseconds(0));
+  EXPECT_EQ(leaves_in(R"({"leaves_ms":99999999999999999999})"),
+            std::chrono::hours(24));
+}
+
+// Sums with the largest time overflow.
+TEST(WireDialectTest, BoundsDeadline) {
+  http1::RequestHead head;
+  head.fields.Add("Deadline-Ms", "9223372036854775807");
+  EXPECT_EQ(WireDialect().ParseRequest(head).time_left, std::chrono::hours(24));
+}
+
 TEST(WireDialectTest, FullServerIsNotUnhealthy) {
   http1::ResponseHead head;
   head.status = 503;
