--- a/services/gateway/connection_pool.cc
+++ b/services/gateway/connection_pool.cc
@@ -2,6 +2,7 @@
 #include "services/gateway/connection_pool.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace balsam::gateway {
 
@@ -15,25 +16,48 @@
   return std::min(limits_.max_idle_time, *idle_limit / 2);
 }
 
+bool ConnectionPool::IsUsable(const Idle& idle,
+                              const directory::Endpoint& endpoint,
+                              BootTime now) const {
+  return idle.connection->reusable() &&
+         idle.connection->endpoint() == endpoint &&
+         now - idle.since < IdleTimeOf(*idle.connection);
+}
+
+bool ConnectionPool::Suits(const Idle& idle, Use use, BootTime now) const {
+  const bool is_for_polls = idle.connection->has_nameless_response();
+  const bool is_recent = now - idle.since < limits_.recent_use_time;
+  return is_for_polls == (use == Use::kPoll) &&
+         (use != Use::kRequestOnce || is_recent);
+}
+
+void ConnectionPool::Discard(OutboundConnection* connection) {
+  connection->on_idle_closed = nullptr;
+  connection->Abort();
+  connection->deleteLater();
+}
+
 OutboundConnection* ConnectionPool::Acquire(const std::string& server_id,
                                             const directory::Endpoint& endpoint,
-                                            bool recent_only) {
+                                            Use use) {
   const BootTime now = BootClock::now();
   std::vector<Idle>& idle = idle_[server_id];
-  while (!idle.empty()) {
-    const Idle last = idle.back();
-    const auto age = now - last.since;
-    const bool usable = last.connection->reusable() &&
-                        last.connection->endpoint() == endpoint &&
-                        age < IdleTimeOf(*last.connection);
-    if (usable && recent_only && age >= limits_.recent_use_time) break;
-    idle.pop_back();
-    last.connection->on_idle_closed = nullptr;
-    if (usable) return last.connection;
-    last.connection->Abort();
-    last.connection->deleteLater();
+  std::erase_if(idle, [&](const Idle& entry) {
+    if (IsUsable(entry, endpoint, now)) return false;
+    Discard(entry.connection);
+    return true;
+  });
+  const auto latest = std::ranges::find_if(
+      idle.rbegin(), idle.rend(),
+      [&](const Idle& entry) { return Suits(entry, use, now); });
+  if (latest != idle.rend()) {
+    OutboundConnection* connection = latest->connection;
+    idle.erase(std::prev(latest.base()));
+    connection->on_idle_closed = nullptr;
+    return connection;
   }
   auto* connection = new OutboundConnection(endpoint, limits_.timeouts, this);
+  connection->names_request = names_request;
   connection->on_response_head = [this,
                                   server_id](const http1::ResponseHead& head) {
     if (on_response_head) on_response_head(server_id, head);
@@ -67,11 +91,7 @@
 void ConnectionPool::CloseIdleConnections(const std::string& server_id) {
   const auto found = idle_.find(server_id);
   if (found == idle_.end()) return;
-  for (const Idle& idle : found->second) {
-    idle.connection->on_idle_closed = nullptr;
-    idle.connection->Abort();
-    idle.connection->deleteLater();
-  }
+  for (const Idle& idle : found->second) Discard(idle.connection);
   idle_.erase(found);
 }
 
@@ -79,9 +99,7 @@
   for (auto& [server_id, idle] : idle_) {
     std::erase_if(idle, [&](const Idle& entry) {
       if (now - entry.since < IdleTimeOf(*entry.connection)) return false;
-      entry.connection->on_idle_closed = nullptr;
-      entry.connection->Abort();
-      entry.connection->deleteLater();
+      Discard(entry.connection);
       return true;
     });
   }
--- a/services/gateway/connection_pool.h
+++ b/services/gateway/connection_pool.h
@@ -1,6 +1,11 @@
 // Pool of idle connections to backend servers. All gateways share a server's
 // connection limit, so few idle connections are kept, and none is reused near
 // the time at which the server closes it.
+//
+// A faulty server may write an earlier response once more, where the response
+// to a later request is due. Such a response is recognised only if it names its
+// request. A connection on which a response named none is therefore used for
+// polls only, whose responses concern the server alone and may be outdated.
 #pragma once
 
 #include <QObject>
@@ -31,14 +36,23 @@
     OutboundConnection::Timeouts timeouts;
   };
 
+  // What a connection is needed for.
+  enum class Use {
+    // A request that may run twice, or a call for a run.
+    kRequest,
+    // A request that must not run twice. A pooled connection must have been
+    // used recently.
+    kRequestOnce,
+    // A call whose response concerns no request.
+    kPoll,
+  };
+
   explicit ConnectionPool(Limits limits, QObject* parent = nullptr);
 
   // Returns a connection for one request, which the caller owns until
-  // `Release`. With `recent_only`, a pooled connection is returned only if it
-  // was used recently.
+  // `Release`.
   OutboundConnection* Acquire(const std::string& server_id,
-                              const directory::Endpoint& endpoint,
-                              bool recent_only);
+                              const directory::Endpoint& endpoint, Use use);
   // Returns a connection to the pool, or deletes it if it cannot be reused.
   void Release(const std::string& server_id, OutboundConnection* connection);
   // Closes the idle connections to a server that is leaving, has restarted or
@@ -46,6 +60,9 @@
   void CloseIdleConnections(const std::string& server_id);
   void CloseExpired(BootTime now);
 
+  // Whether a response names the request that it belongs to. None does if this
+  // is unset.
+  std::function<bool(const http1::ResponseHead& head)> names_request;
   // Called with the head of any response of a server.
   std::function<void(const std::string& server_id,
                      const http1::ResponseHead& head)>
@@ -59,6 +76,10 @@
 
   std::chrono::milliseconds IdleTimeOf(
       const OutboundConnection& connection) const;
+  bool IsUsable(const Idle& idle, const directory::Endpoint& endpoint,
+                BootTime now) const;
+  bool Suits(const Idle& idle, Use use, BootTime now) const;
+  static void Discard(OutboundConnection* connection);
   void Remove(const std::string& server_id, OutboundConnection* connection);
 
   Limits limits_;
--- a/services/gateway/exchange.cc
+++ b/services/gateway/exchange.cc
@@ -107,8 +107,10 @@
   attempt.demand = demand;
   attempt.started = BootClock::now();
   attempt.is_resumed = options.memory.has_value();
-  attempt.connection =
-      context_.pool.Acquire(server_id, endpoint, !request_.route->MayRepeat());
+  attempt.connection = context_.pool.Acquire(
+      server_id, endpoint,
+      request_.route->MayRepeat() ? ConnectionPool::Use::kRequest
+                                  : ConnectionPool::Use::kRequestOnce);
   context_.selector.OnStart(server_id, demand);
   if (request_.engine() != nullptr && context_.send_load) context_.send_load();
   attempt_ = std::move(attempt);
--- a/services/gateway/gateway_context.h
+++ b/services/gateway/gateway_context.h
@@ -45,7 +45,11 @@
         selector({}, seed),
         pool(pool_limits),
         retry_limits(retry_limits),
-        random(static_cast<std::minstd_rand::result_type>(seed)) {}
+        random(static_cast<std::minstd_rand::result_type>(seed)) {
+    pool.names_request = [&dialect](const http1::ResponseHead& head) {
+      return !dialect.ParseResponse(head).request_id.empty();
+    };
+  }
 
   retry::SharedRetryBudget& RetryBudgetFor(const std::string& service) {
     auto [found, added] = retry_budgets.try_emplace(service, retry_limits);
--- a/services/gateway/generation_migration.cc
+++ b/services/gateway/generation_migration.cc
@@ -200,7 +200,8 @@
 void GenerationMigration::SendCopyCall(bool stop) {
   const BackendCall call =
       context_.dialect.MakeCopyCall(run_.request_id, target_, stop);
-  call_ = context_.pool.Acquire(run_.server_id, run_.endpoint, false);
+  call_ = context_.pool.Acquire(run_.server_id, run_.endpoint,
+                                ConnectionPool::Use::kRequest);
   call_started_at_ = BootClock::now();
   call_->Call(call.ToBytes(), kCopyTimeout,
               [this](const OutboundConnection::Response& reply) {
@@ -262,8 +263,8 @@
 void GenerationMigration::ReleaseCopy() {
   if (handle_.empty()) return;
   const BackendCall call = context_.dialect.MakeReleaseCall(handle_);
-  OutboundConnection* connection =
-      context_.pool.Acquire(run_.server_id, run_.endpoint, false);
+  OutboundConnection* connection = context_.pool.Acquire(
+      run_.server_id, run_.endpoint, ConnectionPool::Use::kPoll);
   // The migration may be destroyed before the response arrives.
   connection->Call(call.ToBytes(), kReleaseTimeout,
                    [pool = &context_.pool, server = run_.server_id,
--- a/services/gateway/outbound_connection.cc
+++ b/services/gateway/outbound_connection.cc
@@ -136,6 +136,7 @@
     }
     head_reported_ = true;
     idle_limit_ = KeepAliveTimeout(parser_->head().fields);
+    has_nameless_response_ |= !names_request || !names_request(parser_->head());
     if (on_response_head) {
       on_response_head(parser_->head());
       if (!self || request_ != request) return;
--- a/services/gateway/outbound_connection.h
+++ b/services/gateway/outbound_connection.h
@@ -104,11 +104,17 @@
   // Whether at least part of the request has been written.
   bool written() const { return written_; }
   const directory::Endpoint& endpoint() const { return endpoint_; }
+  // Whether a response named no request. If the server writes it once more, it
+  // looks like the response to a later request.
+  bool has_nameless_response() const { return has_nameless_response_; }
   // How long the peer keeps an idle connection, as it last announced.
   std::optional<std::chrono::milliseconds> idle_limit() const {
     return idle_limit_;
   }
 
+  // Whether a response names the request that it belongs to. None does if this
+  // is unset.
+  std::function<bool(const http1::ResponseHead&)> names_request;
   // Called with the head of any final response, before the request's `on_head`.
   // It belongs to the owner of the connection and persists across requests.
   std::function<void(const http1::ResponseHead&)> on_response_head;
@@ -141,6 +147,7 @@
   bool written_ = false;
   // The connection cannot be used for another request.
   bool unusable_ = false;
+  bool has_nameless_response_ = false;
   std::optional<std::chrono::milliseconds> idle_limit_;
 };
 
--- a/services/gateway/report_poller.cc
+++ b/services/gateway/report_poller.cc
@@ -49,8 +49,8 @@
 void ReportPoller::PollServer(const directory::BackendServer& server,
                               const std::string& health_path) {
   const bool is_health = !health_path.empty();
-  OutboundConnection* connection =
-      context_.pool.Acquire(server.id, server.endpoint, false);
+  OutboundConnection* connection = context_.pool.Acquire(
+      server.id, server.endpoint, ConnectionPool::Use::kPoll);
   const BackendCall call = is_health
                                ? context_.dialect.MakeHealthCall(health_path)
                                : context_.dialect.MakeReportCall();
