--- a/services/gateway/outbound_connection.cc
+++ b/services/gateway/outbound_connection.cc
@@ -3,6 +3,8 @@
 
 #include <charconv>
 
+#include "libraries/base/log_event.h"
+
 namespace balsam::gateway {
 namespace {
 
@@ -72,8 +74,15 @@
   Request request;
   request.bytes = std::move(bytes);
   request.response_timeout = response_timeout;
-  request.on_head = [response](const http1::ResponseHead& head) {
-    response->head = head;
+  request.on_head = [this, response](const http1::ResponseHead& head) {
+    if (!names_request || !names_request(head)) {
+      response->head = head;
+      return;
+    }
+    LogEvent("call_answer_rejected", LogEvent::Level::kWarning)
+        .With("server", endpoint_.ToString())
+        .With("status", head.status);
+    Finish(EndReason::kBroken);
   };
   request.on_body = [this, response](std::string_view body) {
     response->body += body;
--- a/services/gateway/outbound_connection.h
+++ b/services/gateway/outbound_connection.h
@@ -84,9 +84,9 @@
 
   // Sends a request; none may be in progress. Connects first if necessary.
   void Send(Request request);
-  // Sends a request and returns its response as a whole. A response longer than
-  // `kMaxCallResponse` counts as broken. `on_response` is called once, unless
-  // the call is aborted.
+  // Sends a request without an id and returns its response as a whole. A
+  // response that names a request, or is longer than `kMaxCallResponse`, counts
+  // as broken. `on_response` is called once, unless the call is aborted.
   void Call(std::string bytes, std::chrono::milliseconds response_timeout,
             std::function<void(const Response&)> on_response);
   // Ends the request in progress without a callback and closes the connection.
--- a/tests/services/gateway/repeated_refusal_test.cc
+++ b/tests/services/gateway/repeated_refusal_test.cc
@@ -1,6 +1,5 @@
 // An engine that writes an earlier response once more on a connection that was
-// kept: what callers are told, and how often their requests run. Each test runs
-// a complete gateway on sockets.
+// kept: what callers are told, and how often their requests run.
 #include <gtest/gtest.h>
 
 #include <QTcpSocket>
@@ -10,6 +9,7 @@
 #include <set>
 #include <string>
 
+#include "tests/services/gateway/exchange_fixture.h"
 #include "tests/services/gateway/gateway_node_fixture.h"
 
 namespace balsam::gateway {
@@ -125,5 +125,123 @@
   EXPECT_TRUE(status == 200 || status == 502) << status;
 }
 
+// A run that moves from the first engine, which leaves after two events, to the
+// second one, which sends the last two.
+class RepeatedResponseInMoveTest : public ExchangeTest {
+ protected:
+  RepeatedResponseInMoveTest() {
+    first_.on_request = [this](const auto& request) {
+      if (request.IsTo("/kv-move")) {
+        ReplyToCopy(request.socket, ++copies_);
+      } else {
+        BeginStream(request.socket, 1, 2);
+      }
+    };
+    second_.on_request = [](const auto& request) {
+      BeginStream(request.socket, 3, 4);
+      EndStream(request.socket);
+    };
+    sink_.on_text = [this] {
+      if (std::exchange(noticed_, true)) return;
+      Announce("i-1", first_, true);
+      exchange_->OnServerLeaving("i-1");
+    };
+  }
+
+  static void ReplyToCopy(QTcpSocket* socket, int copy) {
+    Reply(socket, "200 OK", "",
+          R"({"handle":"c-)" + std::to_string(copy) + R"(","created":2})");
+  }
+  // Leaves a connection to the engine in the pool, on which another run was to
+  // be copied.
+  void CopyOtherRun(const std::string& id, const ScriptedEngine& engine) {
+    bool has_response = false;
+    OutboundConnection* const connection = context_.pool.Acquire(
+        id, {"127.0.0.1", engine.port()}, ConnectionPool::Use::kRequest);
+    connection->Call(
+        dialect_.MakeCopyCall("r-0", {"127.0.0.1", 1}, false).ToBytes(),
+        kTestLimit, [&](const OutboundConnection::Response&) {
+          context_.pool.Release(id, connection);
+          has_response = true;
+        });
+    ASSERT_TRUE(RunUntil([&] { return has_response; }));
+  }
+  // Runs the request and expects its stream to be complete.
+  void Run() {
+    Send(routing::RequestKind::kStream, 1);
+    RunUntilDone();
+    EXPECT_EQ(sink_.complete, true);
+    EXPECT_TRUE(sink_.text.ends_with("id: 4\ndata: t\n\n")) << sink_.text;
+  }
+  // How often the engine was to run or resume the request.
+  static int Runs(const ScriptedEngine& engine) {
+    return static_cast<int>(std::ranges::count_if(
+        engine.heads,
+        [](const auto& head) { return head.starts_with("POST /x"); }));
+  }
+
+  int copies_ = 0;
+  bool noticed_ = false;
+};
+
+// A refusal of another request, written once more, was taken for the response
+// to the call that stops a run and copies it: the run went on at the engine
+// that leaves, although it had been copied to another one.
+TEST_F(RepeatedResponseInMoveTest, RefusalOfRequestIsNoResponseToCopyCall) {
+  first_.on_request = [this](const auto& request) {
+    if (!request.IsTo("/kv-move")) {
+      BeginStream(request.socket, 1, 2);
+      return;
+    }
+    if (++copies_ == 2) {
+      Reply(request.socket, "503 Full", "Not-Run: 1\r\nRequest-Id: r-0\r\n",
+            "");
+    }
+    ReplyToCopy(request.socket, copies_);
+  };
+  Run();
+  EXPECT_EQ(Runs(first_), 1);
+  EXPECT_EQ(Runs(second_), 1);
+}
+
+// The response to the copy call of another run, written once more, was taken
+// for the response to this run's call: it was to go on from the memory of the
+// other one.
+TEST_F(RepeatedResponseInMoveTest, CopyOfAnotherRunIsNotUsed) {
+  std::set<QTcpSocket*> used;
+  first_.on_request = [&](const auto& request) {
+    if (!request.IsTo("/kv-move")) {
+      BeginStream(request.socket, 1, 2);
+      return;
+    }
+    if (!used.insert(request.socket).second) ReplyToCopy(request.socket, 1);
+    ReplyToCopy(request.socket, ++copies_);
+  };
+  CopyOtherRun("i-1", first_);
+  Run();
+  ASSERT_EQ(Runs(second_), 1);
+  EXPECT_EQ(second_.heads.back().find("/c-1"), std::string::npos)
+      << second_.heads.back();
+}
+
+// A refusal written once more was taken for the response of the engine that
+// resumes a run, while it ran: the run was resumed at its former engine too.
+TEST_F(RepeatedResponseInMoveTest, RunIsNotResumedTwiceAfterRepeatedRefusal) {
+  std::set<QTcpSocket*> used;
+  second_.on_request = [&](const auto& request) {
+    const bool is_first = used.insert(request.socket).second;
+    if (!is_first || request.IsTo("/kv-move")) {
+      Reply(request.socket, "503 Full", "Not-Run: 1\r\n", "");
+    }
+    if (request.IsTo("/kv-move")) return;
+    BeginStream(request.socket, 3, 4);
+    EndStream(request.socket);
+  };
+  CopyOtherRun("i-2", second_);
+  Run();
+  EXPECT_EQ(Runs(first_), 1);
+  EXPECT_EQ(Runs(second_), 1);
+}
+
 }  // namespace
 }  // namespace balsam::gateway
