Resume reading on a connection when its response ends

What callers would see: a request without a response until its deadline. The client of an earlier request read slowly, and the engine's connection was paused when the response to it was complete. The connection went back to the pool like this: the next response on it was not read, nor was its end noticed while it was idle.

Cause: a pause was lifted only by the exchange that had set it. Change: the end of a response resumes reading.

--- a/services/gateway/outbound_connection.cc
+++ b/services/gateway/outbound_connection.cc
@@ -201,6 +201,8 @@
   if (unusable_) {
     input_.clear();
     stream_.Abort();
+  } else {
+    SetPaused(false);
   }
   request->on_end(end);
 }
--- a/services/gateway/outbound_connection.h
+++ b/services/gateway/outbound_connection.h
@@ -91,7 +91,7 @@
             std::function<void(const Response&)> on_response);
   // Ends the request in progress without a callback and closes the connection.
   void Abort();
-  // While paused, no more of the response is read.
+  // While paused, no more of the response is read. Its end resumes reading.
   void SetPaused(bool paused);
 
   // Connected, idle and able to send another request.
