--- a/libraries/net/tcp_stream.cc
+++ b/libraries/net/tcp_stream.cc
@@ -196,6 +196,13 @@
   Q_EMIT Closed(reason);
 }
 
+bool TcpStream::HasUnread() const {
+  char byte = 0;
+  const ssize_t count =
+      ::recv(descriptor_, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
+  return count >= 0 || (errno != EAGAIN && errno != EINTR);
+}
+
 std::string TcpStream::peer() const {
   sockaddr_in address{};
   socklen_t size = sizeof(address);
--- a/libraries/net/tcp_stream.h
+++ b/libraries/net/tcp_stream.h
@@ -52,6 +52,8 @@
   void Abort();
 
   bool connected() const { return state_ == State::kConnected; }
+  // Whether bytes, or the end of the connection, arrived and were not read yet.
+  bool HasUnread() const;
   // Returns "IP:PORT" of the peer; empty if unknown.
   std::string peer() const;
 
--- a/services/gateway/connection_pool.cc
+++ b/services/gateway/connection_pool.cc
@@ -37,6 +37,20 @@
   connection->deleteLater();
 }
 
+OutboundConnection* ConnectionPool::TakeIdle(std::vector<Idle>& idle, Use use,
+                                             BootTime now) const {
+  while (true) {
+    const auto latest = std::ranges::find_if(
+        idle.rbegin(), idle.rend(),
+        [&](const Idle& entry) { return Suits(entry, use, now); });
+    if (latest == idle.rend()) return nullptr;
+    OutboundConnection* connection = latest->connection;
+    idle.erase(std::prev(latest.base()));
+    if (!connection->HasUnread()) return connection;
+    Discard(connection);
+  }
+}
+
 OutboundConnection* ConnectionPool::Acquire(const std::string& server_id,
                                             const directory::Endpoint& endpoint,
                                             Use use) {
@@ -47,12 +61,7 @@
     Discard(entry.connection);
     return true;
   });
-  const auto latest = std::ranges::find_if(
-      idle.rbegin(), idle.rend(),
-      [&](const Idle& entry) { return Suits(entry, use, now); });
-  if (latest != idle.rend()) {
-    OutboundConnection* connection = latest->connection;
-    idle.erase(std::prev(latest.base()));
+  if (OutboundConnection* connection = TakeIdle(idle, use, now)) {
     connection->on_idle_closed = nullptr;
     return connection;
   }
--- a/services/gateway/connection_pool.h
+++ b/services/gateway/connection_pool.h
@@ -79,6 +79,10 @@
   bool IsUsable(const Idle& idle, const directory::Endpoint& endpoint,
                 BootTime now) const;
   bool Suits(const Idle& idle, Use use, BootTime now) const;
+  // Removes the most recently used connection that suits. Returns null if there
+  // is none.
+  OutboundConnection* TakeIdle(std::vector<Idle>& idle, Use use,
+                               BootTime now) const;
   static void Discard(OutboundConnection* connection);
   void Remove(const std::string& server_id, OutboundConnection* connection);
 
--- a/services/gateway/outbound_connection.h
+++ b/services/gateway/outbound_connection.h
@@ -96,6 +96,9 @@
 
   // Connected, idle and able to send another request.
   bool reusable() const;
+  // Whether the peer, while the connection is idle, wrote bytes or closed it,
+  // which the event loop has not noticed yet.
+  bool HasUnread() const { return stream_.HasUnread(); }
   // Whether the response, whose head must be complete, has neither a length nor
   // chunks, so that it ends with the connection.
   bool response_is_unframed() const {
