--- a/services/gateway/exchange.cc
+++ b/services/gateway/exchange.cc
@@ -198,7 +198,7 @@
   using EndReason = OutboundConnection::EndReason;
   const bool broken = end == EndReason::kClosedWithoutResponse ||
                       (end == EndReason::kBroken && !IsStopRequested());
-  if (!broken || proved_harmless_) return;
+  if (!broken || proved_harmless_ || attempt_->is_rejected) return;
   // An engine that is leaving breaks off its runs through no fault of the
   // request.
   const std::string& id = attempt_->server_id;
--- a/services/gateway/exchange.h
+++ b/services/gateway/exchange.h
@@ -72,6 +72,8 @@
     // The response has neither a length nor chunks: its end looks like a crash
     // of the server.
     bool is_unframed = false;
+    // The response was rejected. The server may run the request all the same.
+    bool is_rejected = false;
     // The response is being streamed to the client.
     bool streaming = false;
     std::string body;
--- a/services/gateway/exchange_relay.cc
+++ b/services/gateway/exchange_relay.cc
@@ -66,6 +66,7 @@
       .With("server", attempt_->server_id)
       .With("status", attempt_->head.status)
       .With("reason", reason);
+  attempt_->is_rejected = true;
   attempt_->connection->Abort();
   OnEnd(OutboundConnection::EndReason::kBroken);
 }
--- a/tests/services/gateway/repeated_refusal_test.cc
+++ b/tests/services/gateway/repeated_refusal_test.cc
@@ -243,5 +243,25 @@
   EXPECT_EQ(Runs(second_), 1);
 }
 
+class RejectedResponseTest : public ExchangeTest {};
+
+// A request was quarantined as one that crashes engines, since its response had
+// been rejected three times; no engine had crashed.
+TEST_F(RejectedResponseTest, RejectedResponseIsNoCrash) {
+  for (ScriptedEngine* engine : {&first_, &second_}) {
+    engine->on_request = [](const auto& request) {
+      Reply(request.socket, "503 Full", "Not-Run: 1\r\nRequest-Id: r-0\r\n",
+            "");
+    };
+  }
+  constexpr int kRequests = 4;
+  for (int i = 0; i < kRequests; ++i) {
+    sink_.complete.reset();
+    Send(routing::RequestKind::kNonIdempotent, 1);
+    RunUntilDone();
+  }
+  EXPECT_EQ(first_.heads.size() + second_.heads.size(), std::size_t{kRequests});
+}
+
 }  // namespace
 }  // namespace balsam::gateway
