--- a/services/gateway/exchange.cc
+++ b/services/gateway/exchange.cc
@@ -291,7 +291,11 @@
   EndAttempt(ToAttemptResult(end));
   request_.demand.excluded.insert(attempt_->server_id);
   if (attempt_->is_resumed) {
-    migration_->OnResumeResult(false);
+    if (attempt_->is_rejected && !request_.route->MayRepeat()) {
+      OnStreamLost();
+    } else {
+      migration_->OnResumeResult(false);
+    }
     return;
   }
   const retry::NextStep step = DecideNextStep(end);
--- a/tests/services/gateway/repeated_refusal_test.cc
+++ b/tests/services/gateway/repeated_refusal_test.cc
@@ -243,6 +243,19 @@
   EXPECT_EQ(Runs(second_), 1);
 }
 
+// The same with a refusal that names another request, so that it is rejected:
+// the new engine may run the request all the same.
+TEST_F(RepeatedResponseInMoveTest, RunIsNotResumedTwiceAfterRejectedResponse) {
+  second_.on_request = [](const auto& request) {
+    Reply(request.socket, "503 Full", "Not-Run: 1\r\nRequest-Id: r-0\r\n", "");
+  };
+  Send(routing::RequestKind::kStream, 1);
+  RunUntilDone();
+  EXPECT_EQ(sink_.complete, false);
+  EXPECT_EQ(Runs(first_), 1);
+  EXPECT_EQ(Runs(second_), 1);
+}
+
 class RejectedResponseTest : public ExchangeTest {};
 
 // A request was quarantined as one that crashes engines, since its response had
