--- a/tests/services/gateway/repeated_refusal_test.cc
+++ b/tests/services/gateway/repeated_refusal_test.cc
@@ -125,6 +125,84 @@
   EXPECT_TRUE(status == 200 || status == 502) << status;
 }
 
+// What an engine may write once more at other moments. All of these held.
+class RepeatedResponseTest : public RepeatedRefusalTest {
+ protected:
+  static void Write(QTcpSocket* socket, const std::string& text) {
+    socket->write(text.data(), static_cast<qint64>(text.size()));
+  }
+  static std::string Own(const std::string& id) {
+    return "HTTP/1.1 200 OK\r\nRequest-Id: " + id +
+           "\r\nResponse-Seal: s\r\nContent-Length: 3\r\n\r\nran";
+  }
+  const std::string refusal_ =
+      "HTTP/1.1 503 Full\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
+};
+
+TEST_F(RepeatedResponseTest, RefusalsInOneReadEndTheConnection) {
+  std::set<QTcpSocket*> refused;
+  first_.on_request = [&](const auto& request) {
+    const std::string id = IdOf(request.head);
+    const bool is_new = refused.insert(request.socket).second;
+    EXPECT_TRUE(is_new) << id;
+    Write(request.socket, id == "r-1" ? refusal_ + refusal_ : Own(id));
+  };
+  Publish({&first_});
+  EXPECT_EQ(Status("r-1"), 503);
+  EXPECT_EQ(Status("r-2"), 200);
+}
+
+TEST_F(RepeatedResponseTest, RefusalInsideChunkedBodyBreaksTheResponse) {
+  first_.on_request = [&](const auto& request) {
+    Write(request.socket,
+          "HTTP/1.1 200 OK\r\nRequest-Id: " + IdOf(request.head) +
+              "\r\nResponse-Seal: s\r\n"
+              "Transfer-Encoding: chunked\r\n\r\n" +
+              http1::EncodeChunk("half") + refusal_ +
+              http1::EncodeChunk("rest") + "0\r\n\r\n");
+  };
+  Publish({&first_});
+  EXPECT_EQ(Status("r-1"), 502);
+}
+
+TEST_F(RepeatedResponseTest, InterimResponsesAreNoResponse) {
+  const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
+  first_.on_request = [&](const auto& request) {
+    Write(request.socket, interim + interim + Own(IdOf(request.head)));
+  };
+  Publish({&first_});
+  EXPECT_EQ(Status("r-1"), 200);
+  EXPECT_EQ(Status("r-2"), 200);
+}
+
+// The address belongs to another engine now, which said so. The engine that is
+// listed there next is not taken for the one that is gone.
+TEST_F(RepeatedResponseTest,
+       MisdirectedResponseConcernsOnlyTheEngineThatIsGone) {
+  const std::string misdirected =
+      "HTTP/1.1 421 Misdirected Request\r\nInstance-Id: i-1\r\n"
+      "Content-Length: 0\r\n\r\n";
+  QTcpSocket* misdirected_socket = nullptr;
+  first_.on_request = [&](const auto& request) {
+    if (request.head.find("Expect-Instance: i-0") == std::string::npos) {
+      Write(request.socket, Own(IdOf(request.head)));
+      return;
+    }
+    misdirected_socket = request.socket;
+    Write(request.socket, misdirected);
+  };
+  Publish({&first_});
+  EXPECT_EQ(Status("r-1"), 503);
+  ASSERT_NE(misdirected_socket, nullptr);
+  node_->OnStoreChanges({EntryOf(1, first_, 1)}, revision_);
+  Write(misdirected_socket, misdirected);
+  ASSERT_TRUE(RunUntil([&] {
+    return misdirected_socket->state() == QAbstractSocket::UnconnectedState;
+  }));
+  EXPECT_EQ(Status("r-2"), 200);
+  EXPECT_EQ(Status("r-3"), 200);
+}
+
 // A run that moves from the first engine, which leaves after two events, to the
 // second one, which sends the last two.
 class RepeatedResponseInMoveTest : public ExchangeTest {
@@ -256,6 +334,50 @@
   EXPECT_EQ(Runs(second_), 1);
 }
 
+// An engine that refused a run is not asked again when the run has to move once
+// more, so that a refusal which names the run cannot be an earlier one.
+TEST_F(RepeatedResponseInMoveTest, EngineThatRefusedIsNotAskedAgain) {
+  second_.on_request = [](const auto& request) {
+    Reply(request.socket, "503 Full", "Not-Run: 1\r\nRequest-Id: r-1\r\n", "");
+  };
+  QTcpSocket* resumed = nullptr;
+  first_.on_request = [&](const auto& request) {
+    if (request.IsTo("/kv-move")) {
+      ReplyToCopy(request.socket, ++copies_);
+      return;
+    }
+    const bool is_resumed = request.head.find("Kv-From") != std::string::npos;
+    if (is_resumed) resumed = request.socket;
+    BeginStream(request.socket, is_resumed ? 3 : 1, is_resumed ? 4 : 2);
+  };
+  // The second engine could be chosen again before the run moves once more.
+  sink_.on_text = [this] {
+    if (!std::exchange(noticed_, true)) exchange_->OnServerLeaving("i-1");
+  };
+  Send(routing::RequestKind::kStream, 1);
+  dispatch::Demand other;
+  other.service = "s";
+  other.excluded = {"i-1"};
+  ASSERT_TRUE(RunUntil([&] {
+    return sink_.text.ends_with("4\ndata: t\n\n") &&
+           context_.selector
+               .Select(context_.directory,
+                       &*context_.routes->FindService("s")->engine, other,
+                       BootClock::now())
+               .has_value();
+  }));
+  exchange_->OnServerLeaving("i-1");
+  const auto usage = context_.selector.LocalUsage(BootClock::now());
+  const auto reserved = usage.find(dispatch::ServerKey("i-2"));
+  ASSERT_NE(reserved, usage.end());
+  // The two other requests that are there from the beginning.
+  EXPECT_EQ(reserved->second.requests, 2);
+  EndStream(resumed);
+  RunUntilDone();
+  EXPECT_EQ(sink_.complete, true);
+  EXPECT_EQ(Runs(second_), 1);
+}
+
 class RejectedResponseTest : public ExchangeTest {};
 
 // A request was quarantined as one that crashes engines, since its response had
