--- a/libraries/backend/backend_client.cc
+++ b/libraries/backend/backend_client.cc
@@ -73,14 +73,21 @@
   return managers_.back().get();
 }
 
-QNetworkRequest BackendClient::RequestFor(
-    const QString& path, const std::string& stream,
-    const execution::WorkItem* work) const {
+QNetworkRequest BackendClient::RequestFor(const QString& path,
+                                          const std::string& stream,
+                                          const execution::WorkItem* work) {
   QNetworkRequest request(settings_.base_url.resolved(QUrl(path)));
   request.setRawHeader(kStreamHeader, ToBytes(stream));
   request.setTransferTimeout(static_cast<int>(settings_.silence_limit.count()));
   request.setAttribute(QNetworkRequest::RedirectPolicyAttribute,
                        QNetworkRequest::ManualRedirectPolicy);
+  // A kept connection may be dead, or hold a response that the server wrote
+  // once more. Qt shares connections between requests with equal names, which
+  // have no other effect without TLS.
+  request.setPeerVerifyName(QString::number(++connections_));
+  request.setAttribute(
+      QNetworkRequest::ConnectionCacheExpiryTimeoutSecondsAttribute, 0);
+  request.setRawHeader("Connection", "close");
   if (work == nullptr) return request;
   request.setHeader(QNetworkRequest::ContentTypeHeader,
                     ToBytes(work->content_type));
@@ -95,8 +102,6 @@
   request.setAttribute(QNetworkRequest::DoNotBufferUploadDataAttribute, true);
   request.setHeader(QNetworkRequest::ContentLengthHeader,
                     static_cast<qint64>(body.size()));
-  // A kept-alive connection may be dead, so each request opens a new one.
-  request.setRawHeader("Connection", "close");
   auto* content = new OneShotBody(ToBytes(body));
   QNetworkReply* reply =
       manager->sendCustomRequest(request, ToBytes(method), content);
--- a/libraries/backend/backend_client.h
+++ b/libraries/backend/backend_client.h
@@ -72,8 +72,9 @@
 
   // Returns a manager that can open one more connection to the backend server.
   QNetworkAccessManager* ManagerForStream();
+  // Returns a request on a connection of its own.
   QNetworkRequest RequestFor(const QString& path, const std::string& stream,
-                             const execution::WorkItem* work) const;
+                             const execution::WorkItem* work);
   QNetworkReply* SendWithoutRetry(QNetworkAccessManager* manager,
                                   QNetworkRequest request,
                                   const std::string& method,
@@ -93,6 +94,7 @@
   // Number of streams of each manager. Qt opens at most six connections per
   // manager and host.
   std::map<QNetworkAccessManager*, int> streams_per_manager_;
+  std::uint64_t connections_ = 0;
   QNetworkAccessManager call_manager_;
   QNetworkAccessManager control_manager_;
   std::map<execution::LocalId, Exchange> exchanges_;
--- a/tests/libraries/backend/backend_client_test.cc
+++ b/tests/libraries/backend/backend_client_test.cc
@@ -4,6 +4,7 @@
 
 #include <gtest/gtest.h>
 
+#include <QHash>
 #include <QTcpServer>
 #include <QTcpSocket>
 #include <optional>
@@ -49,6 +50,42 @@
   int requests_ = 0;
 };
 
+// A backend server that keeps its connections open, although it is asked to
+// close them. It writes the first response of a connection once more before
+// each later one.
+class RepeatingServer {
+ public:
+  RepeatingServer() {
+    server_.listen(QHostAddress::LocalHost);
+    QObject::connect(&server_, &QTcpServer::newConnection, [this] {
+      QTcpSocket* socket = server_.nextPendingConnection();
+      ++open_connections_;
+      QObject::connect(socket, &QTcpSocket::disconnected,
+                       [this] { --open_connections_; });
+      QObject::connect(socket, &QTcpSocket::readyRead, [this, socket] {
+        if (!socket->readAll().contains(" HTTP/1.1\r\n")) return;
+        const QByteArray first = first_responses_.value(socket);
+        const QByteArray own =
+            requests_++ == 0
+                ? "HTTP/1.1 503 Full\r\nContent-Length: 4\r\n\r\nfull"
+                : "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nown";
+        if (first.isEmpty()) first_responses_[socket] = own;
+        socket->write(first + own);
+      });
+    });
+  }
+  QUrl url() const {
+    return QUrl(QString("http://127.0.0.1:%1").arg(server_.serverPort()));
+  }
+  int open_connections() const { return open_connections_; }
+
+ private:
+  QTcpServer server_;
+  QHash<QTcpSocket*, QByteArray> first_responses_;
+  int open_connections_ = 0;
+  int requests_ = 0;
+};
+
 enum class ClientEvent { kNone, kCompleted, kNotSent, kBroken, kResumeFailed };
 
 class BackendClientTest : public testing::Test {
@@ -136,6 +173,39 @@
   EXPECT_EQ(outcome_.run_state, RunState::kRan);
 }
 
+// The response to an earlier call, which the server wrote once more, was taken
+// for the response to a later one.
+TEST_F(BackendClientTest, ARepeatedResponseDoesNotAnswerALaterCall) {
+  RepeatingServer server;
+  CreateClient(server.url());
+  EXPECT_EQ(Call("first"), ClientEvent::kCompleted);
+  EXPECT_EQ(outcome_.http_status, 503);
+  last_event_ = ClientEvent::kNone;
+  EXPECT_EQ(Call("second"), ClientEvent::kCompleted);
+  EXPECT_EQ(outcome_.http_status, 200);
+  EXPECT_EQ(outcome_.body, "own");
+}
+
+TEST_F(BackendClientTest, AConnectionThatTheServerKeepsIsClosed) {
+  RepeatingServer server;
+  CreateClient(server.url());
+  EXPECT_EQ(Call("door"), ClientEvent::kCompleted);
+  EXPECT_TRUE(
+      WaitUntil([&] { return server.open_connections() == 0; }, seconds(20)));
+}
+
+// The same for a stream that is resumed. All streams counted as lost in a crash
+// of the server, which still ran them.
+TEST_F(BackendClientTest, ARepeatedResponseDoesNotAnswerAResume) {
+  RepeatingServer server;
+  CreateClient(server.url());
+  EXPECT_EQ(Generate(), ClientEvent::kCompleted);
+  EXPECT_EQ(outcome_.code, ResultCode::kBackendServerError);
+  last_event_ = ClientEvent::kNone;
+  client_->ResumeGeneration(2, "a~1~2", 5);
+  EXPECT_EQ(Wait(), ClientEvent::kBroken);
+}
+
 TEST_F(BackendClientTest, ATruncatedResponseIsABrokenCall) {
   FixedServer server("HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\npart",
                      true);
