--- a/tests/libraries/peer/peer_link_test.cc
+++ b/tests/libraries/peer/peer_link_test.cc
@@ -9,6 +9,9 @@
 #include <QTcpSocket>
 #include <memory>
 #include <optional>
+#include <string>
+#include <variant>
+#include <vector>
 
 #include "libraries/peer/peer_server.h"
 #include "tests/processes/forwarder.h"
@@ -171,6 +174,39 @@
   EXPECT_FALSE(end_.has_value());
 }
 
+// A peer writes the reply to a request once more, in the same read and later,
+// when the next request on the connection has taken its place.
+TEST_F(PeerLinkTest, ARepeatedReplyReachesNoLaterStream) {
+  std::vector<std::string> replies;
+  std::optional<ServerStream> first;
+  server_->on_request = [&](const ServerStream& stream, const Message&) {
+    const bool is_first = !first.has_value();
+    if (is_first) first = stream;
+    first->Send(TicketReply{"first"}, false);
+    first->Send(TicketReply{"first"}, false);
+    if (!is_first) stream.Send(TicketReply{"second"}, true);
+  };
+  auto link = MakeLink(port_);
+  LinkStream opened = 0;
+  bool has_ended = false;
+  const auto receive = [&](const Message& reply) {
+    replies.push_back(std::get<TicketReply>(reply).ticket);
+  };
+  opened = link->Open(kTicketPath, TicketRequest{"w"},
+                      {[&](const Message& reply) {
+                         receive(reply);
+                         link->Cancel(opened);
+                         link->Open(kTicketPath, TicketRequest{"w"},
+                                    {receive, [&](StreamEnd end) {
+                                       EXPECT_EQ(end, StreamEnd::kComplete);
+                                       has_ended = true;
+                                     }});
+                       },
+                       [](StreamEnd) { FAIL() << "cancelled before"; }});
+  EXPECT_TRUE(WaitUntil([&] { return has_ended; }, seconds(20)));
+  EXPECT_EQ(replies, (std::vector<std::string>{"first", "second"}));
+}
+
 TEST_F(PeerLinkTest, PausedReaderSlowsDownTheSender) {
   auto link = MakeLink(port_);
   const LinkStream stream = Open(*link);
