--- a/services/gateway/exchange.cc
+++ b/services/gateway/exchange.cc
@@ -108,8 +108,10 @@
   attempt.demand = demand;
   attempt.started = BootClock::now();
   attempt.is_resumed = options.memory.has_value();
-  attempt.connection =
-      context_.pool.Acquire(server_id, endpoint, !request_.route->MayRepeat());
+  attempt.connection = context_.pool.Acquire(
+      server_id, endpoint,
+      request_.route->MayRepeat() ? ConnectionPool::Use::kRequest
+                                  : ConnectionPool::Use::kRequestOnce);
   context_.selector.OnStart(server_id, demand);
   if (request_.engine() != nullptr && context_.send_load) context_.send_load();
   attempt_ = std::move(attempt);
@@ -198,7 +200,7 @@
   using EndReason = OutboundConnection::EndReason;
   const bool broken = end == EndReason::kClosedWithoutResponse ||
                       (end == EndReason::kBroken && !IsStopRequested());
-  if (!broken || proved_harmless_) return;
+  if (!broken || proved_harmless_ || attempt_->is_rejected) return;
   // An engine that is leaving breaks off its runs through no fault of the
   // request.
   const std::string& id = attempt_->server_id;
@@ -298,7 +300,11 @@
         .With("status", attempt_->head.status)
         .With("events", events_.events())
         .With("partial", attempt_->splitter.partial_bytes());
-    migration_->OnResumeResult(false);
+    if (attempt_->is_rejected && !request_.route->MayRepeat()) {
+      OnStreamLost();
+    } else {
+      migration_->OnResumeResult(false);
+    }
     return;
   }
   const retry::NextStep step = DecideNextStep(end);
--- a/services/gateway/outbound_connection.cc
+++ b/services/gateway/outbound_connection.cc
@@ -4,6 +4,8 @@
 #include <algorithm>
 #include <charconv>
 
+#include "libraries/base/log_event.h"
+
 namespace balsam::gateway {
 namespace {
 
@@ -75,8 +77,15 @@
   Request request;
   request.bytes = std::move(bytes);
   request.response_timeout = response_timeout;
-  request.on_head = [response](const http1::ResponseHead& head) {
-    response->head = head;
+  request.on_head = [this, response](const http1::ResponseHead& head) {
+    if (!names_request || !names_request(head)) {
+      response->head = head;
+      return;
+    }
+    LogEvent("call_answer_rejected", LogEvent::Level::kWarning)
+        .With("server", endpoint_.ToString())
+        .With("status", head.status);
+    Finish(EndReason::kBroken);
   };
   request.on_body = [this, response](std::string_view body) {
     response->body += body;
@@ -139,6 +148,7 @@
     }
     head_reported_ = true;
     idle_limit_ = KeepAliveTimeout(parser_->head().fields);
+    has_nameless_response_ |= !names_request || !names_request(parser_->head());
     if (on_response_head) {
       on_response_head(parser_->head());
       if (!self || request_ != request) return;
@@ -194,6 +204,8 @@
   if (unusable_) {
     input_.clear();
     stream_.Abort();
+  } else {
+    SetPaused(false);
   }
   request->on_end(end);
 }
--- a/services/gateway/outbound_connection.h
+++ b/services/gateway/outbound_connection.h
@@ -84,18 +84,21 @@
 
   // Sends a request; none may be in progress. Connects first if necessary.
   void Send(Request request);
-  // Sends a request and returns its response as a whole. A response longer than
-  // `kMaxCallResponse` counts as broken. `on_response` is called once, unless
-  // the call is aborted.
+  // Sends a request without an id and returns its response as a whole. A
+  // response that names a request, or is longer than `kMaxCallResponse`, counts
+  // as broken. `on_response` is called once, unless the call is aborted.
   void Call(std::string bytes, std::chrono::milliseconds response_timeout,
             std::function<void(const Response&)> on_response);
   // Ends the request in progress without a callback and closes the connection.
   void Abort();
-  // While paused, no more of the response is read.
+  // While paused, no more of the response is read. Its end resumes reading.
   void SetPaused(bool paused);
 
   // Connected, idle and able to send another request.
   bool reusable() const;
+  // Whether the peer, while the connection is idle, wrote bytes or closed it,
+  // which the event loop has not noticed yet.
+  bool HasUnread() const { return stream_.HasUnread(); }
   // Whether the response, whose head must be complete, has neither a length nor
   // chunks, so that it ends with the connection.
   bool response_is_unframed() const {
@@ -104,11 +107,17 @@
   // Whether at least part of the request has been written.
   bool written() const { return written_; }
   const directory::Endpoint& endpoint() const { return endpoint_; }
+  // Whether a response named no request. If the server writes it once more, it
+  // looks like the response to a later request.
+  bool has_nameless_response() const { return has_nameless_response_; }
   // How long the peer keeps an idle connection, as it last announced.
   std::optional<std::chrono::milliseconds> idle_limit() const {
     return idle_limit_;
   }
 
+  // Whether a response names the request that it belongs to. None does if this
+  // is unset.
+  std::function<bool(const http1::ResponseHead&)> names_request;
   // Called with the head of any final response, before the request's `on_head`.
   // It belongs to the owner of the connection and persists across requests.
   std::function<void(const http1::ResponseHead&)> on_response_head;
@@ -141,6 +150,7 @@
   bool written_ = false;
   // The connection cannot be used for another request.
   bool unusable_ = false;
+  bool has_nameless_response_ = false;
   std::optional<std::chrono::milliseconds> idle_limit_;
 };
 
