Do not complete a stream without framing that its engine was asked to stop

Callers could get a truncated stream that looked complete: an engine was leaving, its run was copied to another one, and the last copy stopped it. An engine that stops a run closes its stream without an end. If the stream had neither a length nor chunks, that close was taken for its end, and the migration was given up.

The end of the connection belongs to the response, and whether it also ends the run depends on what its engine was asked to do. It no longer does once the engine was asked to stop the run, so that the run resumes after the last event.

StoppedUnframedStreamIsNotComplete failed before: the client got the first two of four events as a complete stream. The gateway closes its side in the test before the call is answered, so that the order is fixed. Streams with chunks are not affected: they lack the last chunk. A run that ended just before it was to stop resumes at the target from the first copy and ends there. Not covered: the process of an engine ends while a run without framing is not being stopped; nothing tells that from the run's own end.

--- a/services/gateway/exchange.cc
+++ b/services/gateway/exchange.cc
@@ -192,8 +192,10 @@
 
 bool Exchange::IsStreamCutShort() const {
   if (!attempt_->streaming) return false;
-  return attempt_->splitter.partial_bytes() > 0 ||
-         (attempt_->splitter.events() == 0 && attempt_->is_unframed);
+  if (attempt_->splitter.partial_bytes() > 0) return true;
+  // An engine that is asked to stop a run closes its stream without an end.
+  return attempt_->is_unframed &&
+         (attempt_->splitter.events() == 0 || IsStopRequested());
 }
 
 void Exchange::RecordCrashIfBroken(OutboundConnection::EndReason end) {
--- a/services/gateway/exchange.h
+++ b/services/gateway/exchange.h
@@ -142,8 +142,9 @@
   bool MustKeepAttempt() const;
   void StartSlowTimer();
   void OnEnd(OutboundConnection::EndReason end);
-  // Whether the stream has ended inside an event, or before its first one with
-  // nothing that marks its end.
+  // Whether the stream has ended inside an event, or with nothing that marks
+  // its end before its first event or after its engine was asked to stop the
+  // run.
   bool IsStreamCutShort() const;
   // Records a crash that this request may have caused, if the server closed or
   // broke the connection before the request proved harmless.
--- a/tests/services/gateway/stream_continuation_test.cc
+++ b/tests/services/gateway/stream_continuation_test.cc
@@ -1,11 +1,15 @@
 // Streams that a second run continues after the first one ended early, against
 // scripted engines.
+#include <sys/socket.h>
+
 #include "tests/services/gateway/exchange_fixture.h"
 
 namespace balsam::gateway {
 namespace {
 
 constexpr char kFirstTwoEvents[] = "id: 1\ndata: t\n\nid: 2\ndata: t\n\n";
+// An engine's response to a call that copies a run of two events.
+constexpr char kCopied[] = R"({"handle":"c-1","created":2})";
 
 class StreamContinuationTest : public ExchangeTest {
  protected:
@@ -28,6 +32,15 @@
     };
   }
 
+  // The first engine is found to be leaving once its events have arrived.
+  void NoticeLeavingAtFirstText() {
+    sink_.on_text = [this] {
+      if (std::exchange(noticed_, true)) return;
+      Announce("i-1", first_, true);
+      exchange_->OnServerLeaving("i-1");
+    };
+  }
+
   static auto Failing(const std::string& status, const std::string& body) {
     return [status, body](const ScriptedEngine::Request& request) {
       Reply(request.socket, status, "Request-Id: r-1\r\n", body);
@@ -40,6 +53,8 @@
     EXPECT_EQ(sink_.text, kFirstTwoEvents);
     EXPECT_EQ(second_.heads.size(), 1U);
   }
+
+  bool noticed_ = false;
 };
 
 // Guards against joining events of two runs: an engine stalled within its first
@@ -174,5 +189,40 @@
   EXPECT_EQ(sink_.text.find("id: 4"), std::string::npos);
 }
 
+// Guards against a truncated stream that looks complete: an engine that leaves
+// stopped the run, as it was asked to, and closed its stream, which had neither
+// a length nor chunks.
+TEST_F(StreamContinuationTest, StoppedUnframedStreamIsNotComplete) {
+  QTcpSocket* source = nullptr;
+  first_.on_request = [&](const auto& request) {
+    if (!request.IsTo("/kv-move")) {
+      source = request.socket;
+      Write(source,
+            "HTTP/1.1 200 OK\r\nRequest-Id: r-1\r\nResponse-Seal: s\r\n\r\n" +
+                std::string(kFirstTwoEvents));
+      return;
+    }
+    if (first_.heads.size() < 3) {
+      Reply(request.socket, "200 OK", "", kCopied);
+      return;
+    }
+    // The gateway closes its side once it has seen the end of the stream.
+    QObject::connect(
+        source, &QTcpSocket::disconnected, request.socket,
+        [socket = request.socket] { Reply(socket, "200 OK", "", kCopied); });
+    ::shutdown(static_cast<int>(source->socketDescriptor()), SHUT_WR);
+  };
+  second_.on_request = [](const auto& request) {
+    BeginStream(request.socket, 3, 4);
+    EndStream(request.socket);
+  };
+  NoticeLeavingAtFirstText();
+  Send(routing::RequestKind::kStream, 1);
+  RunUntilDone();
+  EXPECT_EQ(sink_.complete, true);
+  EXPECT_EQ(sink_.text, std::string(kFirstTwoEvents) +
+                            "id: 3\ndata: t\n\nid: 4\ndata: t\n\n");
+}
+
 }  // namespace
 }  // namespace balsam::gateway
