Let only a run's own time prove its request harmless

Operators would see the same request, or others with the same part of a prompt, crash engine after engine: an engine crashed at once after the first event of a resumable stream, the stream continued at another one, and with the first event there the request counted as harmless, because the time since the first event of the first run had passed. That cleared the first crash, and the second was not recorded at all.

The time belongs to a run and was kept by the request. It is now kept by the attempt. A run that resumes from a copy starts anew; its request has usually proved harmless before.

TimeBetweenRunsDoesNotProveItHarmless failed before: no crash was left of two. The second engine in it waits for the time that a run must last, and a longer wait changes nothing. The time to the first event and the longest gap in the request's log line remain the client's, over all runs.

--- a/services/gateway/exchange.h
+++ b/services/gateway/exchange.h
@@ -85,6 +85,8 @@
     bool is_resumed = false;
     // The first event has arrived, or the run resumes from a copy.
     bool has_output = false;
+    // When the first event that the client lacked arrived; zero before that.
+    BootTime first_event;
     // The attempt was already reported as slow or failed because its response
     // took too long.
     bool reported_slow = false;
--- a/services/gateway/exchange_relay.cc
+++ b/services/gateway/exchange_relay.cc
@@ -127,7 +127,10 @@
     context_.wait_estimators[request_.service->name].OnWorkDone(work(), now);
     if (context_.on_capacity_freed) context_.on_capacity_freed();
   }
-  if (now - event_times_.first >= quarantine::kHarmlessAfter) ProveHarmless();
+  if (attempt_->first_event == BootTime{}) attempt_->first_event = now;
+  if (now - attempt_->first_event >= quarantine::kHarmlessAfter) {
+    ProveHarmless();
+  }
   const bool first = !std::exchange(response_started_, true);
   if (first) sink_.BeginBody(attempt_->head);
   sink_.WriteBody(events);
--- a/tests/services/gateway/deadly_part_test.cc
+++ b/tests/services/gateway/deadly_part_test.cc
@@ -219,5 +219,31 @@
   EXPECT_EQ(context_.crash_ledger.quarantined_count(), 0U);
 }
 
+// Guards against a part that was taken for harmless: its request crashed an
+// engine at once after its first event, and the time that its next run took to
+// begin counted as time that it had run for.
+TEST_F(DeadlyPartTest, TimeBetweenRunsDoesNotProveItHarmless) {
+  Offer(routing::RequestKind::kStream, 2, true);
+  std::size_t runs = 0;
+  for (ScriptedEngine* engine : {&first_, &second_}) {
+    engine->on_request = [&runs](const auto& request) {
+      const auto delay = ++runs == 1 ? std::chrono::milliseconds(0)
+                                     : quarantine::kHarmlessAfter;
+      const int event = static_cast<int>(runs);
+      // A longer delay changes nothing.
+      QTimer::singleShot(delay, request.socket,
+                         [event, socket = request.socket] {
+                           BeginStream(socket, event, event);
+                           socket->flush();
+                           socket->disconnectFromHost();
+                         });
+    };
+  }
+  SendWithParts(std::string(kDeadlyPart));
+  EXPECT_EQ(runs, 2U);
+  EXPECT_EQ(sink_.complete, false);
+  EXPECT_EQ(context_.crash_ledger.CrashesOf(membership::StableHash("dead")), 2);
+}
+
 }  // namespace
 }  // namespace balsam::gateway
