Do not complete a stream with an unframed run that added nothing to it

Callers could get a truncated stream that looked complete: the stream broke off after some events, and the engine that it went to began before the last of them, without a length or chunks, and closed within the events that the client already had. The run had sent events, so its end was taken for the end of the stream.

What counts is not what the run sent but what the client got of it. An attempt now knows for streams, too, whether part of its response was written to the client.

UnframedRunOfOldEventsDoesNotCompleteStream failed before: two events as a complete stream.

--- a/services/gateway/exchange.cc
+++ b/services/gateway/exchange.cc
@@ -194,8 +194,7 @@
   if (!attempt_->streaming) return false;
   if (attempt_->splitter.partial_bytes() > 0) return true;
   // An engine that is asked to stop a run closes its stream without an end.
-  return attempt_->is_unframed &&
-         (attempt_->splitter.events() == 0 || IsStopRequested());
+  return attempt_->is_unframed && (!attempt_->is_relayed || IsStopRequested());
 }
 
 void Exchange::RecordCrashIfBroken(OutboundConnection::EndReason end) {
--- a/services/gateway/exchange.h
+++ b/services/gateway/exchange.h
@@ -77,9 +77,11 @@
     // The response is a stream, whose events are relayed.
     bool streaming = false;
     migration::EventSplitter splitter;
-    // The response is no stream, and is relayed as it arrives, because it is
-    // too long to be held back until it is complete.
+    // Part of this response has been written to the client: events, or the
+    // beginning of a body that is too long to be held back until it is
+    // complete.
     bool is_relayed = false;
+    // What is held back of a response that is no stream.
     std::string body;
     // True if the run resumes from memory copied from another engine.
     bool is_resumed = false;
@@ -145,8 +147,8 @@
   void StartSlowTimer();
   void OnEnd(OutboundConnection::EndReason end);
   // Whether the stream has ended inside an event, or with nothing that marks
-  // its end before its first event or after its engine was asked to stop the
-  // run.
+  // its end before it added an event to the client's or after its engine was
+  // asked to stop the run.
   bool IsStreamCutShort() const;
   // Records a crash that this request may have caused, if the server closed or
   // broke the connection before the request proved harmless.
--- a/services/gateway/exchange_relay.cc
+++ b/services/gateway/exchange_relay.cc
@@ -133,6 +133,7 @@
   }
   const bool first = !std::exchange(response_started_, true);
   if (first) sink_.BeginBody(attempt_->head);
+  attempt_->is_relayed = true;
   sink_.WriteBody(events);
   if (sink_.IsFull()) attempt_->connection->SetPaused(true);
   if (first) MigrateIfLeaving();
--- a/tests/services/gateway/stream_continuation_test.cc
+++ b/tests/services/gateway/stream_continuation_test.cc
@@ -224,5 +224,22 @@
                             "id: 3\ndata: t\n\nid: 4\ndata: t\n\n");
 }
 
+// Guards against a truncated stream that looks complete: the next engine's
+// response had neither a length nor chunks, and its connection closed before
+// the first event that the client lacked.
+TEST_F(StreamContinuationTest, UnframedRunOfOldEventsDoesNotCompleteStream) {
+  first_.on_request = BreakingOffAfterTwoEvents();
+  second_.on_request = [](const auto& request) {
+    Write(request.socket,
+          "HTTP/1.1 200 OK\r\nRequest-Id: r-1\r\nResponse-Seal: s\r\n\r\n"
+          "id: 1\ndata: t\n\n");
+    request.socket->flush();
+    request.socket->disconnectFromHost();
+  };
+  SendResumable();
+  RunUntilDone();
+  ExpectBrokenOffAfterTwoEvents();
+}
+
 }  // namespace
 }  // namespace balsam::gateway
