Log no failed attempt for a long response that was delivered

Operators would see an `attempt_ended` warning (`end=answered next=deliver`) for each successful response that is relayed as it arrives because it is too long to be held back: the condition that was added for rejections after a stream has begun was true of it as well. What tells the two apart is what follows.

ServedLongResponseIsNoFailedAttempt failed before.

--- a/services/gateway/exchange.cc
+++ b/services/gateway/exchange.cc
@@ -309,7 +309,7 @@
     return;
   }
   const retry::NextStep step = DecideNextStep(end);
-  if (end != AttemptEnd::kAnswered || response_started_) {
+  if (end != AttemptEnd::kAnswered || step != retry::NextStep::kDeliver) {
     LogEvent("attempt_ended", LogEvent::Level::kWarning)
         .With("id", metadata_.id)
         .With("server", attempt_->server_id)
--- a/tests/services/gateway/explanation_test.cc
+++ b/tests/services/gateway/explanation_test.cc
@@ -1,6 +1,7 @@
 // Provokes failures in the gateway and explains them from its log alone.
 #include <easylogging++.h>
 
+#include <algorithm>
 #include <functional>
 
 #include "libraries/explanation/cause.h"
@@ -83,6 +84,20 @@
   EXPECT_EQ(Explain().name, "served");
 }
 
+// Guards against a warning for each successful response that is too long to be
+// held back.
+TEST_F(ExplanationTest, ServedLongResponseIsNoFailedAttempt) {
+  const std::string body(1 << 20, 'x');
+  first_.on_request = ReplyingOk(body);
+  Send(RequestKind::kNonIdempotent, 1);
+  RunUntilDone();
+  EXPECT_EQ(sink_.text.size(), body.size());
+  EXPECT_EQ(Explain().name, "served");
+  EXPECT_TRUE(std::ranges::none_of(LogCapture::Lines(), [](const auto& line) {
+    return line.find("attempt_ended") != std::string::npos;
+  }));
+}
+
 TEST_F(ExplanationTest, ServerError) {
   first_.on_request = [](const auto& request) {
     Reply(request.socket, "500 Error",
