Write no body in response to HEAD

A client that sent HEAD and got a response of the gateway's own, such as a 404, got its text after the head. On a connection that stays open, that text is taken for the beginning of the next response. A server's response to HEAD has no body, so that only the gateway's own were affected.

The method belongs to the request and is set anew for each one. `chunked_`, which was set by each response and never read, is gone.

--- a/services/gateway/client_connection.cc
+++ b/services/gateway/client_connection.cc
@@ -116,6 +116,7 @@
   timer_.stop();
   close_after_response_ = !parser_->keep_alive();
   http1::RequestHead head = parser_->TakeHead();
+  is_head_request_ = head.method == "HEAD";
   parser_.reset();
   parser_started_ = false;
   continue_sent_ = false;
@@ -139,12 +140,11 @@
   const bool no_body = head.status == 204 || head.status == 304;
   if (!no_body) framing.content_length = body.size();
   WriteHead(std::move(head), framing);
-  stream_.Write(body);
+  if (!is_head_request_) stream_.Write(body);
   FinishResponse();
 }
 
 void ClientConnection::BeginBody(http1::ResponseHead head) {
-  chunked_ = true;
   WriteHead(std::move(head), {std::nullopt, true});
 }
 
--- a/services/gateway/client_connection.h
+++ b/services/gateway/client_connection.h
@@ -68,12 +68,13 @@
   QTimer timer_;
   bool parser_started_ = false;
   bool continue_sent_ = false;
+  // The request being answered must get a head only.
+  bool is_head_request_ = false;
   bool close_after_response_ = false;
   // No more requests are read; data that still arrives is discarded.
   bool closing_ = false;
   bool lingering_ = false;
   bool closed_ = false;
-  bool chunked_ = false;
 };
 
 }  // namespace balsam::gateway
--- a/tests/services/gateway/gateway_node_test.cc
+++ b/tests/services/gateway/gateway_node_test.cc
@@ -108,5 +108,23 @@
   EXPECT_EQ(RequestStatus(), 200);
 }
 
+// Guards against bytes that a client takes for the next response: the text of a
+// gateway response followed the head that answers HEAD.
+TEST_F(GatewayNodeTest, ResponseToHeadRequestHasNoBody) {
+  Publish({&first_});
+  QTcpSocket client;
+  client.connectToHost("127.0.0.1", client_port_);
+  client.write(
+      "HEAD /x HTTP/1.1\r\nHost: unknown\r\nRequest-Id: r-1\r\n"
+      "Connection: close\r\n\r\n");
+  std::string response;
+  ASSERT_TRUE(RunUntil([&] {
+    response += client.readAll().toStdString();
+    return client.state() == QAbstractSocket::UnconnectedState;
+  }));
+  EXPECT_TRUE(response.starts_with("HTTP/1.1 404"));
+  EXPECT_TRUE(response.ends_with("\r\n\r\n"));
+}
+
 }  // namespace
 }  // namespace balsam::gateway
