End a run without framing at another response within an event, too

Callers could get a piece that joins an event with the response after it: an engine broke off a response without a length or chunks within an event and sent another response, whose head and first event completed the event, so that it was relayed under its own number, after a sound part of the stream.

Another response was found only where an event would begin, because the text of an event may contain a status line. The two differ in how the line ends: lines of events end without a carriage return. What is left of the event counts as cut short, so that the stream goes on elsewhere or is broken off.

ResponseAfterBrokenOffEventIsNotJoined failed before (one piece from `id: 3` to the other response's first event), and RunWithoutFramingEndsAtAnotherResponse- WithinAnEvent, which cuts the bytes at each size, failed too. StatusLineWithinAnEventIsText passes as before. Not covered: the same in a response that is no stream, whose body may be anything.

--- a/libraries/migration/event_splitter.cc
+++ b/libraries/migration/event_splitter.cc
@@ -7,6 +7,20 @@
 constexpr std::string_view kEventEnd = "\n\n";
 constexpr std::string_view kStatusLineStart = "HTTP/1.";
 
+// Returns where another response begins in `text`, the rest of a run up to the
+// end of its next event; npos if nowhere.
+std::size_t FindOtherResponse(std::string_view text) {
+  if (text.starts_with(kStatusLineStart)) return 0;
+  // The engine may have broken off an event. Unlike a status line, the lines of
+  // events end without a carriage return.
+  for (std::size_t at = text.find(kStatusLineStart); at != std::string::npos;
+       at = text.find(kStatusLineStart, at + 1)) {
+    const std::size_t line_end = text.find('\n', at);
+    if (line_end != std::string::npos && text[line_end - 1] == '\r') return at;
+  }
+  return std::string::npos;
+}
+
 }  // namespace
 
 void EventSplitter::Append(std::string_view bytes) {
@@ -15,21 +29,21 @@
   if (!ended_) buffer_ += bytes;
 }
 
-bool EventSplitter::IsAtOtherResponse() const {
-  return framing_ == Framing::kUnmarked &&
-         std::string_view(buffer_).substr(begin_).starts_with(kStatusLineStart);
-}
-
 std::optional<std::string_view> EventSplitter::Next() {
-  if (IsAtOtherResponse()) {
-    ended_ = true;
-    buffer_.resize(begin_);
-  }
   const std::size_t end = buffer_.find(kEventEnd, begin_);
-  if (end == std::string::npos) return std::nullopt;
-  const std::size_t size = end + kEventEnd.size() - begin_;
-  const std::string_view event = std::string_view(buffer_).substr(begin_, size);
-  begin_ += size;
+  const bool is_whole = end != std::string::npos;
+  const std::string_view event = std::string_view(buffer_).substr(
+      begin_, is_whole ? end + kEventEnd.size() - begin_ : std::string::npos);
+  if (framing_ == Framing::kUnmarked) {
+    const std::size_t other_response = FindOtherResponse(event);
+    if (other_response != std::string::npos) {
+      ended_ = true;
+      buffer_.resize(begin_ + other_response);
+      return std::nullopt;
+    }
+  }
+  if (!is_whole) return std::nullopt;
+  begin_ += event.size();
   ++events_;
   return event;
 }
--- a/libraries/migration/event_splitter.h
+++ b/libraries/migration/event_splitter.h
@@ -42,9 +42,6 @@
   std::uint64_t events() const { return events_; }
 
  private:
-  // Whether another response begins at `begin_`.
-  bool IsAtOtherResponse() const;
-
   Framing framing_;
   // Another response has begun; what still arrives is dropped.
   bool ended_ = false;
--- a/tests/libraries/migration/event_stream_test.cc
+++ b/tests/libraries/migration/event_stream_test.cc
@@ -73,6 +73,24 @@
   EXPECT_EQ(run.events(), 1U);
 }
 
+// Guards against an event that was continued with the response after it: the
+// engine had broken it off.
+TEST(EventSplitterTest, RunWithoutFramingEndsAtAnotherResponseWithinAnEvent) {
+  const std::string text = Event(1) + "id: 2\nda" +
+                           "HTTP/1.1 200 OK\r\nRequest-Id: r-0\r\n\r\n" +
+                           Event(1) + Event(2);
+  for (std::size_t size = 1; size <= text.size(); ++size) {
+    EventStreamMerger stream;
+    EventSplitter run(EventSplitter::Framing::kUnmarked);
+    std::string seen;
+    for (std::size_t at = 0; at < text.size(); at += size) {
+      seen += stream.Append(run, text.substr(at, size));
+    }
+    EXPECT_EQ(seen, Event(1));
+    EXPECT_EQ(run.partial_bytes(), 8U);
+  }
+}
+
 // The text of an event may be about HTTP.
 TEST(EventSplitterTest, StatusLineWithinAnEventIsText) {
   const std::string event = "id: 1\ndata: HTTP/1.1 200 OK\n\n";
--- a/tests/services/gateway/stream_continuation_test.cc
+++ b/tests/services/gateway/stream_continuation_test.cc
@@ -241,5 +241,45 @@
   ExpectBrokenOffAfterTwoEvents();
 }
 
+// Both runs go on after what the client has, whoever sent it.
+TEST_F(StreamContinuationTest, StreamThatAClientResumedContinuesElsewhere) {
+  client_last_event_ = 2;
+  first_.on_request = [](const auto& request) {
+    EXPECT_NE(request.head.find("Last-Event-Id: 2"), std::string::npos);
+    BeginStream(request.socket, 3, 3);
+    request.socket->flush();
+    request.socket->disconnectFromHost();
+  };
+  second_.on_request = [](const auto& request) {
+    EXPECT_NE(request.head.find("Last-Event-Id: 3"), std::string::npos);
+    BeginStream(request.socket, 4, 4);
+    EndStream(request.socket);
+  };
+  SendResumable();
+  RunUntilDone();
+  EXPECT_EQ(sink_.complete, true);
+  EXPECT_EQ(sink_.text, "id: 3\ndata: t\n\nid: 4\ndata: t\n\n");
+}
+
+// Guards against a piece that joins a broken-off event with what follows it: an
+// engine broke off a response without a length or chunks within an event, and
+// sent another response.
+TEST_F(StreamContinuationTest, ResponseAfterBrokenOffEventIsNotJoined) {
+  first_.on_request = [](const auto& request) {
+    Write(request.socket,
+          "HTTP/1.1 200 OK\r\nRequest-Id: r-1\r\nResponse-Seal: s\r\n\r\n" +
+              std::string(kFirstTwoEvents) + "id: 3\nda");
+    Write(request.socket,
+          "HTTP/1.1 200 OK\r\nRequest-Id: r-0\r\nResponse-Seal: s\r\n\r\n"
+          "id: 1\ndata: other\n\n");
+    request.socket->flush();
+    request.socket->disconnectFromHost();
+  };
+  Send(routing::RequestKind::kStream, 1);
+  RunUntilDone();
+  EXPECT_EQ(sink_.complete, false);
+  EXPECT_EQ(sink_.text, kFirstTwoEvents);
+}
+
 }  // namespace
 }  // namespace balsam::gateway
