Test streams through sidecars with an engine that the test writes

An engine in the test's process decides on the bytes of each response and on how its connection ends. What holds, through real entries and sidecars: a stream that had begun and is answered 404, 503, 500 or 302 with events in the body, with an empty 200, with no response or no HTTP at all ends with an error event, holds nothing of that response, is not started again elsewhere, and is not complete. A stream that is cut or reset in an event, in [DONE] or between events goes on without a part of the one before.

--- a/tests/libraries/backend/backend_client_test.cc
+++ b/tests/libraries/backend/backend_client_test.cc
@@ -179,5 +179,178 @@
   EXPECT_TRUE(server.received().contains("from=5"));
 }
 
+const QByteArray kStreamHead =
+    "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+    "Connection: close\r\n\r\n";
+const QByteArray kA = "data: {\"choices\":[{\"index\":0,\"text\":\"a\"}]}\n\n";
+const QByteArray kB = "data: {\"choices\":[{\"index\":0,\"text\":\"b\"}]}\n\n";
+const QByteArray kDone = "data: [DONE]\n\n";
+
+struct StreamCase {
+  std::string name;
+  QByteArray events;
+  std::vector<std::string> tokens;
+  ClientEvent event;
+
+  friend void PrintTo(const StreamCase& row, std::ostream* out) {
+    *out << row.name;
+  }
+};
+
+class BackendStreamTest : public BackendClientTest,
+                          public testing::WithParamInterface<StreamCase> {};
+
+// A token that is left out of a complete stream, or added to it, changes the
+// number of each later one, by which it is resumed.
+TEST_P(BackendStreamTest, GivesEachTokenOnceOrBreaks) {
+  FixedServer server(kStreamHead + GetParam().events, true);
+  CreateClient(server.url());
+  EXPECT_EQ(Generate(), GetParam().event);
+  EXPECT_EQ(tokens_, GetParam().tokens);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Events, BackendStreamTest,
+    testing::Values(
+        StreamCase{
+            "Plain", kA + kB + kDone, {"a", "b"}, ClientEvent::kCompleted},
+        StreamCase{"NoToken", kDone, {}, ClientEvent::kCompleted},
+        StreamCase{"CarriageReturns",
+                   QByteArray(kA + kB + kDone).replace("\n", "\r\n"),
+                   {"a", "b"},
+                   ClientEvent::kCompleted},
+        StreamCase{
+            "OtherFields",
+            ": comment\nid: 1\nevent: token\nretry: 5\n" + kA + kB + kDone,
+            {"a", "b"},
+            ClientEvent::kCompleted},
+        StreamCase{"ChatPreambleAndEnd",
+                   "data: {\"choices\":[{\"index\":0,\"delta\":"
+                   "{\"role\":\"assistant\",\"content\":\"\"}}]}\n\n"
+                   "data: {\"choices\":[{\"index\":0,\"delta\":"
+                   "{\"content\":\"a\"},\"finish_reason\":null}]}\n\n"
+                   "data: {\"choices\":[{\"index\":0,\"delta\":{},"
+                   "\"finish_reason\":\"stop\"}]}\n\n"
+                   "data: {\"choices\":[],\"usage\":{}}\n\n" +
+                       kDone,
+                   {"a"},
+                   ClientEvent::kCompleted},
+        StreamCase{"TextWithFinishReason",
+                   kA +
+                       "data: {\"choices\":[{\"text\":\"b\","
+                       "\"finish_reason\":\"length\"}]}\n\n" +
+                       kDone,
+                   {"a", "b"},
+                   ClientEvent::kCompleted},
+        StreamCase{"EmptyTextAtTheEnd",
+                   kA +
+                       "data: {\"choices\":[{\"text\":\"\","
+                       "\"finish_reason\":\"stop\"}]}\n\n" +
+                       kDone,
+                   {"a"},
+                   ClientEvent::kCompleted},
+        StreamCase{"CutInALine",
+                   kA + QByteArray(kB).chopped(9),
+                   {"a"},
+                   ClientEvent::kBroken},
+        StreamCase{
+            "CutInDone", kA + "data: [DON", {"a"}, ClientEvent::kBroken}),
+    [](const auto& row) { return row.param.name; });
+
+struct AnswerCase {
+  std::string name;
+  QByteArray response;
+  bool is_resume;
+  ClientEvent event;
+  ResultCode code = ResultCode::kOk;
+
+  friend void PrintTo(const AnswerCase& row, std::ostream* out) {
+    *out << row.name;
+  }
+};
+
+class BackendAnswerTest : public BackendClientTest,
+                          public testing::WithParamInterface<AnswerCase> {};
+
+// Nothing of a response that is no event stream may become a token, and only
+// an engine that does not know the stream counts as crashed.
+TEST_P(BackendAnswerTest, IsNoStream) {
+  FixedServer server(GetParam().response, true);
+  CreateClient(server.url());
+  if (GetParam().is_resume) {
+    client_->ResumeGeneration(1, "a~1~1", 0);
+    EXPECT_EQ(Wait(), GetParam().event);
+  } else {
+    EXPECT_EQ(Generate(), GetParam().event);
+  }
+  EXPECT_EQ(outcome_.code, GetParam().code);
+  EXPECT_TRUE(tokens_.empty());
+}
+
+QByteArray Answer(const QByteArray& status, const QByteArray& type,
+                  const QByteArray& body) {
+  return "HTTP/1.1 " + status + "\r\nContent-Type: " + type +
+         "\r\nContent-Length: " + QByteArray::number(body.size()) + "\r\n\r\n" +
+         body;
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Responses, BackendAnswerTest,
+    testing::Values(
+        AnswerCase{"Unavailable",
+                   Answer("503 Busy", "text/event-stream", kA + kDone), false,
+                   ClientEvent::kCompleted, ResultCode::kBackendServerError},
+        AnswerCase{"UnknownStreamAtResume",
+                   Answer("404 Not Found", "text/event-stream", kA + kDone),
+                   true, ClientEvent::kResumeFailed}),
+    [](const auto& row) { return row.param.name; });
+
+struct CallCase {
+  std::string name;
+  QByteArray response;
+  ClientEvent event;
+
+  friend void PrintTo(const CallCase& row, std::ostream* out) {
+    *out << row.name;
+  }
+};
+
+class BackendCallTest : public BackendClientTest,
+                        public testing::WithParamInterface<CallCase> {};
+
+// A part of a response must not be delivered as a whole one.
+TEST_P(BackendCallTest, IsCompleteOrBroken) {
+  FixedServer server(GetParam().response, true);
+  CreateClient(server.url());
+  EXPECT_EQ(Call("door"), GetParam().event);
+  if (GetParam().event == ClientEvent::kCompleted) {
+    EXPECT_EQ(outcome_.body, "whole");
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Responses, BackendCallTest,
+    testing::Values(
+        CallCase{"Chunks",
+                 "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                 "5\r\nwhole\r\n0\r\n\r\n",
+                 ClientEvent::kCompleted},
+        CallCase{"ChunksWithoutTheLast",
+                 "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                 "5\r\nwhole\r\n",
+                 ClientEvent::kBroken},
+        CallCase{"CutInAChunk",
+                 "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                 "9\r\nwhole",
+                 ClientEvent::kBroken},
+        CallCase{"ErrorCutShort",
+                 "HTTP/1.1 409 Conflict\r\nContent-Length: 100\r\n\r\npart",
+                 ClientEvent::kBroken},
+        CallCase{"HeadCutShort", "HTTP/1.1 200 OK\r\nContent-Le",
+                 ClientEvent::kBroken},
+        CallCase{"EndsWithItsConnection", "HTTP/1.1 200 OK\r\n\r\nwhole",
+                 ClientEvent::kCompleted}),
+    [](const auto& row) { return row.param.name; });
+
 }  // namespace
 }  // namespace balsam::backend
--- a/tests/processes/cluster.cc
+++ b/tests/processes/cluster.cc
@@ -142,8 +142,13 @@
 
 void Cluster::AddBackend(const std::string& vm, const std::string& service,
                          bool engine, const BackendOptions& options) {
-  const Backend backend{FreePort(), FreePort(), FreePort(),
-                        engine,     service,    options};
+  const bool is_own = options.own_backend_port != 0;
+  const Backend backend{is_own ? options.own_backend_port : FreePort(),
+                        FreePort(),
+                        FreePort(),
+                        engine,
+                        service,
+                        options};
   backends_[vm] = backend;
   vms_[vm] = {
       {"id", vm},
@@ -156,8 +161,10 @@
       {"state", "live"}};
   QStringList arguments = {engine ? "engine" : "service", "--port",
                            QString::number(backend.backend_port)};
-  AddProcess(vm + kBackendSuffix, BALSAM_STANDIN,
-             arguments + options.engine_arguments);
+  if (!is_own) {
+    AddProcess(vm + kBackendSuffix, BALSAM_STANDIN,
+               arguments + options.engine_arguments);
+  }
   AddSidecar(vm, vm, backend, options);
 }
 
--- a/tests/processes/cluster.h
+++ b/tests/processes/cluster.h
@@ -57,6 +57,9 @@
   // The peer port of the sidecar in the VM list, if connections go through a
   // forwarder; zero lists the sidecar's own port.
   std::uint16_t listed_peer_port = 0;
+  // The port of a backend server that the test itself runs; zero starts the
+  // stand-in.
+  std::uint16_t own_backend_port = 0;
   QStringList engine_arguments;
   nlohmann::json limits = nlohmann::json::object();
 };
--- a/tests/processes/tokens_once_test.cc
+++ b/tests/processes/tokens_once_test.cc
@@ -4,6 +4,7 @@
 
 #include "tests/processes/cluster.h"
 #include "tests/processes/forwarder.h"
+#include "tests/processes/scripted_engine.h"
 
 namespace balsam::processes {
 namespace {
@@ -164,5 +165,155 @@
   EXPECT_EQ(ParseEventStream(first->received()).text, ExpectedText(0, kTokens));
 }
 
+// Streams of engines whose responses the test writes.
+class TokensOnceScriptedEngineProcessTest : public testing::Test {
+ protected:
+  static constexpr int kBefore = 12;
+  static constexpr int kAll = 16;
+
+  // Each generation sends `first`; `resume` answers the requests to resume it.
+  void StartCluster(
+      const ScriptedResponse& first,
+      const std::function<ScriptedResponse(const ScriptedRequest&)>& resume) {
+    for (const char* vm : {"llm-1", "llm-2"}) {
+      engines_.push_back(std::make_unique<ScriptedEngine>(
+          [first, resume](const ScriptedRequest& request) {
+            return request.is_resume ? resume(request) : first;
+          }));
+      BackendOptions options;
+      options.own_backend_port = engines_.back()->port();
+      cluster_.AddEngine(vm, options);
+    }
+    cluster_.AddEntry("entry-1");
+    ASSERT_TRUE(cluster_.Start());
+  }
+  // Returns what a caller of a live stream received until its end.
+  EventStreamContent Complete() {
+    AsyncRequest request("POST",
+                         cluster_.EntryUrl("entry-1") + "/v1/completions",
+                         CompletionBody(kAll), CallerHeaders());
+    EXPECT_TRUE(request.Wait());
+    received_ = request.response().body;
+    return ParseEventStream(received_);
+  }
+  int generations() const {
+    return engines_[0]->started() + engines_[1]->started();
+  }
+  std::string SidecarLogs() {
+    return cluster_.process("llm-1").Log() + cluster_.process("llm-2").Log();
+  }
+
+  // The first tokens of a generation, without its end.
+  static QByteArray Begun() {
+    return EventStreamHead() + TokenEvents(0, kBefore);
+  }
+  // What an engine answers that resumes as it was asked to.
+  static ScriptedResponse ResumeAsAsked(const ScriptedRequest& request) {
+    return {EventStreamHead() + TokenEvents(request.from, kAll - request.from) +
+            kDoneEvent};
+  }
+
+  std::vector<std::unique_ptr<ScriptedEngine>> engines_;
+  Cluster cluster_;
+  std::string received_;
+};
+
+struct FailedResume {
+  std::string name;
+  QByteArray response;
+  int code = 3001;
+
+  friend void PrintTo(const FailedResume& row, std::ostream* out) {
+    *out << row.name;
+  }
+};
+
+class TokensOnceFailedResumeProcessTest
+    : public TokensOnceScriptedEngineProcessTest,
+      public testing::WithParamInterface<FailedResume> {};
+
+// A stream that had begun must neither contain any of the failed response nor
+// look complete.
+TEST_P(TokensOnceFailedResumeProcessTest, BegunStreamEndsWithAnError) {
+  StartCluster({Begun()}, [](const ScriptedRequest&) {
+    return ScriptedResponse{GetParam().response};
+  });
+  const EventStreamContent seen = Complete();
+  EXPECT_EQ(seen.text, ExpectedText(0, kBefore)) << received_;
+  EXPECT_FALSE(seen.done) << received_;
+  EXPECT_EQ(seen.error.value("code", 0), GetParam().code) << received_;
+  EXPECT_EQ(seen.error.value("ran", ""), "ran");
+  EXPECT_EQ(received_.find("overloaded"), std::string::npos) << received_;
+  EXPECT_EQ(received_.find("HTTP/1.1"), std::string::npos) << received_;
+  EXPECT_EQ(generations(), 1);
+}
+
+const QByteArray kErrorEvents =
+    "data: {\"error\":\"overloaded\"}\n\n" + TokenEvents(77, 2) + kDoneEvent;
+
+INSTANTIATE_TEST_SUITE_P(
+    Responses, TokensOnceFailedResumeProcessTest,
+    testing::Values(
+        FailedResume{"NotFound", FullResponse(404, "application/json",
+                                              "{\"error\":\"overloaded\"}")},
+        FailedResume{"NotFoundWithEvents",
+                     FullResponse(404, "text/event-stream", kErrorEvents)},
+        FailedResume{"UnavailableWithEvents",
+                     FullResponse(503, "text/event-stream", kErrorEvents)},
+        FailedResume{"ServerErrorWithEvents",
+                     FullResponse(500, "text/plain", kErrorEvents)},
+        FailedResume{"RedirectWithEvents",
+                     FullResponse(302, "text/plain", kErrorEvents)},
+        FailedResume{
+            "SuccessThatIsNoEventStream",
+            FullResponse(200, "text/html", "<html>overloaded</html>\n")},
+        FailedResume{"EmptySuccess",
+                     FullResponse(200, "text/event-stream", "")},
+        FailedResume{"NoResponse", ""},
+        FailedResume{"NoHttp", "overloaded\r\n\r\n"}),
+    [](const auto& row) { return row.param.name; });
+
+struct BrokenStream {
+  std::string name;
+  // What follows the first tokens, and how the connection then ends.
+  QByteArray rest;
+  ConnectionEnd end = ConnectionEnd::kOrderly;
+
+  friend void PrintTo(const BrokenStream& row, std::ostream* out) {
+    *out << row.name;
+  }
+};
+
+class TokensOnceBrokenStreamProcessTest
+    : public TokensOnceScriptedEngineProcessTest,
+      public testing::WithParamInterface<BrokenStream> {};
+
+// What cannot be read of a stream must be fetched again, not left out, and
+// nothing of it may be joined with the response that goes on.
+TEST_P(TokensOnceBrokenStreamProcessTest, CallerReceivesTheWholeText) {
+  StartCluster({Begun() + GetParam().rest, GetParam().end}, ResumeAsAsked);
+  const EventStreamContent seen = Complete();
+  EXPECT_EQ(seen.text, ExpectedText(0, kAll)) << received_;
+  EXPECT_TRUE(seen.done) << received_;
+  EXPECT_EQ(generations(), 1);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Streams, TokensOnceBrokenStreamProcessTest,
+    testing::Values(
+        BrokenStream{"EndsWithoutDone", ""},
+        BrokenStream{"Reset", "", ConnectionEnd::kReset},
+        BrokenStream{"ResetAfterDone", TokenEvents(12, 4) + kDoneEvent,
+                     ConnectionEnd::kReset},
+        BrokenStream{"CutInAnEvent", TokenEvents(12, 1).chopped(20)},
+        BrokenStream{"CutInAnEventByReset", TokenEvents(12, 1).chopped(20),
+                     ConnectionEnd::kReset},
+        BrokenStream{"CutBeforeTheEventsEnd", TokenEvents(12, 1).chopped(2)},
+        BrokenStream{"CutBeforeTheEventsBlankLine",
+                     TokenEvents(12, 1).chopped(1)},
+        BrokenStream{"CutInDone", TokenEvents(12, 4) + "data: [DO"},
+        BrokenStream{"CutBeforeDonesEnd", TokenEvents(12, 4) + "data: [DONE]"}),
+    [](const auto& row) { return row.param.name; });
+
 }  // namespace
 }  // namespace balsam::processes
