Break a stream on an event that cannot be read instead of leaving it out

What callers saw: a live stream that looked complete and lacked a piece: five tokens, a damaged event and three tokens came as eight tokens and [DONE].

Cause: the sidecar's client skipped a line that was not JSON, not an object, without choices or without a text, and read each line by itself. The token was lost, the later ones were stored under their predecessors' numbers, and a resumption would have asked for the wrong token. Events whose data has two lines were lost the same way, and so were those without a space after the colon. Texts of a second choice were mixed into the first.

Change: EngineStream reads one response as the standard says and keeps what belongs to it. What engines send beside tokens stays: comments, the first event of a chat (role), the end with a finish reason, usage without choices. The sidecar logs each broken stream and why, also one that is resumed (engine_stream_broken).

AStreamCompletesOnlyWithItsDoneEvent demanded the fault in one line: a stream with "data: not json" counted as complete. The line is taken out; BackendStreamTest.NoJson demands the opposite, and the rest of the test stands.

Looked at for the same cause: messages between processes (an undecodable one breaks its stream), orders and state of engines (a response that cannot be read is a failure).

--- a/libraries/backend/backend_client.cc
+++ b/libraries/backend/backend_client.cc
@@ -4,7 +4,6 @@
 #include <QNetworkReply>
 #include <QNetworkRequest>
 #include <algorithm>
-#include <nlohmann/json.hpp>
 #include <utility>
 
 #include "libraries/backend/one_shot_body.h"
@@ -12,13 +11,10 @@
 namespace balsam::backend {
 namespace {
 
-using nlohmann::json;
-
 constexpr int kConnectionsPerManager = 6;
 constexpr char kStreamHeader[] = "X-Stream-Id";
 constexpr char kPriorityHeader[] = "X-Priority";
 constexpr int kHttpOk = 200;
-constexpr qsizetype kMaxLineBytes = 1 << 20;
 
 QByteArray ToBytes(const std::string& text) {
   return {text.data(), static_cast<qsizetype>(text.size())};
@@ -28,21 +24,6 @@
   return reply->attribute(QNetworkRequest::HttpStatusCodeAttribute).toInt();
 }
 
-std::string StringMember(const json& object, const char* name) {
-  const auto member = object.find(name);
-  const bool fits = member != object.end() && member->is_string();
-  return fits ? member->get<std::string>() : std::string();
-}
-
-// Returns the text of a completion or chat completion event.
-std::string TextOf(const json& choice) {
-  const auto delta = choice.find("delta");
-  if (delta != choice.end() && delta->is_object()) {
-    return StringMember(*delta, "content");
-  }
-  return StringMember(choice, "text");
-}
-
 // No connection was established, so nothing can have been sent.
 bool WasNeverConnected(const QNetworkReply* reply) {
   return reply->error() == QNetworkReply::ConnectionRefusedError ||
@@ -174,47 +155,25 @@
   if (found == exchanges_.end() || !found->second.reply) return;
   Exchange& exchange = found->second;
   if (StatusOf(exchange.reply) != kHttpOk) return;
-  exchange.receive_buffer += exchange.reply->readAll();
+  const QNetworkReply* reply = exchange.reply;
+  const QByteArray bytes = exchange.reply->readAll();
   const std::uint64_t first = exchange.next;
-  std::vector<std::string> tokens;
-  qsizetype start = 0;
-  for (qsizetype end = exchange.receive_buffer.indexOf('\n'); end >= 0;
-       end = exchange.receive_buffer.indexOf('\n', start)) {
-    ParseEvent(local_id, exchange,
-               exchange.receive_buffer.mid(start, end - start), tokens);
-    start = end + 1;
-  }
-  exchange.receive_buffer.remove(0, start);
-  if (exchange.receive_buffer.size() > kMaxLineBytes) exchange.reply->abort();
-  if (!tokens.empty() && on_tokens) on_tokens(local_id, first, tokens);
-}
-
-void BackendClient::ParseEvent(execution::LocalId local_id, Exchange& exchange,
-                               const QByteArray& line,
-                               std::vector<std::string>& tokens) {
-  if (!line.startsWith("data: ")) return;
-  const QByteArrayView data = QByteArrayView(line).sliced(6).trimmed();
-  if (data == QByteArrayView("[DONE]")) {
-    exchange.received_done = true;
-    return;
-  }
-  const json event = json::parse(data.begin(), data.end(), nullptr,
-                                 /*allow_exceptions=*/false);
-  if (!event.is_object()) return;
-  if (event.contains("preempted")) {
-    if (on_preempted) on_preempted(local_id);
-    return;
+  const EngineStream::Batch batch = exchange.stream.Read(
+      {bytes.data(), static_cast<std::size_t>(bytes.size())});
+  exchange.next += batch.tokens.size();
+  const std::string fault = exchange.stream.fault();
+  for (int i = 0; i < batch.preemptions && on_preempted; ++i) {
+    on_preempted(local_id);
   }
-  const auto choices = event.find("choices");
-  if (choices == event.end() || !choices->is_array() || choices->empty()) {
-    return;
+  if (!batch.tokens.empty() && on_tokens) {
+    on_tokens(local_id, first, batch.tokens);
   }
-  const json& choice = choices->front();
-  if (!choice.is_object()) return;
-  std::string text = TextOf(choice);
-  if (text.empty()) return;
-  tokens.push_back(std::move(text));
-  ++exchange.next;
+  if (fault.empty()) return;
+  // The owner may have replaced or cancelled the exchange meanwhile.
+  const auto current = exchanges_.find(local_id);
+  if (current == exchanges_.end() || current->second.reply != reply) return;
+  Abort(local_id);
+  on_broken(local_id, "backend server: " + fault);
 }
 
 void BackendClient::OnReplyFinished(execution::LocalId local_id,
@@ -270,7 +229,7 @@
                                  QNetworkReply* reply) {
   const std::string reason = reply->errorString().toStdString();
   const int status = StatusOf(reply);
-  if (exchange.received_done) {
+  if (exchange.stream.done()) {
     Outcome outcome;
     outcome.run_state = RunState::kRan;
     on_completed(local_id, std::move(outcome));
@@ -283,8 +242,13 @@
     on_completed(local_id, Outcome::Ran(ResultCode::kBackendServerError,
                                         "backend server returned HTTP status " +
                                             std::to_string(status)));
-  } else {
+  } else if (reply->error() != QNetworkReply::NoError) {
     on_broken(local_id, "backend server: " + reason);
+  } else {
+    on_broken(local_id,
+              exchange.stream.IsInsideEvent()
+                  ? "backend server: the stream ended in an event"
+                  : "backend server: the stream ended without [DONE]");
   }
 }
 
--- a/libraries/backend/backend_client.h
+++ b/libraries/backend/backend_client.h
@@ -15,6 +15,7 @@
 #include <string>
 #include <vector>
 
+#include "libraries/backend/engine_stream.h"
 #include "libraries/execution/work_record.h"
 
 class QNetworkReply;
@@ -63,10 +64,9 @@
   struct Exchange {
     QPointer<QNetworkReply> reply;
     QNetworkAccessManager* manager = nullptr;
-    QByteArray receive_buffer;
+    EngineStream stream;
     bool is_resume = false;
     bool is_call = false;
-    bool received_done = false;
     std::uint64_t next = 0;
   };
 
@@ -80,8 +80,6 @@
                                   const std::string& body);
   void Track(execution::LocalId local_id, Exchange exchange);
   void ReadEvents(execution::LocalId local_id);
-  void ParseEvent(execution::LocalId local_id, Exchange& exchange,
-                  const QByteArray& line, std::vector<std::string>& tokens);
   void OnReplyFinished(execution::LocalId local_id, QNetworkReply* reply);
   void FinishCall(execution::LocalId local_id, QNetworkReply* reply);
   void FinishStream(execution::LocalId local_id, const Exchange& exchange,
--- /dev/null
+++ b/libraries/backend/engine_stream.h
@@ -0,0 +1,43 @@
+// Reads the events of one response of an engine: bytes in, tokens out. All that
+// is kept between two reads belongs to this response and ends with it.
+//
+// Every event that should hold a token and cannot be read is a fault, since the
+// tokens after it would get the numbers of their predecessors.
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace balsam::backend {
+
+class EngineStream {
+ public:
+  struct Batch {
+    std::vector<std::string> tokens;
+    int preemptions = 0;
+  };
+
+  // Reads the events that `bytes` completes. Reads nothing after a fault.
+  Batch Read(std::string_view bytes);
+
+  // The engine ended the stream: every token was read.
+  bool done() const { return done_; }
+  // Why the rest of the stream cannot be read; empty if it can.
+  const std::string& fault() const { return fault_; }
+  // An event has begun and not ended.
+  bool IsInsideEvent() const { return !line_.empty() || !data_.empty(); }
+
+ private:
+  void ReadLine(std::string_view line, Batch& batch);
+  void ReadEvent(Batch& batch);
+
+  // The part of the last line that was received.
+  std::string line_;
+  // The data of the event that has begun, each line of it with its end.
+  std::string data_;
+  bool done_ = false;
+  std::string fault_;
+};
+
+}  // namespace balsam::backend
--- a/services/sidecar/sidecar_node.cc
+++ b/services/sidecar/sidecar_node.cc
@@ -92,6 +92,7 @@
   };
   backend_.on_broken = [this](execution::LocalId local_id,
                               const std::string& reason) {
+    LogBrokenStream(local_id, reason);
     executor_.OnStreamBroken(local_id, reason, ClockReading::Now());
     ApplyDecisions();
   };
@@ -360,6 +361,17 @@
   }
 }
 
+void SidecarNode::LogBrokenStream(execution::LocalId local_id,
+                                  const std::string& reason) const {
+  const execution::WorkRecord* record = executor_.Find(local_id);
+  if (record == nullptr) return;
+  LogEvent("engine_stream_broken", LogEvent::Level::kWarning)
+      .With("request", record->work.request_id)
+      .With("generation", executor_.IdOf(local_id).ToText())
+      .With("tokens", record->log.end())
+      .With("reason", reason);
+}
+
 void SidecarNode::OnRecordChanged(execution::LocalId local_id) {
   const execution::WorkRecord* record = executor_.Find(local_id);
   if (record == nullptr) return;
--- a/services/sidecar/sidecar_node.h
+++ b/services/sidecar/sidecar_node.h
@@ -79,6 +79,8 @@
   void ApplyDecisions();
   void Dispatch(execution::LocalId local_id);
   void OnRecordChanged(execution::LocalId local_id);
+  void LogBrokenStream(execution::LocalId local_id,
+                       const std::string& reason) const;
   void Tick();
   // Notifies the executor and the engine controller if this process was
   // suspended for longer than the pause limit.
--- a/tests/libraries/backend/backend_client_test.cc
+++ b/tests/libraries/backend/backend_client_test.cc
@@ -156,8 +156,7 @@
       "Connection: close\r\n\r\n";
   const QByteArray token =
       "data: {\"choices\":[{\"text\":\"a\"}]}\n\n: comment\n\n"
-      "data: {\"choices\":[{\"delta\":{\"content\":\"b\"}}]}\n\n"
-      "data: not json\n\n";
+      "data: {\"choices\":[{\"delta\":{\"content\":\"b\"}}]}\n\n";
   FixedServer truncated(head + token, true);
   CreateClient(truncated.url());
   EXPECT_EQ(Generate(), ClientEvent::kBroken);
@@ -219,11 +218,24 @@
                    QByteArray(kA + kB + kDone).replace("\n", "\r\n"),
                    {"a", "b"},
                    ClientEvent::kCompleted},
+        StreamCase{"NoSpaceAfterColon",
+                   QByteArray(kA + kB + kDone).replace("data: ", "data:"),
+                   {"a", "b"},
+                   ClientEvent::kCompleted},
         StreamCase{
             "OtherFields",
             ": comment\nid: 1\nevent: token\nretry: 5\n" + kA + kB + kDone,
             {"a", "b"},
             ClientEvent::kCompleted},
+        StreamCase{
+            "TwoLinesOfDataInOneEvent",
+            "data: {\"choices\":\ndata: [{\"text\":\"a\"}]}\n\n" + kB + kDone,
+            {"a", "b"},
+            ClientEvent::kCompleted},
+        StreamCase{"TwoEventsWithoutBlankLine",
+                   QByteArray(kA).chopped(1) + kB + kDone,
+                   {},
+                   ClientEvent::kBroken},
         StreamCase{"ChatPreambleAndEnd",
                    "data: {\"choices\":[{\"index\":0,\"delta\":"
                    "{\"role\":\"assistant\",\"content\":\"\"}}]}\n\n"
@@ -249,6 +261,48 @@
                        kDone,
                    {"a"},
                    ClientEvent::kCompleted},
+        StreamCase{"NoJson",
+                   kA + "data: {#\n\n" + kB + kDone,
+                   {"a"},
+                   ClientEvent::kBroken},
+        StreamCase{"NoObject",
+                   kA + "data: [1]\n\n" + kB + kDone,
+                   {"a"},
+                   ClientEvent::kBroken},
+        StreamCase{"NoChoices",
+                   kA + "data: {\"choizes\":[]}\n\n" + kB + kDone,
+                   {"a"},
+                   ClientEvent::kBroken},
+        StreamCase{"NoText",
+                   kA + "data: {\"choices\":[{\"index\":0}]}\n\n" + kB + kDone,
+                   {"a"},
+                   ClientEvent::kBroken},
+        StreamCase{"TextIsNoString",
+                   kA + "data: {\"choices\":[{\"text\":7}]}\n\n" + kB + kDone,
+                   {"a"},
+                   ClientEvent::kBroken},
+        StreamCase{
+            "DeltaWithoutContent",
+            kA + "data: {\"choices\":[{\"delta\":{\"contend\":\"x\"}}]}\n\n" +
+                kB + kDone,
+            {"a"},
+            ClientEvent::kBroken},
+        StreamCase{
+            "AnotherChoice",
+            kA + "data: {\"choices\":[{\"index\":1,\"text\":\"x\"}]}\n\n" + kB +
+                kDone,
+            {"a"},
+            ClientEvent::kBroken},
+        StreamCase{
+            "TwoChoices",
+            kA + "data: {\"choices\":[{\"text\":\"x\"},{\"text\":\"y\"}]}\n\n" +
+                kB + kDone,
+            {"a"},
+            ClientEvent::kBroken},
+        StreamCase{"UnknownField",
+                   kA + "dat#: {}\n\n" + kB + kDone,
+                   {"a"},
+                   ClientEvent::kBroken},
         StreamCase{"CutInALine",
                    kA + QByteArray(kB).chopped(9),
                    {"a"},
--- a/tests/processes/tokens_once_test.cc
+++ b/tests/processes/tokens_once_test.cc
@@ -312,7 +312,22 @@
         BrokenStream{"CutBeforeTheEventsBlankLine",
                      TokenEvents(12, 1).chopped(1)},
         BrokenStream{"CutInDone", TokenEvents(12, 4) + "data: [DO"},
-        BrokenStream{"CutBeforeDonesEnd", TokenEvents(12, 4) + "data: [DONE]"}),
+        BrokenStream{"CutBeforeDonesEnd", TokenEvents(12, 4) + "data: [DONE]"},
+        BrokenStream{"NoJson", "data: {\"choices\":[{\"te#\n\n" +
+                                   TokenEvents(13, 3) + kDoneEvent},
+        BrokenStream{"NoObject",
+                     "data: 17\n\n" + TokenEvents(13, 3) + kDoneEvent},
+        BrokenStream{"NoChoices",
+                     "data: {\"choizes\":[{\"text\":\" t12\"}]}\n\n" +
+                         TokenEvents(13, 3) + kDoneEvent},
+        BrokenStream{"NoText", "data: {\"choices\":[{\"tezt\":\" t12\"}]}\n\n" +
+                                   TokenEvents(13, 3) + kDoneEvent},
+        BrokenStream{"InvalidUtf8",
+                     "data: {\"choices\":[{\"text\":\"\xff\"}]}\n\n" +
+                         TokenEvents(13, 3) + kDoneEvent},
+        BrokenStream{"GarbledFieldName",
+                     "dat#: {\"choices\":[{\"text\":\" t12\"}]}\n\n" +
+                         TokenEvents(13, 3) + kDoneEvent}),
     [](const auto& row) { return row.param.name; });
 
 }  // namespace
