End a generation with its engine's error instead of as complete

What callers saw: an engine that reported an error in its stream and then sent [DONE] gave a response that looked complete after its first tokens; the error was dropped.

Cause: an event without choices was skipped. With events that cannot be read as faults, it would be taken for a damaged token and fetched again three times.

Change: an event with an error ends the generation as run, with 3006; a stream that had begun ends with an error event. The engine's text is not passed on.

--- a/libraries/backend/backend_client.cc
+++ b/libraries/backend/backend_client.cc
@@ -162,17 +162,25 @@
       {bytes.data(), static_cast<std::size_t>(bytes.size())});
   exchange.next += batch.tokens.size();
   const std::string fault = exchange.stream.fault();
+  const bool failed = exchange.stream.failed();
   for (int i = 0; i < batch.preemptions && on_preempted; ++i) {
     on_preempted(local_id);
   }
   if (!batch.tokens.empty() && on_tokens) {
     on_tokens(local_id, first, batch.tokens);
   }
-  if (fault.empty()) return;
+  if (fault.empty() && !failed) return;
   // The owner may have replaced or cancelled the exchange meanwhile.
   const auto current = exchanges_.find(local_id);
   if (current == exchanges_.end() || current->second.reply != reply) return;
   Abort(local_id);
+  if (failed) {
+    on_completed(
+        local_id,
+        Outcome::Ran(ResultCode::kBackendServerError,
+                     "backend server reported an error in its stream"));
+    return;
+  }
   on_broken(local_id, "backend server: " + fault);
 }
 
--- a/libraries/backend/engine_stream.cc
+++ b/libraries/backend/engine_stream.cc
@@ -61,7 +61,8 @@
   Batch batch;
   line_ += bytes;
   std::size_t start = 0;
-  for (auto end = line_.find('\n'); end != std::string::npos && fault_.empty();
+  for (auto end = line_.find('\n');
+       end != std::string::npos && fault_.empty() && !failed_;
        end = line_.find('\n', start)) {
     ReadLine(std::string_view(line_).substr(start, end - start), batch);
     start = end + 1;
@@ -113,6 +114,10 @@
     ++batch.preemptions;
     return;
   }
+  if (FindMember(event, "error") != nullptr) {
+    failed_ = true;
+    return;
+  }
   const json* choices = FindMember(event, "choices");
   if (choices == nullptr || !choices->is_array()) {
     fault_ = "an event has no choices";
--- a/libraries/backend/engine_stream.h
+++ b/libraries/backend/engine_stream.h
@@ -18,13 +18,16 @@
     int preemptions = 0;
   };
 
-  // Reads the events that `bytes` completes. Reads nothing after a fault.
+  // Reads the events that `bytes` completes. Reads nothing after a fault, or
+  // after the engine reported a failure.
   Batch Read(std::string_view bytes);
 
   // The engine ended the stream: every token was read.
   bool done() const { return done_; }
   // Why the rest of the stream cannot be read; empty if it can.
   const std::string& fault() const { return fault_; }
+  // The engine reported in the stream that the generation failed.
+  bool failed() const { return failed_; }
   // An event has begun and not ended.
   bool IsInsideEvent() const { return !line_.empty() || !data_.empty(); }
 
@@ -37,6 +40,7 @@
   // The data of the event that has begun, each line of it with its end.
   std::string data_;
   bool done_ = false;
+  bool failed_ = false;
   std::string fault_;
 };
 
--- a/tests/processes/tokens_once_test.cc
+++ b/tests/processes/tokens_once_test.cc
@@ -270,7 +270,13 @@
         FailedResume{"EmptySuccess",
                      FullResponse(200, "text/event-stream", "")},
         FailedResume{"NoResponse", ""},
-        FailedResume{"NoHttp", "overloaded\r\n\r\n"}),
+        FailedResume{"NoHttp", "overloaded\r\n\r\n"},
+        FailedResume{"ErrorEvent",
+                     EventStreamHead() +
+                         "event: error\ndata: {\"error\":"
+                         "\"overloaded\"}\n\n" +
+                         kDoneEvent,
+                     3006}),
     [](const auto& row) { return row.param.name; });
 
 struct BrokenStream {
