Read nothing of an engine's stream after its end

What callers saw: tokens that an engine sent after [DONE], in the same response, at the end of a response that looked complete ("a", [DONE], "b", "b" came as "abb").

Cause: the end was a flag that was looked at when the connection closed; the lines after it were read like those before it. Now the end of a stream is the end of reading.

Failing before: BackendStreamTest AfterDone.

--- a/libraries/backend/engine_stream.cc
+++ b/libraries/backend/engine_stream.cc
@@ -59,16 +59,17 @@
 
 EngineStream::Batch EngineStream::Read(std::string_view bytes) {
   Batch batch;
+  // What follows the end belongs to no stream.
+  if (HasEnded()) return batch;
   line_ += bytes;
   std::size_t start = 0;
-  for (auto end = line_.find('\n');
-       end != std::string::npos && fault_.empty() && !failed_;
+  for (auto end = line_.find('\n'); end != std::string::npos && !HasEnded();
        end = line_.find('\n', start)) {
     ReadLine(std::string_view(line_).substr(start, end - start), batch);
     start = end + 1;
   }
   line_.erase(0, start);
-  if (fault_.empty() && line_.size() + data_.size() > kMaxEventBytes) {
+  if (!HasEnded() && line_.size() + data_.size() > kMaxEventBytes) {
     fault_ = "an event is too long";
   }
   return batch;
--- a/libraries/backend/engine_stream.h
+++ b/libraries/backend/engine_stream.h
@@ -18,8 +18,8 @@
     int preemptions = 0;
   };
 
-  // Reads the events that `bytes` completes. Reads nothing after a fault, or
-  // after the engine reported a failure.
+  // Reads the events that `bytes` completes. Reads nothing after the end, a
+  // failure or a fault.
   Batch Read(std::string_view bytes);
 
   // The engine ended the stream: every token was read.
@@ -32,6 +32,7 @@
   bool IsInsideEvent() const { return !line_.empty() || !data_.empty(); }
 
  private:
+  bool HasEnded() const { return done_ || failed_ || !fault_.empty(); }
   void ReadLine(std::string_view line, Batch& batch);
   void ReadEvent(Batch& batch);
 
--- a/tests/libraries/backend/backend_client_test.cc
+++ b/tests/libraries/backend/backend_client_test.cc
@@ -261,6 +261,12 @@
                        kDone,
                    {"a"},
                    ClientEvent::kCompleted},
+        StreamCase{
+            "AfterDone", kA + kDone + kB + kB, {"a"}, ClientEvent::kCompleted},
+        StreamCase{"GarbageAfterDone",
+                   kA + kDone + "data: #\n\n",
+                   {"a"},
+                   ClientEvent::kCompleted},
         StreamCase{"NoJson",
                    kA + "data: {#\n\n" + kB + kDone,
                    {"a"},
