Count an engine's empty tokens

What callers saw: nothing while a stream held. After a break the sidecar would have asked for a token that is as many too early as there were empty ones, and stored repeated tokens as new ones: the response holds them twice and looks complete.

Cause: an event with an empty text was skipped together with those that are no tokens (the first and the last event of a chat). The engine numbers it; the sidecar did not.

Failing before: BackendStreamTest EmptyToken, EmptyChatToken. EmptyTextAtTheEnd and ChatPreambleAndEnd hold before and after.

--- a/libraries/backend/engine_stream.cc
+++ b/libraries/backend/engine_stream.cc
@@ -46,11 +46,11 @@
   const bool is_chat = delta != nullptr && delta->is_object();
   const json* text =
       is_chat ? FindMember(*delta, "content") : FindMember(choice, "text");
+  content.is_notice |= is_chat && delta->contains("role");
   if (text != nullptr && text->is_string()) {
     content.text = text->get<std::string>();
   } else if (text == nullptr && is_chat) {
-    content.is_notice |=
-        delta->empty() || delta->contains("content") || delta->contains("role");
+    content.is_notice |= delta->empty() || delta->contains("content");
   }
   return content;
 }
@@ -141,7 +141,9 @@
     fault_ = "an event has no text";
     return;
   }
-  if (content.text.value_or("").empty()) return;
+  // An empty text is a token unless the event says something else: the engine
+  // counts it, and would be resumed from the wrong token.
+  if (content.text.value_or("").empty() && content.is_notice) return;
   batch.tokens.push_back(*std::move(content.text));
 }
 
--- a/tests/libraries/backend/backend_client_test.cc
+++ b/tests/libraries/backend/backend_client_test.cc
@@ -254,6 +254,17 @@
                        kDone,
                    {"a", "b"},
                    ClientEvent::kCompleted},
+        StreamCase{"EmptyToken",
+                   kA +
+                       "data: {\"choices\":[{\"index\":0,\"text\":\"\"}]}\n\n" +
+                       kB + kDone,
+                   {"a", "", "b"},
+                   ClientEvent::kCompleted},
+        StreamCase{"EmptyChatToken",
+                   "data: {\"choices\":[{\"delta\":{\"content\":\"\"}}]}\n\n" +
+                       kB + kDone,
+                   {"", "b"},
+                   ClientEvent::kCompleted},
         StreamCase{"EmptyTextAtTheEnd",
                    kA +
                        "data: {\"choices\":[{\"text\":\"\","
