Take no tokens from a response that is no event stream

What callers saw: a stream had begun and broke off, the engine answered the resumption with 200, text/plain and an error text with lines of data, and the client found these in the middle of a stream that then ended as complete ("t0 ... t4 t77 t78", [DONE]).

Cause: whether a body is read as events was decided by the status alone. A redirect and an HTML or JSON body in response to a new generation counted as a broken stream; its resumption, unknown to the engine, was then held against the request as a crash.

Change: only 200 with text/event-stream is read. Anything else ends a new generation with 3006 and is a failed try of a resumption, with a reason that says which of the two.

Failing before: TokensOnceFailedResumeProcessTest SuccessThatIsNoEventStreamWithEvents; BackendAnswerTest Redirect, Html, HtmlWithEvents, Json (all broken, or complete with tokens of the page). 404, 503, 500 and 302 with events in the body held.

--- a/libraries/backend/backend_client.cc
+++ b/libraries/backend/backend_client.cc
@@ -24,6 +24,25 @@
   return reply->attribute(QNetworkRequest::HttpStatusCodeAttribute).toInt();
 }
 
+bool IsEventStream(const QNetworkReply* reply) {
+  const QString type =
+      reply->header(QNetworkRequest::ContentTypeHeader).toString();
+  return type.section(';', 0, 0).trimmed().compare("text/event-stream",
+                                                   Qt::CaseInsensitive) == 0;
+}
+
+// Returns why a response is no stream of events; empty if it is one, or if
+// there is no response.
+std::string RefusalOf(const QNetworkReply* reply) {
+  const int status = StatusOf(reply);
+  if (status == 0) return {};
+  if (status != kHttpOk) {
+    return "backend server returned HTTP status " + std::to_string(status);
+  }
+  if (IsEventStream(reply)) return {};
+  return "backend server returned something else than an event stream";
+}
+
 // No connection was established, so nothing can have been sent.
 bool WasNeverConnected(const QNetworkReply* reply) {
   return reply->error() == QNetworkReply::ConnectionRefusedError ||
@@ -154,7 +173,9 @@
   const auto found = exchanges_.find(local_id);
   if (found == exchanges_.end() || !found->second.reply) return;
   Exchange& exchange = found->second;
-  if (StatusOf(exchange.reply) != kHttpOk) return;
+  const bool has_events =
+      StatusOf(exchange.reply) != 0 && RefusalOf(exchange.reply).empty();
+  if (!has_events) return;
   const QNetworkReply* reply = exchange.reply;
   const QByteArray bytes = exchange.reply->readAll();
   const std::uint64_t first = exchange.next;
@@ -235,8 +256,9 @@
 void BackendClient::FinishStream(execution::LocalId local_id,
                                  const Exchange& exchange,
                                  QNetworkReply* reply) {
-  const std::string reason = reply->errorString().toStdString();
   const int status = StatusOf(reply);
+  const std::string refusal = RefusalOf(reply);
+  const std::string prefix = "backend server: ";
   if (exchange.stream.done()) {
     Outcome outcome;
     outcome.run_state = RunState::kRan;
@@ -245,18 +267,18 @@
              (status >= 400 || WasNeverConnected(reply))) {
     on_resume_failed(local_id);
   } else if (WasNeverConnected(reply)) {
-    on_not_sent(local_id, "backend server: " + reason);
-  } else if (status >= 400) {
-    on_completed(local_id, Outcome::Ran(ResultCode::kBackendServerError,
-                                        "backend server returned HTTP status " +
-                                            std::to_string(status)));
+    on_not_sent(local_id, prefix + reply->errorString().toStdString());
+  } else if (!refusal.empty() && !exchange.is_resume) {
+    on_completed(local_id,
+                 Outcome::Ran(ResultCode::kBackendServerError, refusal));
+  } else if (!refusal.empty()) {
+    on_broken(local_id, refusal);
   } else if (reply->error() != QNetworkReply::NoError) {
-    on_broken(local_id, "backend server: " + reason);
+    on_broken(local_id, prefix + reply->errorString().toStdString());
   } else {
-    on_broken(local_id,
-              exchange.stream.IsInsideEvent()
-                  ? "backend server: the stream ended in an event"
-                  : "backend server: the stream ended without [DONE]");
+    on_broken(local_id, prefix + (exchange.stream.IsInsideEvent()
+                                      ? "the stream ended in an event"
+                                      : "the stream ended without [DONE]"));
   }
 }
 
--- a/tests/processes/tokens_once_test.cc
+++ b/tests/processes/tokens_once_test.cc
@@ -267,6 +267,8 @@
         FailedResume{
             "SuccessThatIsNoEventStream",
             FullResponse(200, "text/html", "<html>overloaded</html>\n")},
+        FailedResume{"SuccessThatIsNoEventStreamWithEvents",
+                     FullResponse(200, "text/plain", kErrorEvents)},
         FailedResume{"EmptySuccess",
                      FullResponse(200, "text/event-stream", "")},
         FailedResume{"NoResponse", ""},
