Take only an unknown stream for a crash of the engine

What callers saw: an engine that was asked to resume a stream and answered 503 or 500 counted as crashed. All its streams that were broken at that moment ended with 3001 ("crashed") at once, none was tried again, and the crash was held against their requests; by the rule for crashes a second one refuses the request with 2006 (read, not run).

Cause: any status from 400 on was read as "does not know the stream".

Change: 404 and a refused connection say so.

Failing before: BackendAnswerTest UnavailableAtResume, ServerErrorAtResume (resumption failed where the stream is broken). UnknownStreamAtResume holds before and after.

--- a/libraries/backend/backend_client.cc
+++ b/libraries/backend/backend_client.cc
@@ -15,6 +15,7 @@
 constexpr char kStreamHeader[] = "X-Stream-Id";
 constexpr char kPriorityHeader[] = "X-Priority";
 constexpr int kHttpOk = 200;
+constexpr int kHttpNotFound = 404;
 
 QByteArray ToBytes(const std::string& text) {
   return {text.data(), static_cast<qsizetype>(text.size())};
@@ -264,7 +265,7 @@
     outcome.run_state = RunState::kRan;
     on_completed(local_id, std::move(outcome));
   } else if (exchange.is_resume &&
-             (status >= 400 || WasNeverConnected(reply))) {
+             (status == kHttpNotFound || WasNeverConnected(reply))) {
     on_resume_failed(local_id);
   } else if (WasNeverConnected(reply)) {
     on_not_sent(local_id, prefix + reply->errorString().toStdString());
--- a/libraries/backend/backend_client.h
+++ b/libraries/backend/backend_client.h
@@ -56,6 +56,7 @@
   std::function<void(execution::LocalId, const std::string& reason)>
       on_not_sent;
   std::function<void(execution::LocalId, const std::string& reason)> on_broken;
+  // The engine does not know the stream, or nothing listens there.
   std::function<void(execution::LocalId)> on_resume_failed;
   // The engine reported a preemption of this generation.
   std::function<void(execution::LocalId)> on_preempted;
--- a/tests/libraries/backend/backend_client_test.cc
+++ b/tests/libraries/backend/backend_client_test.cc
@@ -391,6 +391,12 @@
         AnswerCase{"UnknownStreamAtResume",
                    Answer("404 Not Found", "text/event-stream", kA + kDone),
                    true, ClientEvent::kResumeFailed},
+        AnswerCase{"UnavailableAtResume",
+                   Answer("503 Busy", "text/event-stream", kA + kDone), true,
+                   ClientEvent::kBroken},
+        AnswerCase{"ServerErrorAtResume",
+                   Answer("500 Error", "text/plain", kA + kDone), true,
+                   ClientEvent::kBroken},
         AnswerCase{"HtmlAtResume", Answer("200 OK", "text/html", kA + kDone),
                    true, ClientEvent::kBroken}),
     [](const auto& row) { return row.param.name; });
