Resume a stream only where it broke

What callers saw: an engine that resumed a stream at another token than it was asked for gave a response that repeats tokens (t0 ... t11 t0 ... t15) or lacks some (t0 ... t11 t14 t15), and one that had lost the run and sent [DONE] at once a response that ends after t11; each looked complete.

Cause: nothing in the engine's response says where it begins. The first event was numbered as the token that had been asked for.

Change: the sidecar asks for the last eight tokens again, and the response must begin with them; they are compared and dropped. Another beginning, or an end before them, is a failed try. With an empty log there is nothing to compare.

Weighed: a number in each event (a new part of what engines must speak); comparing in the token log (the response that is wrong must also be dropped, which the client does).

BackendStreamResumeTest is new with the parameter that it tests.

--- a/libraries/backend/backend_client.cc
+++ b/libraries/backend/backend_client.cc
@@ -120,15 +120,17 @@
 
 void BackendClient::ResumeGeneration(execution::LocalId local_id,
                                      const std::string& stream,
-                                     std::uint64_t first) {
+                                     std::uint64_t first,
+                                     std::vector<std::string> repeated) {
   Abort(local_id);
   QNetworkAccessManager* manager = ManagerForStream();
   const QString path = QString("/v1/streams/%1?from=%2")
                            .arg(QString::fromStdString(stream))
-                           .arg(first);
+                           .arg(first - repeated.size());
   Exchange exchange;
   exchange.reply = manager->get(RequestFor(path, stream, nullptr));
   exchange.manager = manager;
+  exchange.stream = EngineStream(std::move(repeated));
   exchange.is_resume = true;
   exchange.next = first;
   Track(local_id, std::move(exchange));
--- a/libraries/backend/backend_client.h
+++ b/libraries/backend/backend_client.h
@@ -38,9 +38,11 @@
   // Sends a generation's request. `stream` identifies it at the engine.
   void StartGeneration(execution::LocalId local_id, const std::string& stream,
                        const execution::WorkItem& work);
-  // Asks the engine to continue `stream` from token `first`.
+  // Asks the engine to continue `stream` from token `first`, and to repeat the
+  // tokens before it, `repeated`, which show that it continues there.
   void ResumeGeneration(execution::LocalId local_id, const std::string& stream,
-                        std::uint64_t first);
+                        std::uint64_t first,
+                        std::vector<std::string> repeated = {});
   // Cancels the generation at the engine and drops its exchange.
   void CancelGeneration(execution::LocalId local_id, const std::string& stream);
   void StartCall(execution::LocalId local_id, const std::string& stream,
--- a/libraries/backend/engine_stream.cc
+++ b/libraries/backend/engine_stream.cc
@@ -102,6 +102,10 @@
   const std::string event_data = std::exchange(data_, {});
   const std::string_view data = Trim(event_data);
   if (data.empty()) return;
+  if (data == kDone && compared_ < repeated_.size()) {
+    fault_ = "the stream ended before tokens that it had";
+    return;
+  }
   if (data == kDone) {
     done_ = true;
     return;
@@ -144,7 +148,17 @@
   // An empty text is a token unless the event says something else: the engine
   // counts it, and would be resumed from the wrong token.
   if (content.text.value_or("").empty() && content.is_notice) return;
-  batch.tokens.push_back(*std::move(content.text));
+  AddToken(*std::move(content.text), batch);
+}
+
+void EngineStream::AddToken(std::string text, Batch& batch) {
+  if (compared_ == repeated_.size()) {
+    batch.tokens.push_back(std::move(text));
+  } else if (text == repeated_[compared_]) {
+    ++compared_;
+  } else {
+    fault_ = "the stream does not go on where it broke";
+  }
 }
 
 }  // namespace balsam::backend
--- a/libraries/backend/engine_stream.h
+++ b/libraries/backend/engine_stream.h
@@ -5,8 +5,10 @@
 // tokens after it would get the numbers of their predecessors.
 #pragma once
 
+#include <cstddef>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace balsam::backend {
@@ -18,6 +20,12 @@
     int preemptions = 0;
   };
 
+  EngineStream() = default;
+  // A stream that begins by repeating these tokens. They are compared and not
+  // given out; any other beginning is a fault.
+  explicit EngineStream(std::vector<std::string> repeated)
+      : repeated_(std::move(repeated)) {}
+
   // Reads the events that `bytes` completes. Reads nothing after the end, a
   // failure or a fault.
   Batch Read(std::string_view bytes);
@@ -35,11 +43,14 @@
   bool HasEnded() const { return done_ || failed_ || !fault_.empty(); }
   void ReadLine(std::string_view line, Batch& batch);
   void ReadEvent(Batch& batch);
+  void AddToken(std::string text, Batch& batch);
 
   // The part of the last line that was received.
   std::string line_;
   // The data of the event that has begun, each line of it with its end.
   std::string data_;
+  std::vector<std::string> repeated_;
+  std::size_t compared_ = 0;
   bool done_ = false;
   bool failed_ = false;
   std::string fault_;
--- a/services/sidecar/sidecar_node.cc
+++ b/services/sidecar/sidecar_node.cc
@@ -20,6 +20,9 @@
 constexpr milliseconds kListTimeout{30000};
 constexpr qsizetype kMaxQueuedBytes = 64 << 10;
 constexpr std::size_t kMaxTokensPerMessage = 512;
+// Tokens that an engine repeats when it resumes a stream. Several, since texts
+// repeat single tokens.
+constexpr std::uint64_t kRepeatedTokens = 8;
 
 // Returns a number that is higher than those of earlier processes, also on the
 // same VM. The random low bits distinguish two processes started in the same
@@ -337,8 +340,10 @@
                         [this](execution::LocalId c) { Dispatch(c); });
   std::ranges::for_each(executor_.TakeResumes(now), [this](const auto& resume) {
     const auto& [local_id, first] = resume;
+    const auto repeated = executor_.Find(local_id)->log.TokensFrom(
+        first - std::min(first, kRepeatedTokens), kRepeatedTokens);
     backend_.ResumeGeneration(local_id, executor_.IdOf(local_id).ToText(),
-                              first);
+                              first, {repeated.begin(), repeated.end()});
   });
   std::ranges::for_each(
       executor_.TakeCancellations(), [this](execution::LocalId local_id) {
--- a/tests/libraries/backend/backend_client_test.cc
+++ b/tests/libraries/backend/backend_client_test.cc
@@ -401,6 +401,66 @@
                    true, ClientEvent::kBroken}),
     [](const auto& row) { return row.param.name; });
 
+struct ResumeCase {
+  std::string name;
+  QByteArray events;
+  std::vector<std::string> tokens;
+  ClientEvent event;
+
+  friend void PrintTo(const ResumeCase& row, std::ostream* out) {
+    *out << row.name;
+  }
+};
+
+class BackendStreamResumeTest : public BackendClientTest,
+                                public testing::WithParamInterface<ResumeCase> {
+};
+
+// A stream that goes on elsewhere than where it broke repeats or lacks tokens.
+TEST_P(BackendStreamResumeTest, GoesOnWhereItBroke) {
+  FixedServer server(kStreamHead + GetParam().events, true);
+  CreateClient(server.url());
+  tokens_ = {"x", "a", "b"};
+  client_->ResumeGeneration(1, "a~1~1", 3, {"a", "b"});
+  EXPECT_EQ(Wait(), GetParam().event);
+  EXPECT_EQ(tokens_, GetParam().tokens);
+  EXPECT_TRUE(server.received().contains("from=1 "));
+}
+
+const QByteArray kC = "data: {\"choices\":[{\"text\":\"c\"}]}\n\n";
+
+INSTANTIATE_TEST_SUITE_P(
+    Events, BackendStreamResumeTest,
+    testing::Values(
+        ResumeCase{"AsAsked",
+                   kA + kB + kC + kDone,
+                   {"x", "a", "b", "c"},
+                   ClientEvent::kCompleted},
+        ResumeCase{"NothingMore",
+                   kA + kB + kDone,
+                   {"x", "a", "b"},
+                   ClientEvent::kCompleted},
+        ResumeCase{"OneTooEarly",
+                   kB + kA + kB + kC + kDone,
+                   {"x", "a", "b"},
+                   ClientEvent::kBroken},
+        ResumeCase{"OneTooLate",
+                   kB + kC + kDone,
+                   {"x", "a", "b"},
+                   ClientEvent::kBroken},
+        ResumeCase{
+            "OnlyNewTokens", kC + kDone, {"x", "a", "b"}, ClientEvent::kBroken},
+        ResumeCase{"EndsAtOnce", kDone, {"x", "a", "b"}, ClientEvent::kBroken},
+        ResumeCase{"EndsInTheRepeatedTokens",
+                   kA + kDone,
+                   {"x", "a", "b"},
+                   ClientEvent::kBroken},
+        ResumeCase{"BreaksInTheRepeatedTokens",
+                   kA,
+                   {"x", "a", "b"},
+                   ClientEvent::kBroken}),
+    [](const auto& row) { return row.param.name; });
+
 struct CallCase {
   std::string name;
   QByteArray response;
--- a/tests/processes/tokens_once_test.cc
+++ b/tests/processes/tokens_once_test.cc
@@ -273,12 +273,19 @@
                      FullResponse(200, "text/event-stream", "")},
         FailedResume{"NoResponse", ""},
         FailedResume{"NoHttp", "overloaded\r\n\r\n"},
+        // An engine that lost the run and continues nothing.
+        FailedResume{"EndAtOnce", EventStreamHead() + kDoneEvent},
         FailedResume{"ErrorEvent",
                      EventStreamHead() +
                          "event: error\ndata: {\"error\":"
                          "\"overloaded\"}\n\n" +
                          kDoneEvent,
-                     3006}),
+                     3006},
+        // An engine that ignores the position.
+        FailedResume{"StartsAtTheFirstToken",
+                     EventStreamHead() + TokenEvents(0, 16) + kDoneEvent},
+        FailedResume{"SkipsTokens",
+                     EventStreamHead() + TokenEvents(14, 2) + kDoneEvent}),
     [](const auto& row) { return row.param.name; });
 
 struct BrokenStream {
