Count nothing of an engine's stream that was given up

What callers would see: a stream with a gap that looks complete. A gap breaks the stream and schedules a resumption; until then the tokens that the same response went on to send were stored, and its [DONE] completed the generation.

Cause: events of the engine were accepted by the state of the generation (not done), not of the stream: between the break and the resumption there is none. With the sidecar's client a gap cannot arise at present, since it numbers the tokens itself; seen by calls to the executor.

Failing before: NothingOfAStreamThatWasGivenUpCounts (complete with three of four tokens, one of them wrong). The delivery property test holds before and after.

--- a/libraries/execution/executor.cc
+++ b/libraries/execution/executor.cc
@@ -100,7 +100,8 @@
 void Executor::OnTokens(LocalId local_id, std::uint64_t first,
                         std::span<const std::string> tokens, ClockReading now) {
   WorkRecord* record = Lookup(local_id);
-  if (record == nullptr || record->IsDone()) return;
+  // What arrives in another phase is of a stream that was given up.
+  if (record == nullptr || record->phase != Phase::kRunning) return;
   const std::uint64_t before = record->log.end();
   if (!record->log.Append(first, tokens)) {
     OnStreamBroken(local_id, "tokens are missing from the backend stream", now);
@@ -125,7 +126,7 @@
 void Executor::OnCompleted(LocalId local_id, Outcome outcome,
                            ClockReading now) {
   WorkRecord* record = Lookup(local_id);
-  if (record == nullptr || record->IsDone()) return;
+  if (record == nullptr || record->phase != Phase::kRunning) return;
   crash_tracker_.OnCompleted(record->work.fingerprint);
   const bool ended_before_limit = record->lengths != nullptr &&
                                   outcome.code == ResultCode::kOk &&
--- a/tests/libraries/execution/executor_test.cc
+++ b/tests/libraries/execution/executor_test.cc
@@ -257,6 +257,29 @@
   EXPECT_EQ(executor_.Find(local_id)->log.end(), 3U);
 }
 
+// What a stream sends after it was given up must not complete the generation,
+// nor become a token of it.
+TEST_F(ExecutorTokensOnceTest, NothingOfAStreamThatWasGivenUpCounts) {
+  const LocalId local_id = Accept(Generation());
+  executor_.TakeDispatches(now_);
+  const std::vector<std::string> tokens = {"a", "b"};
+  executor_.OnTokens(local_id, 0, tokens, now_);
+  const std::vector<std::string> after_gap = {"d"};
+  executor_.OnTokens(local_id, 3, after_gap, now_);
+  const std::vector<std::string> wrong = {"x"};
+  executor_.OnTokens(local_id, 2, wrong, now_);
+  EXPECT_EQ(executor_.Find(local_id)->log.end(), 2U);
+  executor_.OnCompleted(local_id, Outcome{}, now_);
+  EXPECT_FALSE(executor_.Find(local_id)->IsDone());
+  now_ = now_ + seconds(1);
+  EXPECT_EQ(executor_.TakeResumes(now_).size(), 1U);
+  const std::vector<std::string> rest = {"c", "d"};
+  executor_.OnTokens(local_id, 2, rest, now_);
+  executor_.OnCompleted(local_id, Outcome{}, now_);
+  EXPECT_EQ(OutcomeOf(local_id).code, ResultCode::kOk);
+  EXPECT_EQ(OutcomeOf(local_id).total_tokens, 4U);
+}
+
 TEST_F(ExecutorTokensOnceTest, AWholeDeliveryIsUnreadableUntilItSucceeds) {
   WorkItem work = Generation();
   work.whole = true;
