Cancel a generation whose stream cannot be resumed

What was seen: after three failed resumptions the sidecar ended the generation with 3001 and forgot it. The engine, if it was only that stream that failed, went on to its end for nobody, and the open response was read until it closed.

Change: it is cancelled at the engine as a generation without a reader is. A cancellation that fails is logged (engine_cancel_failed); its response was dropped unread before.

Failing before: AStreamThatCannotBeResumedIsCancelled.

--- a/libraries/backend/backend_client.cc
+++ b/libraries/backend/backend_client.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "libraries/backend/one_shot_body.h"
+#include "libraries/base/log_event.h"
 
 namespace balsam::backend {
 namespace {
@@ -143,7 +144,16 @@
       QString("/v1/streams/%1").arg(QString::fromStdString(stream));
   QNetworkReply* reply =
       control_manager_.deleteResource(RequestFor(path, stream, nullptr));
-  connect(reply, &QNetworkReply::finished, reply, &QObject::deleteLater);
+  connect(reply, &QNetworkReply::finished, reply, [reply, stream] {
+    reply->deleteLater();
+    // An engine that does not know the stream does not run it.
+    const bool is_cancelled = reply->error() == QNetworkReply::NoError ||
+                              StatusOf(reply) == kHttpNotFound;
+    if (is_cancelled) return;
+    LogEvent("engine_cancel_failed", LogEvent::Level::kWarning)
+        .With("generation", stream)
+        .With("reason", reply->errorString().toStdString());
+  });
 }
 
 void BackendClient::StartCall(execution::LocalId local_id,
--- a/libraries/execution/executor.cc
+++ b/libraries/execution/executor.cc
@@ -158,6 +158,8 @@
     return;
   }
   if (++record->resume_attempts > config_.max_resume_attempts) {
+    // The engine may be running it still.
+    cancellations_.push_back(local_id);
     Finish(*record,
            Outcome::Unknown(ResultCode::kBackendServerLost, std::move(reason)),
            now);
--- a/tests/libraries/execution/executor_test.cc
+++ b/tests/libraries/execution/executor_test.cc
@@ -280,6 +280,19 @@
   EXPECT_EQ(OutcomeOf(local_id).total_tokens, 4U);
 }
 
+// The engine would go on with a generation that nobody can read.
+TEST_F(ExecutorTokensOnceTest, AStreamThatCannotBeResumedIsCancelled) {
+  const LocalId local_id = Accept(Generation());
+  executor_.TakeDispatches(now_);
+  for (int i = 0; i <= ConfigOf("a").max_resume_attempts; ++i) {
+    executor_.OnStreamBroken(local_id, "cut", now_);
+    now_ = now_ + seconds(1);
+    executor_.TakeResumes(now_);
+  }
+  EXPECT_EQ(OutcomeOf(local_id).code, ResultCode::kBackendServerLost);
+  EXPECT_EQ(executor_.TakeCancellations(), std::vector<LocalId>{local_id});
+}
+
 TEST_F(ExecutorTokensOnceTest, AWholeDeliveryIsUnreadableUntilItSucceeds) {
   WorkItem work = Generation();
   work.whole = true;
