End a begun stream when a sidecar refuses to continue it

What callers would see: a live stream had begun and broke off, the sidecar that holds it answered with a refusal ("draining", "queue full"), and the entry sent the request to another sidecar. Tokens of that second generation were not delivered, but its end was taken for the end of the stream: with as many tokens as had been delivered it looked complete; with more, the entry asked for the rest of a generation whose id it no longer had (undefined behaviour).

Cause: of the ways in which an attempt ends, refusals alone did not look at whether tokens had been delivered.

Failing before: ARefusalAfterTokensEndsTheStreamAsIncomplete, RelayNotRunTest RefusedAfterTokens (both: a second attempt).

--- a/libraries/relay/relay.cc
+++ b/libraries/relay/relay.cc
@@ -116,6 +116,10 @@
     return ConcludeSuccessfully(std::move(outcome));
   }
   if (outcome.run_state != RunState::kNotRun) may_have_run_ = true;
+  if (delivered_ > 0 && MayBeAcceptedElsewhere(outcome.code) && !is_resumed_) {
+    return ConcludeWith(
+        Outcome::Ran(ResultCode::kGenerationLost, outcome.detail));
+  }
   // A refused request may go to another sidecar. The refusal of a key reports
   // the run state as unknown; the next sidecar in rank decides for itself
   // whether the key may have run.
--- a/tests/libraries/relay/relay_test.cc
+++ b/tests/libraries/relay/relay_test.cc
@@ -209,6 +209,9 @@
         // A retry would append tokens of a second generation to the first.
         FaultCase{"EngineLostAfterTokens", true, false, Progress::kDelivered,
                   Fault::kBackendLost, Next::kConclude, RunState::kRan},
+        // Nor may a refusal lead to a second generation.
+        FaultCase{"RefusedAfterTokens", true, false, Progress::kDelivered,
+                  Fault::kRefusedNotRun, Next::kConclude, RunState::kRan},
         FaultCase{"CallLost", false, false, Progress::kAccepted,
                   Fault::kBackendLost, Next::kConclude, RunState::kUnknown},
         FaultCase{"Deadline", true, false, Progress::kSent, Fault::kDeadline,
@@ -322,6 +325,22 @@
             ResultCode::kGenerationNotFound);
 }
 
+// The response of another sidecar must not end a stream that had begun as
+// complete, nor continue it.
+TEST(RelayTokensOnceTest, ARefusalAfterTokensEndsTheStreamAsIncomplete) {
+  Relay relay = StartedRelay(Config());
+  relay.OnAccepted(Id("a"));
+  relay.OnTokens(Id("a"), 0, Tokens(0, 5), kStart);
+  relay.OnAttemptEnd(AttemptEnd::kBroken, kStart);
+  const Steps refused = relay.OnFinished(
+      Id("a"), Outcome::NotRun(ResultCode::kQueueFull, "full"), 0, kStart);
+  EXPECT_EQ(Find<StartAttempt>(refused), nullptr);
+  ASSERT_NE(Find<Conclude>(refused), nullptr);
+  EXPECT_EQ(Find<Conclude>(refused)->outcome.code, ResultCode::kGenerationLost);
+  EXPECT_EQ(Find<Conclude>(refused)->outcome.run_state, RunState::kRan);
+  EXPECT_TRUE(relay.OnFinished(Id("b"), Done(5), 0, kStart).empty());
+}
+
 TEST(RelayTokensOnceTest, ResumingStopsEarlyWhenConnectionsAreRefused) {
   Relay relay = StartedRelay(Config());
   relay.OnAccepted(Id("a"));
