Refuse a position beyond the end of a generation

What callers saw: a reader that asked for a generation from a token that it does not have got an empty stream that looked complete.

Cause: at the end the relay looked only for tokens that it lacked. It now also sees that it has more than the generation: 1011 for a reader that named the position, 3003 else.

Failing before: APositionBeyondTheEndIsNoCompleteStream (ok). A position at the end still gives an empty complete stream, as it should.

--- a/libraries/relay/relay.cc
+++ b/libraries/relay/relay.cc
@@ -107,7 +107,15 @@
   }
   crash_count_ = std::max(crash_count_, crash_count);
   if (outcome.code == ResultCode::kOk) {
-    if (outcome.total_tokens > delivered_ + buffered_tokens_.size()) {
+    const std::uint64_t received = delivered_ + buffered_tokens_.size();
+    if (outcome.total_tokens < received) {
+      return ConcludeWith(Outcome::Ran(
+          is_resumed_ ? ResultCode::kInvalidEventId
+                      : ResultCode::kGenerationLost,
+          "the generation has " + std::to_string(outcome.total_tokens) +
+              " tokens, not " + std::to_string(received)));
+    }
+    if (outcome.total_tokens > received) {
       return TryResume(Outcome::Ran(ResultCode::kGenerationLost,
                                     "the generation ended before all its "
                                     "tokens were received"),
--- a/tests/libraries/relay/relay_test.cc
+++ b/tests/libraries/relay/relay_test.cc
@@ -341,6 +341,20 @@
   EXPECT_TRUE(relay.OnFinished(Id("b"), Done(5), 0, kStart).empty());
 }
 
+// A position beyond the end would be answered by a complete, empty stream.
+TEST(RelayOwnAnswerTest, APositionBeyondTheEndIsNoCompleteStream) {
+  const generation::EventId from{Id("a"), 9};
+  Relay relay = Relay::ForResume(Config(), from);
+  relay.Start(kStart);
+  const Steps end = relay.OnFinished(Id("a"), Done(4), 0, kStart);
+  ASSERT_NE(Find<Conclude>(end), nullptr);
+  EXPECT_EQ(Find<Conclude>(end)->outcome.code, ResultCode::kInvalidEventId);
+  Relay at_end = Relay::ForResume(Config(), {Id("a"), 4});
+  at_end.Start(kStart);
+  const Steps complete = at_end.OnFinished(Id("a"), Done(4), 0, kStart);
+  EXPECT_EQ(Find<Conclude>(complete)->outcome.code, ResultCode::kOk);
+}
+
 TEST(RelayTokensOnceTest, ResumingStopsEarlyWhenConnectionsAreRefused) {
   Relay relay = StartedRelay(Config());
   relay.OnAccepted(Id("a"));
