Keep the streams of a sidecar that is listed at another address

What callers saw: a stream stood still when the VM list named its sidecar with another address and another request of the same thread used it: 22 of 720 tokens came, and nothing more within 20 s, while the sidecar had them all. The session then uses the freed link when it cancels its stream at the deadline (known as a FIXME; not waited for).

Cause: replacing the link destroyed its streams without calling their handlers, while sessions kept the pointer.

Change: a replaced link stays until its streams have ended. If the old address serves them they finish there; if not, they break, and are resumed at the new address. Sessions hold a guarded pointer, since a link without a stream may be closed while a session waits to resume.

Failing before: StreamGoesOnWhenItsSidecarIsListedElsewhere (real processes).

Looked at for the same cause: the links of ConfigSync and ServicePeers are replaced in the same way. No stream of a caller depends on them; left as they are.

--- a/services/entry/caller_session.cc
+++ b/services/entry/caller_session.cc
@@ -49,7 +49,7 @@
     if (!paused_ || writer_->pending_bytes() > kResumeBelowBytes) return;
     paused_ = false;
     paused_since_.reset();
-    if (peer_link_ != nullptr) peer_link_->PauseReading(stream_, false);
+    if (peer_link_) peer_link_->PauseReading(stream_, false);
   };
 }
 
@@ -169,7 +169,7 @@
   vm_ = vm;
   finished_reply_received_ = false;
   peer_link_ = pool_.GetLink(vm);
-  if (peer_link_ == nullptr) {
+  if (!peer_link_) {
     OnStreamEnd(peer::StreamEnd::kNotProcessed);
     return;
   }
@@ -243,7 +243,8 @@
 void CallerSession::DropStream() {
   resume_timer_.stop();
   if (stream_ == 0) return;
-  peer_link_->Cancel(std::exchange(stream_, 0));
+  const peer::LinkStream stream = std::exchange(stream_, 0);
+  if (peer_link_) peer_link_->Cancel(stream);
   shared_.load_tracker.OnRequestClosed(vm_);
 }
 
@@ -257,7 +258,7 @@
   if (!paused_ && writer_->pending_bytes() > kPauseAboveBytes) {
     paused_ = true;
     paused_since_ = now;
-    if (peer_link_ != nullptr) peer_link_->PauseReading(stream_, true);
+    if (peer_link_) peer_link_->PauseReading(stream_, true);
   }
 }
 
--- a/services/entry/caller_session.h
+++ b/services/entry/caller_session.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <QObject>
+#include <QPointer>
 #include <QTimer>
 #include <functional>
 #include <memory>
@@ -61,7 +62,8 @@
   telemetry::RequestInstruments& instruments_;
 
   std::string vm_;
-  peer::PeerLink* peer_link_ = nullptr;
+  // The pool may close a link that has no open stream.
+  QPointer<peer::PeerLink> peer_link_;
   peer::LinkStream stream_ = 0;
   bool finished_reply_received_ = false;
   bool finished_ = false;
--- a/services/entry/sidecar_pool.cc
+++ b/services/entry/sidecar_pool.cc
@@ -95,11 +95,11 @@
       QHostAddress(QString::fromStdString(listed_vm->address)),
       listed_vm->peer_port};
   if (link == nullptr || link->address() != address) {
-    // Replacing the link closes its connection and drops its streams without
-    // calling their handlers.
-    // FIXME: a CallerSession keeps a raw pointer to the replaced link. It does
-    // not learn that its stream has ended, and uses the freed link when it
-    // cancels the stream or pauses reading.
+    if (link != nullptr) {
+      // Its open streams go on as long as the old address serves them.
+      link->on_connected = nullptr;
+      replaced_links_.push_back(std::move(link));
+    }
     link = std::make_unique<peer::PeerLink>(
         address, QByteArray::fromStdString(shared_.settings.peer_key),
         peer::ConnectionLimits{});
@@ -133,6 +133,8 @@
     return entry.second == nullptr || (list->Find(entry.first) == nullptr &&
                                        entry.second->open_streams() == 0);
   });
+  std::erase_if(replaced_links_,
+                [](const auto& link) { return link->open_streams() == 0; });
 }
 
 std::uint64_t SidecarPool::bytes() const {
@@ -140,6 +142,8 @@
   std::ranges::for_each(links_, [&sum](const auto& entry) {
     if (entry.second != nullptr) sum += entry.second->bytes();
   });
+  std::ranges::for_each(replaced_links_,
+                        [&sum](const auto& link) { sum += link->bytes(); });
   return sum;
 }
 
--- a/services/entry/sidecar_pool.h
+++ b/services/entry/sidecar_pool.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "libraries/base/outcome.h"
 #include "libraries/peer/peer_link.h"
@@ -33,7 +34,8 @@
   // Records a load report, and sends the VM list to a sidecar that reported an
   // older revision of it.
   void OnLoadReport(const std::string& vm, const execution::LoadReport& report);
-  // Closes links without open streams to VMs that are no longer listed.
+  // Closes links without open streams to VMs that are no longer listed, or no
+  // longer at that address.
   void CloseUnlistedLinks();
   // Bytes sent and received on all links.
   std::uint64_t bytes() const;
@@ -46,6 +48,8 @@
   SharedState& shared_;
   placement::AnyPolicy policy_;
   std::map<std::string, std::unique_ptr<peer::PeerLink>> links_;
+  // Links to earlier addresses of VMs, until their streams have ended.
+  std::vector<std::unique_ptr<peer::PeerLink>> replaced_links_;
   // The VM list revision that was last sent to each VM.
   std::map<std::string, std::uint64_t> sent_list_revisions_;
 };
--- a/tests/processes/tokens_once_test.cc
+++ b/tests/processes/tokens_once_test.cc
@@ -151,6 +151,50 @@
             ExpectedText(0, kTokens));
 }
 
+// The streams of a sidecar whose address changes in the VM list must go on.
+TEST_F(TokensOnceProcessTest, StreamGoesOnWhenItsSidecarIsListedElsewhere) {
+  cluster_.AddEngine("llm-1");
+  cluster_.AddEntry("entry-1");
+  Forwarder first_way(cluster_.PeerPort("llm-1"));
+  Forwarder second_way(cluster_.PeerPort("llm-1"));
+  cluster_.SetListedPeerPort("llm-1", first_way.port());
+  ASSERT_TRUE(cluster_.Start());
+  constexpr int kMany = 6 * kTokens;
+  AsyncRequest request("POST", cluster_.EntryUrl("entry-1") + "/v1/completions",
+                       CompletionBody(kMany), CallerHeaders());
+  ASSERT_TRUE(
+      WaitUntil([&] { return ParseEventStream(request.received()).tokens > 0; },
+                seconds(20)));
+  cluster_.SetListedPeerPort("llm-1", second_way.port());
+  const std::uint64_t revision = cluster_.PublishList();
+  ASSERT_TRUE(WaitUntil(
+      [&] {
+        return cluster_.Status("entry-1").value("list_revision",
+                                                std::uint64_t{0}) >= revision;
+      },
+      seconds(20)));
+  // Requests for every thread of the entry, so that the one with the stream
+  // uses the new address.
+  constexpr int kOthers = 8;
+  std::vector<std::unique_ptr<AsyncRequest>> others;
+  others.reserve(kOthers);
+  for (int i = 0; i < kOthers; ++i) {
+    others.push_back(std::make_unique<AsyncRequest>(
+        "POST", cluster_.EntryUrl("entry-1") + "/v1/completions",
+        CompletionBody(2, std::to_string(i)), CallerHeaders()));
+  }
+  for (const auto& other : others) {
+    ASSERT_TRUE(other->Wait(seconds(20)));
+    EXPECT_TRUE(ParseEventStream(other->response().body).done);
+  }
+  ASSERT_FALSE(request.finished());
+  EXPECT_TRUE(request.Wait(seconds(20)));
+  const EventStreamContent seen = ParseEventStream(request.received());
+  EXPECT_EQ(seen.text, ExpectedText(0, kMany));
+  EXPECT_TRUE(seen.done);
+  EXPECT_TRUE(cluster_.process("entry-1").running());
+}
+
 TEST_F(TokensOnceProcessTest, AnotherWorkspaceCannotReadAGeneration) {
   StartCluster(1, 1);
   auto first = StartCompletion("entry-1");
