Resume a chat as a chat

Cause: the form of the events belonged to the request that the entry parsed. A reader that resumes names the generation only, so the form fell back to the default.

Change: the sidecar, which holds the request of the generation, says its path and model when a reader attaches. Fields of a peer message that an older process does not send are empty, and one that does not know them skips them; the form is then as before.

Failing before: ChatResumedThroughAnotherEntryStaysAChat (real processes).

--- a/libraries/peer/messages.cc
+++ b/libraries/peer/messages.cc
@@ -322,6 +322,8 @@
 void VisitFields(Fields& fields, AcceptedReply& message) {
   fields(1, message.generation);
   fields.Nested(2, message.load);
+  fields(3, message.path);
+  fields(4, message.model);
 }
 
 template <typename Fields>
--- a/libraries/peer/messages.h
+++ b/libraries/peer/messages.h
@@ -95,6 +95,10 @@
 struct AcceptedReply {
   std::string generation;
   execution::LoadReport load;
+  // The path and the model that the generation was requested with, for a reader
+  // that resumes it through another entry.
+  std::string path;
+  std::string model;
 };
 
 struct TokensReply {
--- a/services/entry/caller_request.h
+++ b/services/entry/caller_request.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "libraries/base/boot_clock.h"
@@ -30,6 +31,9 @@
 
 enum class ResponseFormat { kCompletion, kChat, kCall };
 
+inline constexpr std::string_view kCompletionPath = "/v1/completions";
+inline constexpr std::string_view kChatPath = "/v1/chat/completions";
+
 struct CallerRequest {
   execution::WorkItem work;
   ResponseFormat format = ResponseFormat::kCompletion;
--- a/services/entry/caller_session.cc
+++ b/services/entry/caller_session.cc
@@ -191,6 +191,14 @@
   if (const auto* accepted = std::get_if<peer::AcceptedReply>(&message)) {
     pool_.OnLoadReport(vm, accepted->load);
     const auto id = generation::GenerationId::Parse(accepted->generation);
+    // A reader that resumes names only the generation. A sidecar of an earlier
+    // version does not say what it was requested as.
+    if (request_.work.path.empty() && !accepted->path.empty()) {
+      writer_->SetRequested(accepted->path == kChatPath
+                                ? ResponseFormat::kChat
+                                : ResponseFormat::kCompletion,
+                            accepted->model);
+    }
     if (id.has_value()) ExecuteSteps(relay_.OnAccepted(*id));
     return;
   }
--- a/services/entry/entry_worker.cc
+++ b/services/entry/entry_worker.cc
@@ -154,10 +154,10 @@
   if (raw.path.starts_with(kServicesPrefix)) {
     return ParseServiceCall(raw, *set, now);
   }
-  if (raw.method == "POST" && raw.path == "/v1/completions") {
+  if (raw.method == "POST" && raw.path == kCompletionPath) {
     return ParseCompletion(raw, ResponseFormat::kCompletion, *set, now);
   }
-  if (raw.method == "POST" && raw.path == "/v1/chat/completions") {
+  if (raw.method == "POST" && raw.path == kChatPath) {
     return ParseCompletion(raw, ResponseFormat::kChat, *set, now);
   }
   return Fail(
--- a/services/entry/response_writer.cc
+++ b/services/entry/response_writer.cc
@@ -59,6 +59,11 @@
   return socket_ ? socket_->bytesToWrite() : 0;
 }
 
+void ResponseWriter::SetRequested(ResponseFormat format, std::string model) {
+  format_ = format;
+  model_ = std::move(model);
+}
+
 void ResponseWriter::WriteTokens(const generation::GenerationId& generation,
                                  std::uint64_t first,
                                  std::span<const std::string> tokens) {
--- a/services/entry/response_writer.h
+++ b/services/entry/response_writer.h
@@ -30,6 +30,8 @@
   ResponseWriter(QHttpServerResponder&& responder, ResponseFormat format,
                  bool stream, std::string model, QObject* parent = nullptr);
 
+  // Sets what a resumed generation was requested as, before its tokens.
+  void SetRequested(ResponseFormat format, std::string model);
   void WriteTokens(const generation::GenerationId& generation,
                    std::uint64_t first, std::span<const std::string> tokens);
   // Ends the response with the end of a generation, the response to a service
--- a/services/sidecar/sidecar_node.cc
+++ b/services/sidecar/sidecar_node.cc
@@ -275,8 +275,10 @@
   executor_.AttachReader(local_id);
   readers_[stream] = {local_id, next};
   reader_streams_[local_id].insert(stream);
+  const execution::WorkItem& work = executor_.Find(local_id)->work;
   stream.Send(peer::AcceptedReply{executor_.IdOf(local_id).ToText(),
-                                  executor_.Load(ClockReading::Now())},
+                                  executor_.Load(ClockReading::Now()),
+                                  work.path, work.model},
               false);
   if (!SendAvailableTokens(stream, readers_[stream])) RemoveReader(stream);
 }
--- a/tests/processes/tokens_once_test.cc
+++ b/tests/processes/tokens_once_test.cc
@@ -2,6 +2,8 @@
 // processes are killed or suspended and connections fail in mid-stream.
 #include <gtest/gtest.h>
 
+#include <sstream>
+
 #include "tests/processes/cluster.h"
 #include "tests/processes/forwarder.h"
 #include "tests/processes/scripted_engine.h"
@@ -15,6 +17,20 @@
 // Tokens that the reader has received before a fault is injected.
 constexpr int kTokensBeforeFault = 10;
 
+// Returns the text of the chat completion events in `received`.
+std::string ParseChat(const std::string& received) {
+  std::istringstream lines(received);
+  std::string text;
+  for (std::string line; std::getline(lines, line);) {
+    if (!line.starts_with("data: {")) continue;
+    const auto event = nlohmann::json::parse(line.substr(6), nullptr, false);
+    if (!event.is_object() || !event.contains("choices")) continue;
+    const nlohmann::json& choice = event["choices"][0];
+    if (choice.contains("delta")) text += choice["delta"].value("content", "");
+  }
+  return text;
+}
+
 class TokensOnceProcessTest : public testing::Test {
  protected:
   void StartCluster(int engines, int entries) {
@@ -78,6 +94,39 @@
   EXPECT_TRUE(after.done);
 }
 
+// A chat that goes on as a completion has no text for a client of chats.
+TEST_F(TokensOnceProcessTest, ChatResumedThroughAnotherEntryStaysAChat) {
+  StartCluster(1, 2);
+  const nlohmann::json body = {
+      {"model", "croeso"},
+      {"stream", true},
+      {"messages",
+       {{{"role", "user"},
+         {"content", "[[tokens=" + std::to_string(kTokens) + "]]"}}}}};
+  AsyncRequest first("POST",
+                     cluster_.EntryUrl("entry-1") + "/v1/chat/completions",
+                     body.dump(), CallerHeaders());
+  ASSERT_TRUE(WaitUntil([&] { return !ParseChat(first.received()).empty(); },
+                        seconds(20)));
+  cluster_.process("entry-1").Kill();
+  first.Wait();
+  const std::string before = first.response().body;
+  const auto id_at = before.rfind("id: ");
+  const std::string event =
+      before.substr(id_at + 4, before.find('\n', id_at) - id_at - 4);
+  Headers headers = CallerHeaders();
+  headers["Last-Event-ID"] = event;
+  const HttpResponse rest =
+      Send("GET",
+           cluster_.EntryUrl("entry-2") + "/v1/generations/" +
+               event.substr(0, event.rfind(':')),
+           "", headers);
+  EXPECT_EQ(ParseChat(before) + ParseChat(rest.body), ExpectedText(0, kTokens))
+      << rest.body.substr(0, 400);
+  EXPECT_EQ(rest.body.find("\"model\":\"\""), std::string::npos);
+  EXPECT_NE(rest.body.find("data: [DONE]"), std::string::npos);
+}
+
 TEST_F(TokensOnceProcessTest, LiveResponseEndsWithResultCodeWhenSidecarDies) {
   StartCluster(1, 1);
   auto request = StartCompletion("entry-1");
