Refuse requests for several choices

What callers saw: with "n" above 1 the engine streams that many texts in turn, and the response was their tokens joined into one. Since events of another choice break the stream, it would now end with 3001 after three tries.

Cause: the body goes to the engine as it came, but tokens have one number each.

Change: "n" other than 1 is refused with 1006.

Failing before: InvalidCallerRequestTest TwoChoices, NoChoice, ChoicesOfWrongType.

--- a/services/entry/caller_request.cc
+++ b/services/entry/caller_request.cc
@@ -103,6 +103,15 @@
                   std::to_string(limit));
 }
 
+// Tokens have one number each, so a response has one choice.
+Result<void> CheckChoices(const json& body) {
+  const auto choices = body.find("n");
+  const bool valid =
+      choices == body.end() || choices->is_null() || *choices == 1;
+  if (valid) return {};
+  return Fail(ResultCode::kParameterOutOfRange, "\"n\" must be 1");
+}
+
 Result<bool> ReadStreamFlag(const json& body) {
   const auto stream = body.find("stream");
   if (stream == body.end() || stream->is_null()) return false;
@@ -190,6 +199,7 @@
   }
   BOOST_LEAF_AUTO(max_tokens, ReadMaxTokens(body, selected->max_output_tokens));
   BOOST_LEAF_AUTO(stream, ReadStreamFlag(body));
+  BOOST_LEAF_CHECK(CheckChoices(body));
   BOOST_LEAF_AUTO(work, MakeBaseWork(raw, *workspace, now));
   ApplyTemplate(*selected, work);
   work.model = model;
--- a/tests/services/entry/caller_request_test.cc
+++ b/tests/services/entry/caller_request_test.cc
@@ -79,6 +79,12 @@
 class InvalidCallerRequestTest
     : public testing::TestWithParam<InvalidRequestCase> {};
 
+TEST(CallerRequestTest, OneChoiceMayBeAskedFor) {
+  RawCallerRequest raw = ValidRequest();
+  raw.body = R"({"model": "m", "prompt": "", "n": 1})";
+  EXPECT_EQ(ResultCodeOf(raw), 0);
+}
+
 TEST_P(InvalidCallerRequestTest, ReturnsItsResultCode) {
   RawCallerRequest raw = ValidRequest();
   ASSERT_EQ(ResultCodeOf(raw), 0);
@@ -106,6 +112,16 @@
         InvalidRequestCase{
             "StreamOfWrongType",
             SetBody(R"({"model": "m", "prompt": "", "stream": "yes"})"), 1001},
+        // An engine mixes the tokens of several choices in one stream.
+        InvalidRequestCase{"TwoChoices",
+                           SetBody(R"({"model": "m", "prompt": "", "n": 2})"),
+                           1006},
+        InvalidRequestCase{"NoChoice",
+                           SetBody(R"({"model": "m", "prompt": "", "n": 0})"),
+                           1006},
+        InvalidRequestCase{"ChoicesOfWrongType",
+                           SetBody(R"({"model": "m", "prompt": "", "n": "1"})"),
+                           1006},
         InvalidRequestCase{
             "NegativeLimit",
             SetBody(R"({"model": "m", "prompt": "", "max_tokens": -1})"), 1006},
