Test that a message of a peer ends with its stream

Both tests hold: a part of a message that was received when its connection went silent is not joined with the next stream's first message, and a message that cannot be read ends its own stream as broken, without the messages after it.

--- a/tests/libraries/peer/peer_link_test.cc
+++ b/tests/libraries/peer/peer_link_test.cc
@@ -185,6 +185,54 @@
   EXPECT_TRUE(WaitUntil([this] { return messages_ == 20; }, seconds(20)));
 }
 
+// Half a message of a stream that broke must not precede the next stream's.
+TEST_F(PeerLinkTest, PartOfAMessageEndsWithItsStream) {
+  Forwarder forwarder(port_);
+  auto link = MakeLink(forwarder.port());
+  const LinkStream stream = Open(*link);
+  WaitForRequest();
+  // The window lets a part of the message through.
+  link->PauseReading(stream, true);
+  stream_.Send(TicketReply{std::string(1 << 20, 'x')}, true);
+  EXPECT_TRUE(
+      WaitUntil([&] { return link->bytes() > (32 << 10); }, seconds(20)));
+  forwarder.BlackholeOpenConnections();
+  EXPECT_EQ(WaitForEnd(), StreamEnd::kBroken);
+  EXPECT_EQ(messages_, 0);
+  std::string ticket;
+  end_.reset();
+  link->Open(kTicketPath, TicketRequest{"w"},
+             {[&ticket](const Message& message) {
+                ticket = std::get<TicketReply>(message).ticket;
+              },
+              [this](StreamEnd end) { end_ = end; }});
+  WaitForRequest(2);
+  stream_.Send(TicketReply{"t"}, true);
+  EXPECT_EQ(WaitForEnd(), StreamEnd::kComplete);
+  EXPECT_EQ(ticket, "t");
+}
+
+// The peer cannot tell a stream that ends in a message from a complete one.
+TEST_F(PeerLinkTest, MessageThatCannotBeReadBreaksItsStream) {
+  auto link = MakeLink(port_);
+  Open(*link);
+  WaitForRequest();
+  bool other_ended = false;
+  link->Open(kTicketPath, TicketRequest{"w"},
+             {nullptr, [&](StreamEnd) { other_ended = true; }});
+  const ServerStream first = stream_;
+  WaitForRequest(2);
+  // No result code has this number.
+  FinishedReply invalid;
+  invalid.outcome.code = static_cast<ResultCode>(9999);
+  first.Send(TicketReply{"t"}, false);
+  first.Send(invalid, false);
+  first.Send(TicketReply{"t"}, true);
+  EXPECT_EQ(WaitForEnd(), StreamEnd::kBroken);
+  EXPECT_EQ(messages_, 1);
+  EXPECT_FALSE(other_ended);
+}
+
 TEST_F(PeerLinkTest, InvalidBytesOnPeerPortDoNotAffectOtherConnections) {
   auto link = MakeLink(port_);
   Open(*link);
