Let each run prove by itself that it is harmless

What was seen: chats that share a message which crashes engines, sent so that the entry repeats them, crashed an engine with each of their 12 runs, and none was refused.

Cause: the time of the first token was kept by the request. After a crash the request ran again elsewhere, and its first token there came more than 250 ms after the first token of the run that had crashed: it counted as proof that the message is harmless and took the crashes out of the evidence.

Change: the time belongs to the attempt.

Failing before: ARetryDoesNotProveItsRequestHarmless (real processes, two engines that are lost after one token; 2005 after six requests and 12 runs).

--- a/services/entry/caller_session.cc
+++ b/services/entry/caller_session.cc
@@ -109,6 +109,7 @@
 void CallerSession::PlaceRequest(const relay::StartAttempt& step) {
   const BootTime now = BootClock::now();
   DropStream();
+  first_token_.reset();
   if (step.is_retry && !shared_.retry_budget.TryConsumeRetry()) {
     // The retry budget is exhausted: the caller gets the previous outcome.
     ExecuteSteps(relay_.OnNoServerAvailable(step.fallback_outcome, now));
--- a/services/entry/caller_session.h
+++ b/services/entry/caller_session.h
@@ -71,7 +71,7 @@
   QTimer resume_timer_;
   BootTime started_;
   BootTime last_write_;
-  // When tokens of this attempt or an earlier one first arrived.
+  // When tokens of this attempt first arrived. It says nothing of the next one.
   std::optional<BootTime> first_token_;
   std::optional<BootTime> last_token_;
   bool proved_harmless_ = false;
--- a/tests/processes/membership_test.cc
+++ b/tests/processes/membership_test.cc
@@ -5,6 +5,7 @@
 #include "libraries/config_service/value_watcher.h"
 #include "tests/processes/cluster.h"
 #include "tests/processes/forwarder.h"
+#include "tests/processes/scripted_engine.h"
 namespace balsam::processes {
 namespace {
 
@@ -46,10 +47,11 @@
   // A chat with a system message, which other requests may share.
   std::unique_ptr<AsyncRequest> StartChat(const std::string& entry,
                                           const std::string& system_message,
-                                          const std::string& question) {
+                                          const std::string& question,
+                                          bool stream = true) {
     const nlohmann::json body = {
         {"model", "croeso"},
-        {"stream", true},
+        {"stream", stream},
         {"messages",
          {{{"role", "system"}, {"content", system_message}},
           {{"role", "user"}, {"content", "[[tokens=20]] " + question}}}}};
@@ -476,5 +478,38 @@
   EXPECT_LE(crashes, kToleratedCrashes);
 }
 
+// A first token on a second engine says nothing of that run, though it comes
+// long after the first token of the run that crashed the first engine.
+TEST_F(PoisonProcessTest, ARetryDoesNotProveItsRequestHarmless) {
+  // An engine that is lost after one token, which shows only at the third try
+  // to resume.
+  std::map<QByteArray, int> resumed;
+  const auto respond = [&resumed](const ScriptedRequest& request) {
+    if (!request.is_resume) {
+      return ScriptedResponse{EventStreamHead() + TokenEvents(0, 1)};
+    }
+    const int status = ++resumed[request.path] < 3 ? 503 : 404;
+    return ScriptedResponse{FullResponse(status, "text/plain", "")};
+  };
+  ScriptedEngine first(respond);
+  ScriptedEngine second(respond);
+  BackendOptions options;
+  options.own_backend_port = first.port();
+  cluster_.AddEngine("llm-1", options);
+  options.own_backend_port = second.port();
+  cluster_.AddEngine("llm-2", options);
+  cluster_.AddEntry("entry-1");
+  ASSERT_TRUE(cluster_.Start());
+  int code = 0;
+  constexpr int kMaxRequests = 6;
+  for (int i = 0; i < kMaxRequests && code != 2006; ++i) {
+    auto request = StartChat("entry-1", "A message that crashes engines.",
+                             "question " + std::to_string(i), false);
+    ASSERT_TRUE(request->Wait());
+    code = request->response().Code();
+  }
+  EXPECT_EQ(code, 2006) << first.started() + second.started() << " runs";
+}
+
 }  // namespace
 }  // namespace balsam::processes
