List a reset response of a service that is delivered as complete

Found by looking for other parts of responses that look whole. A service whose response has neither a length nor chunks ends it with its connection. If that is reset, the part that came is delivered as the response to the call.

Cause: QNetworkAccessManager reports a reset and an orderly close alike, and its sockets are out of reach. Refusing every response of that kind would make services that end theirs so useless (BackendCallTest EndsWithItsConnection). Responses that are cut within their length or chunks are noticed (the other rows). Streams of engines are not concerned: they end with [DONE].

--- a/tests/libraries/backend/backend_client_test.cc
+++ b/tests/libraries/backend/backend_client_test.cc
@@ -10,6 +10,7 @@
 
 #include "tests/libraries/execution/work_builder.h"
 #include "tests/processes/http_client.h"
+#include "tests/processes/scripted_engine.h"
 
 namespace balsam::backend {
 namespace {
@@ -508,5 +509,21 @@
                  ClientEvent::kCompleted}),
     [](const auto& row) { return row.param.name; });
 
+// A response without a length that is reset is not known to be complete.
+TEST_F(BackendClientTest, AResponseWithoutLengthThatIsResetIsABrokenCall) {
+  processes::ScriptedEngine server([](const processes::ScriptedRequest&) {
+    return processes::ScriptedResponse{
+        "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\npart",
+        processes::ConnectionEnd::kReset};
+  });
+  CreateClient(QUrl(QString("http://127.0.0.1:%1").arg(server.port())));
+  execution::WorkItem work = execution::Call();
+  work.method = "POST";
+  work.path = "/v1/release";
+  client_->StartCall(1, "s", work);
+  EXPECT_EQ(Wait(), ClientEvent::kBroken);
+  EXPECT_EQ(server.started(), 1);
+}
+
 }  // namespace
 }  // namespace balsam::backend
