Log streams between entry and sidecar that break

An entry that lost the stream of a request resumed or retried it without a word; a peer's message that could not be read was only a broken stream. Both are logged with their reason (sidecar_stream_broken, peer_message_invalid), also where the request goes on.

LiveResponseEndsWithResultCodeWhenSidecarDies and the tests of failed resumptions demand the lines of the entry and of the sidecar.

--- a/libraries/peer/peer_link.cc
+++ b/libraries/peer/peer_link.cc
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "libraries/base/log_event.h"
+
 namespace balsam::peer {
 namespace {
 
@@ -148,6 +150,9 @@
   if (!stream.has_value()) return;
   const auto message = DecodeIfValid(frame);
   if (!message.has_value()) {
+    LogEvent("peer_message_invalid", LogEvent::Level::kWarning)
+        .With("peer", address_.host.toString().toStdString() + ':' +
+                          std::to_string(address_.port));
     const auto broken = connections_.find(connection);
     if (broken != connections_.end()) broken->second->Reset(id);
     EndStream(*stream, StreamEnd::kBroken);
--- a/services/entry/caller_session.cc
+++ b/services/entry/caller_session.cc
@@ -243,6 +243,13 @@
 void CallerSession::OnStreamEnd(peer::StreamEnd end) {
   shared_.load_tracker.OnRequestClosed(vm_);
   if (finished_ || finished_reply_received_) return;
+  LogEvent("sidecar_stream_broken", LogEvent::Level::kWarning)
+      .With("request", request_.work.request_id)
+      .With("vm", vm_)
+      .With("tokens", relay_.next())
+      .With("reason", end == peer::StreamEnd::kNotProcessed ? "not_processed"
+                      : end == peer::StreamEnd::kComplete   ? "no_final_reply"
+                                                            : "broken");
   ExecuteSteps(relay_.OnAttemptEnd(end == peer::StreamEnd::kNotProcessed
                                        ? relay::AttemptEnd::kNotProcessed
                                        : relay::AttemptEnd::kBroken,
--- a/tests/processes/tokens_once_test.cc
+++ b/tests/processes/tokens_once_test.cc
@@ -136,6 +136,12 @@
   const EventStreamContent seen = ParseEventStream(request->received());
   EXPECT_EQ(seen.text, ExpectedText(0, seen.tokens));
   EXPECT_FALSE(seen.done);
+  EXPECT_TRUE(WaitUntil(
+      [this] {
+        return cluster_.process("entry-1").Log().find(
+                   "event=sidecar_stream_broken") != std::string::npos;
+      },
+      seconds(20)));
   EXPECT_EQ(seen.error.value("code", 0), 3003);
   EXPECT_EQ(seen.error.value("ran", ""), "ran");
 }
@@ -338,6 +344,12 @@
   EXPECT_EQ(seen.error.value("ran", ""), "ran");
   EXPECT_EQ(received_.find("overloaded"), std::string::npos) << received_;
   EXPECT_EQ(received_.find("HTTP/1.1"), std::string::npos) << received_;
+  EXPECT_TRUE(WaitUntil(
+      [this] {
+        return SidecarLogs().find("event=engine_stream_broken") !=
+               std::string::npos;
+      },
+      seconds(20)));
   EXPECT_EQ(generations(), 1);
 }
 
