--- a/libraries/backend/backend_client.cc
+++ b/libraries/backend/backend_client.cc
@@ -4,22 +4,19 @@
 #include <QNetworkReply>
 #include <QNetworkRequest>
 #include <algorithm>
-#include <nlohmann/json.hpp>
 #include <utility>
 
 #include "libraries/backend/one_shot_body.h"
-#include "libraries/decoding/bounded_json.h"
+#include "libraries/base/log_event.h"
 
 namespace balsam::backend {
 namespace {
 
-using nlohmann::json;
-
 constexpr int kConnectionsPerManager = 6;
 constexpr char kStreamHeader[] = "X-Stream-Id";
 constexpr char kPriorityHeader[] = "X-Priority";
 constexpr int kHttpOk = 200;
-constexpr qsizetype kMaxLineBytes = 1 << 20;
+constexpr int kHttpNotFound = 404;
 
 QByteArray ToBytes(const std::string& text) {
   return {text.data(), static_cast<qsizetype>(text.size())};
@@ -29,19 +26,23 @@
   return reply->attribute(QNetworkRequest::HttpStatusCodeAttribute).toInt();
 }
 
-std::string StringMember(const json& object, const char* name) {
-  const auto member = object.find(name);
-  const bool fits = member != object.end() && member->is_string();
-  return fits ? member->get<std::string>() : std::string();
+bool IsEventStream(const QNetworkReply* reply) {
+  const QString type =
+      reply->header(QNetworkRequest::ContentTypeHeader).toString();
+  return type.section(';', 0, 0).trimmed().compare("text/event-stream",
+                                                   Qt::CaseInsensitive) == 0;
 }
 
-// Returns the text of a completion or chat completion event.
-std::string TextOf(const json& choice) {
-  const auto delta = choice.find("delta");
-  if (delta != choice.end() && delta->is_object()) {
-    return StringMember(*delta, "content");
+// Returns why a response is no stream of events; empty if it is one, or if
+// there is no response.
+std::string RefusalOf(const QNetworkReply* reply) {
+  const int status = StatusOf(reply);
+  if (status == 0) return {};
+  if (status != kHttpOk) {
+    return "backend server returned HTTP status " + std::to_string(status);
   }
-  return StringMember(choice, "text");
+  if (IsEventStream(reply)) return {};
+  return "backend server returned something else than an event stream";
 }
 
 // No connection was established, so nothing can have been sent.
@@ -125,15 +126,17 @@
 
 void BackendClient::ResumeGeneration(execution::LocalId local_id,
                                      const std::string& stream,
-                                     std::uint64_t first) {
+                                     std::uint64_t first,
+                                     std::vector<std::string> repeated) {
   Abort(local_id);
   QNetworkAccessManager* manager = ManagerForStream();
   const QString path = QString("/v1/streams/%1?from=%2")
                            .arg(QString::fromStdString(stream))
-                           .arg(first);
+                           .arg(first - repeated.size());
   Exchange exchange;
   exchange.reply = manager->get(RequestFor(path, stream, nullptr));
   exchange.manager = manager;
+  exchange.stream = EngineStream(std::move(repeated));
   exchange.is_resume = true;
   exchange.next = first;
   Track(local_id, std::move(exchange));
@@ -146,7 +149,16 @@
       QString("/v1/streams/%1").arg(QString::fromStdString(stream));
   QNetworkReply* reply =
       control_manager_.deleteResource(RequestFor(path, stream, nullptr));
-  connect(reply, &QNetworkReply::finished, reply, &QObject::deleteLater);
+  connect(reply, &QNetworkReply::finished, reply, [reply, stream] {
+    reply->deleteLater();
+    // An engine that does not know the stream does not run it.
+    const bool is_cancelled = reply->error() == QNetworkReply::NoError ||
+                              StatusOf(reply) == kHttpNotFound;
+    if (is_cancelled) return;
+    LogEvent("engine_cancel_failed", LogEvent::Level::kWarning)
+        .With("generation", stream)
+        .With("reason", reply->errorString().toStdString());
+  });
 }
 
 void BackendClient::StartCall(execution::LocalId local_id,
@@ -179,48 +191,36 @@
   const auto found = exchanges_.find(local_id);
   if (found == exchanges_.end() || !found->second.reply) return;
   Exchange& exchange = found->second;
-  if (StatusOf(exchange.reply) != kHttpOk) return;
-  exchange.receive_buffer += exchange.reply->readAll();
+  const bool has_events =
+      StatusOf(exchange.reply) != 0 && RefusalOf(exchange.reply).empty();
+  if (!has_events) return;
+  const QNetworkReply* reply = exchange.reply;
+  const QByteArray bytes = exchange.reply->readAll();
   const std::uint64_t first = exchange.next;
-  std::vector<std::string> tokens;
-  qsizetype start = 0;
-  for (qsizetype end = exchange.receive_buffer.indexOf('\n'); end >= 0;
-       end = exchange.receive_buffer.indexOf('\n', start)) {
-    ParseEvent(local_id, exchange,
-               exchange.receive_buffer.mid(start, end - start), tokens);
-    start = end + 1;
+  const EngineStream::Batch batch = exchange.stream.Read(
+      {bytes.data(), static_cast<std::size_t>(bytes.size())});
+  exchange.next += batch.tokens.size();
+  const std::string fault = exchange.stream.fault();
+  const bool failed = exchange.stream.failed();
+  for (int i = 0; i < batch.preemptions && on_preempted; ++i) {
+    on_preempted(local_id);
   }
-  exchange.receive_buffer.remove(0, start);
-  if (exchange.receive_buffer.size() > kMaxLineBytes) exchange.reply->abort();
-  if (!tokens.empty() && on_tokens) on_tokens(local_id, first, tokens);
-}
-
-void BackendClient::ParseEvent(execution::LocalId local_id, Exchange& exchange,
-                               const QByteArray& line,
-                               std::vector<std::string>& tokens) {
-  if (!line.startsWith("data: ")) return;
-  const QByteArrayView data = QByteArrayView(line).sliced(6).trimmed();
-  if (data == QByteArrayView("[DONE]")) {
-    exchange.received_done = true;
-    return;
+  if (!batch.tokens.empty() && on_tokens) {
+    on_tokens(local_id, first, batch.tokens);
   }
-  const json event =
-      decoding::ParseJson({data.data(), static_cast<std::size_t>(data.size())});
-  if (!event.is_object()) return;
-  if (event.contains("preempted")) {
-    if (on_preempted) on_preempted(local_id);
-    return;
-  }
-  const auto choices = event.find("choices");
-  if (choices == event.end() || !choices->is_array() || choices->empty()) {
+  if (fault.empty() && !failed) return;
+  // The owner may have replaced or cancelled the exchange meanwhile.
+  const auto current = exchanges_.find(local_id);
+  if (current == exchanges_.end() || current->second.reply != reply) return;
+  Abort(local_id);
+  if (failed) {
+    on_completed(
+        local_id,
+        Outcome::Ran(ResultCode::kBackendServerError,
+                     "backend server reported an error in its stream"));
     return;
   }
-  const json& choice = choices->front();
-  if (!choice.is_object()) return;
-  std::string text = TextOf(choice);
-  if (text.empty()) return;
-  tokens.push_back(std::move(text));
-  ++exchange.next;
+  on_broken(local_id, "backend server: " + fault);
 }
 
 void BackendClient::OnReplyFinished(execution::LocalId local_id,
@@ -274,23 +274,29 @@
 void BackendClient::FinishStream(execution::LocalId local_id,
                                  const Exchange& exchange,
                                  QNetworkReply* reply) {
-  const std::string reason = reply->errorString().toStdString();
   const int status = StatusOf(reply);
-  if (exchange.received_done) {
+  const std::string refusal = RefusalOf(reply);
+  const std::string prefix = "backend server: ";
+  if (exchange.stream.done()) {
     Outcome outcome;
     outcome.run_state = RunState::kRan;
     on_completed(local_id, std::move(outcome));
   } else if (exchange.is_resume &&
-             (status >= 400 || WasNeverConnected(reply))) {
+             (status == kHttpNotFound || WasNeverConnected(reply))) {
     on_resume_failed(local_id);
   } else if (WasNeverConnected(reply)) {
-    on_not_sent(local_id, "backend server: " + reason);
-  } else if (status >= 400) {
-    on_completed(local_id, Outcome::Ran(ResultCode::kBackendServerError,
-                                        "backend server returned HTTP status " +
-                                            std::to_string(status)));
+    on_not_sent(local_id, prefix + reply->errorString().toStdString());
+  } else if (!refusal.empty() && !exchange.is_resume) {
+    on_completed(local_id,
+                 Outcome::Ran(ResultCode::kBackendServerError, refusal));
+  } else if (!refusal.empty()) {
+    on_broken(local_id, refusal);
+  } else if (reply->error() != QNetworkReply::NoError) {
+    on_broken(local_id, prefix + reply->errorString().toStdString());
   } else {
-    on_broken(local_id, "backend server: " + reason);
+    on_broken(local_id, prefix + (exchange.stream.IsInsideEvent()
+                                      ? "the stream ended in an event"
+                                      : "the stream ended without [DONE]"));
   }
 }
 
--- a/libraries/backend/backend_client.h
+++ b/libraries/backend/backend_client.h
@@ -15,6 +15,7 @@
 #include <string>
 #include <vector>
 
+#include "libraries/backend/engine_stream.h"
 #include "libraries/execution/work_record.h"
 
 class QNetworkReply;
@@ -37,9 +38,11 @@
   // Sends a generation's request. `stream` identifies it at the engine.
   void StartGeneration(execution::LocalId local_id, const std::string& stream,
                        const execution::WorkItem& work);
-  // Asks the engine to continue `stream` from token `first`.
+  // Asks the engine to continue `stream` from token `first`, and to repeat the
+  // tokens before it, `repeated`, which show that it continues there.
   void ResumeGeneration(execution::LocalId local_id, const std::string& stream,
-                        std::uint64_t first);
+                        std::uint64_t first,
+                        std::vector<std::string> repeated = {});
   // Cancels the generation at the engine and drops its exchange.
   void CancelGeneration(execution::LocalId local_id, const std::string& stream);
   void StartCall(execution::LocalId local_id, const std::string& stream,
@@ -55,6 +58,7 @@
   std::function<void(execution::LocalId, const std::string& reason)>
       on_not_sent;
   std::function<void(execution::LocalId, const std::string& reason)> on_broken;
+  // The engine does not know the stream, or nothing listens there.
   std::function<void(execution::LocalId)> on_resume_failed;
   // The engine reported a preemption of this generation.
   std::function<void(execution::LocalId)> on_preempted;
@@ -63,10 +67,9 @@
   struct Exchange {
     QPointer<QNetworkReply> reply;
     QNetworkAccessManager* manager = nullptr;
-    QByteArray receive_buffer;
+    EngineStream stream;
     bool is_resume = false;
     bool is_call = false;
-    bool received_done = false;
     std::uint64_t next = 0;
   };
 
@@ -81,8 +84,6 @@
                                   const std::string& body);
   void Track(execution::LocalId local_id, Exchange exchange);
   void ReadEvents(execution::LocalId local_id);
-  void ParseEvent(execution::LocalId local_id, Exchange& exchange,
-                  const QByteArray& line, std::vector<std::string>& tokens);
   void OnReplyFinished(execution::LocalId local_id, QNetworkReply* reply);
   void FinishCall(execution::LocalId local_id, QNetworkReply* reply);
   void FinishStream(execution::LocalId local_id, const Exchange& exchange,
--- a/libraries/relay/relay.cc
+++ b/libraries/relay/relay.cc
@@ -107,7 +107,15 @@
   }
   crash_count_ = std::max(crash_count_, crash_count);
   if (outcome.code == ResultCode::kOk) {
-    if (outcome.total_tokens > delivered_ + buffered_tokens_.size()) {
+    const std::uint64_t received = delivered_ + buffered_tokens_.size();
+    if (outcome.total_tokens < received) {
+      return ConcludeWith(Outcome::Ran(
+          is_resumed_ ? ResultCode::kInvalidEventId
+                      : ResultCode::kGenerationLost,
+          "the generation has " + std::to_string(outcome.total_tokens) +
+              " tokens, not " + std::to_string(received)));
+    }
+    if (outcome.total_tokens > received) {
       return TryResume(Outcome::Ran(ResultCode::kGenerationLost,
                                     "the generation ended before all its "
                                     "tokens were received"),
@@ -116,6 +124,10 @@
     return ConcludeSuccessfully(std::move(outcome));
   }
   if (outcome.run_state != RunState::kNotRun) may_have_run_ = true;
+  if (delivered_ > 0 && MayBeAcceptedElsewhere(outcome.code) && !is_resumed_) {
+    return ConcludeWith(
+        Outcome::Ran(ResultCode::kGenerationLost, outcome.detail));
+  }
   // A refused request may go to another sidecar. The refusal of a key reports
   // the run state as unknown; the next sidecar in rank decides for itself
   // whether the key may have run.
--- a/services/entry/caller_session.cc
+++ b/services/entry/caller_session.cc
@@ -49,7 +49,7 @@
     if (!paused_ || writer_->pending_bytes() > kResumeBelowBytes) return;
     paused_ = false;
     paused_since_.reset();
-    if (peer_link_ != nullptr) peer_link_->PauseReading(stream_, false);
+    if (peer_link_) peer_link_->PauseReading(stream_, false);
   };
 }
 
@@ -109,6 +109,7 @@
 void CallerSession::PlaceRequest(const relay::StartAttempt& step) {
   const BootTime now = BootClock::now();
   DropStream();
+  first_token_.reset();
   if (step.is_retry && !shared_.retry_budget.TryConsumeRetry()) {
     // The retry budget is exhausted: the caller gets the previous outcome.
     ExecuteSteps(relay_.OnNoServerAvailable(step.fallback_outcome, now));
@@ -169,7 +170,7 @@
   vm_ = vm;
   finished_reply_received_ = false;
   peer_link_ = pool_.GetLink(vm);
-  if (peer_link_ == nullptr) {
+  if (!peer_link_) {
     OnStreamEnd(peer::StreamEnd::kNotProcessed);
     return;
   }
@@ -191,6 +192,14 @@
   if (const auto* accepted = std::get_if<peer::AcceptedReply>(&message)) {
     pool_.OnLoadReport(vm, accepted->load);
     const auto id = generation::GenerationId::Parse(accepted->generation);
+    // A reader that resumes names only the generation. A sidecar of an earlier
+    // version does not say what it was requested as.
+    if (request_.work.path.empty() && !accepted->path.empty()) {
+      writer_->SetRequested(accepted->path == kChatPath
+                                ? ResponseFormat::kChat
+                                : ResponseFormat::kCompletion,
+                            accepted->model);
+    }
     if (id.has_value()) ExecuteSteps(relay_.OnAccepted(*id));
     return;
   }
@@ -234,6 +243,13 @@
 void CallerSession::OnStreamEnd(peer::StreamEnd end) {
   shared_.load_tracker.OnRequestClosed(vm_);
   if (finished_ || finished_reply_received_) return;
+  LogEvent("sidecar_stream_broken", LogEvent::Level::kWarning)
+      .With("request", request_.work.request_id)
+      .With("vm", vm_)
+      .With("tokens", relay_.next())
+      .With("reason", end == peer::StreamEnd::kNotProcessed ? "not_processed"
+                      : end == peer::StreamEnd::kComplete   ? "no_final_reply"
+                                                            : "broken");
   ExecuteSteps(relay_.OnAttemptEnd(end == peer::StreamEnd::kNotProcessed
                                        ? relay::AttemptEnd::kNotProcessed
                                        : relay::AttemptEnd::kBroken,
@@ -243,7 +259,8 @@
 void CallerSession::DropStream() {
   resume_timer_.stop();
   if (stream_ == 0) return;
-  peer_link_->Cancel(std::exchange(stream_, 0));
+  const peer::LinkStream stream = std::exchange(stream_, 0);
+  if (peer_link_) peer_link_->Cancel(stream);
   shared_.load_tracker.OnRequestClosed(vm_);
 }
 
@@ -257,7 +274,7 @@
   if (!paused_ && writer_->pending_bytes() > kPauseAboveBytes) {
     paused_ = true;
     paused_since_ = now;
-    if (peer_link_ != nullptr) peer_link_->PauseReading(stream_, true);
+    if (peer_link_) peer_link_->PauseReading(stream_, true);
   }
 }
 
--- a/services/sidecar/sidecar_node.cc
+++ b/services/sidecar/sidecar_node.cc
@@ -20,6 +20,9 @@
 constexpr milliseconds kListTimeout{30000};
 constexpr qsizetype kMaxQueuedBytes = 64 << 10;
 constexpr std::size_t kMaxTokensPerMessage = 512;
+// Tokens that an engine repeats when it resumes a stream. Several, since texts
+// repeat single tokens.
+constexpr std::uint64_t kRepeatedTokens = 8;
 
 // Returns a number that is higher than those of earlier processes, also on the
 // same VM. The random low bits distinguish two processes started in the same
@@ -92,6 +95,7 @@
   };
   backend_.on_broken = [this](execution::LocalId local_id,
                               const std::string& reason) {
+    LogBrokenStream(local_id, reason);
     executor_.OnStreamBroken(local_id, reason, ClockReading::Now());
     ApplyDecisions();
   };
@@ -271,8 +275,10 @@
   executor_.AttachReader(local_id);
   readers_[stream] = {local_id, next};
   reader_streams_[local_id].insert(stream);
+  const execution::WorkItem& work = executor_.Find(local_id)->work;
   stream.Send(peer::AcceptedReply{executor_.IdOf(local_id).ToText(),
-                                  executor_.Load(ClockReading::Now())},
+                                  executor_.Load(ClockReading::Now()),
+                                  work.path, work.model},
               false);
   if (!SendAvailableTokens(stream, readers_[stream])) RemoveReader(stream);
 }
@@ -336,8 +342,10 @@
                         [this](execution::LocalId c) { Dispatch(c); });
   std::ranges::for_each(executor_.TakeResumes(now), [this](const auto& resume) {
     const auto& [local_id, first] = resume;
+    const auto repeated = executor_.Find(local_id)->log.TokensFrom(
+        first - std::min(first, kRepeatedTokens), kRepeatedTokens);
     backend_.ResumeGeneration(local_id, executor_.IdOf(local_id).ToText(),
-                              first);
+                              first, {repeated.begin(), repeated.end()});
   });
   std::ranges::for_each(
       executor_.TakeCancellations(), [this](execution::LocalId local_id) {
@@ -360,6 +368,17 @@
   }
 }
 
+void SidecarNode::LogBrokenStream(execution::LocalId local_id,
+                                  const std::string& reason) const {
+  const execution::WorkRecord* record = executor_.Find(local_id);
+  if (record == nullptr) return;
+  LogEvent("engine_stream_broken", LogEvent::Level::kWarning)
+      .With("request", record->work.request_id)
+      .With("generation", executor_.IdOf(local_id).ToText())
+      .With("tokens", record->log.end())
+      .With("reason", reason);
+}
+
 void SidecarNode::OnRecordChanged(execution::LocalId local_id) {
   const execution::WorkRecord* record = executor_.Find(local_id);
   if (record == nullptr) return;
