End a run at another response also if its connection stays open

Callers saw a whole stream broken off at its deadline: its response had no framing, the engine sent another response behind it and kept the connection open. The run was known to be over, and its end was awaited from the connection.

The attempt ends where the other response begins, by the same rules as at the end of the connection. RunEndsAtAnotherResponseOnOpenConnection failed before (broken off after 15 s).

--- a/libraries/migration/event_splitter.h
+++ b/libraries/migration/event_splitter.h
@@ -34,6 +34,8 @@
   // where another response begins.
   std::optional<std::string_view> Next();
 
+  // Another response has begun, so that the run is over.
+  bool ended() const { return ended_; }
   // Bytes of the event that is not complete yet.
   std::size_t partial_bytes() const { return buffer_.size() - begin_; }
   // The incomplete event is longer than any engine sends.
--- a/services/gateway/exchange.h
+++ b/services/gateway/exchange.h
@@ -177,6 +177,7 @@
   // The response cannot belong to this request, or is unusable.
   void RejectResponse(std::string_view reason);
   void RelayEvents(std::string_view bytes);
+  void RelayWholeEvents(std::string_view events);
   void CompleteResponse();
   void OnStreamEnded(OutboundConnection::EndReason end);
   void OnStreamLost();
--- a/services/gateway/exchange_relay.cc
+++ b/services/gateway/exchange_relay.cc
@@ -116,7 +116,14 @@
     }
     return;
   }
-  if (events.empty()) return;
+  if (!events.empty()) RelayWholeEvents(events);
+  if (!attempt_->splitter.ended()) return;
+  // The server may keep the connection open.
+  attempt_->connection->Abort();
+  OnEnd(OutboundConnection::EndReason::kComplete);
+}
+
+void Exchange::RelayWholeEvents(std::string_view events) {
   slow_timer_.stop();
   const BootTime now = BootClock::now();
   if (const auto gap = event_times_.OnEvents(now)) {
--- a/tests/services/gateway/stream_continuation_test.cc
+++ b/tests/services/gateway/stream_continuation_test.cc
@@ -281,5 +281,22 @@
   EXPECT_EQ(sink_.text, kFirstTwoEvents);
 }
 
+// Guards against a stream that ends at its deadline though its run is over: an
+// engine kept the connection open after the second of two responses.
+TEST_F(StreamContinuationTest, RunEndsAtAnotherResponseOnOpenConnection) {
+  first_.on_request = [](const auto& request) {
+    Write(request.socket,
+          "HTTP/1.1 200 OK\r\nRequest-Id: r-1\r\nResponse-Seal: s\r\n\r\n" +
+              std::string(kFirstTwoEvents));
+    Write(request.socket,
+          "HTTP/1.1 200 OK\r\nRequest-Id: r-0\r\nResponse-Seal: s\r\n"
+          "Content-Length: 5\r\n\r\nother");
+  };
+  Send(routing::RequestKind::kStream, 1);
+  RunUntilDone();
+  EXPECT_EQ(sink_.complete, true);
+  EXPECT_EQ(sink_.text, kFirstTwoEvents);
+}
+
 }  // namespace
 }  // namespace balsam::gateway
