Do not deliver a body that holds another response

Callers could get a success whose body held another response: a server sent a second one after a response without a length, and all that came before the connection closed was delivered as the body.

Nothing says where the server's own response ended. A body that only its connection ended, and that holds a head which names a request, is not delivered: the request is sent to another server if it may be repeated, else it ends with 502.

ResponseWithAnotherBehindItIsNotDelivered failed before (200, with both). A body with the text of a head that names no request is delivered as before (StatusLineInBodyIsDelivered). Not covered: bodies over 256 KiB, which are relayed as they arrive.

--- a/services/gateway/exchange.cc
+++ b/services/gateway/exchange.cc
@@ -182,6 +182,11 @@
   if (end == OutboundConnection::EndReason::kComplete && IsStreamCutShort()) {
     end = OutboundConnection::EndReason::kBroken;
   }
+  if (end == OutboundConnection::EndReason::kComplete &&
+      HoldsAnotherResponse()) {
+    RejectResponse("followed_by_another");
+    return;
+  }
   RecordCrashIfBroken(end);
   if (attempt_->streaming) {
     OnStreamEnded(end);
--- a/services/gateway/exchange.h
+++ b/services/gateway/exchange.h
@@ -174,6 +174,10 @@
   // Relaying; see exchange_relay.cc.
   void OnHead(const http1::ResponseHead& head);
   void OnBody(std::string_view bytes);
+  // Whether the body, which only its connection ended, holds the head of
+  // another response: the server sent one more, and nothing says where its own
+  // ended.
+  bool HoldsAnotherResponse() const;
   // The response cannot belong to this request, or is unusable.
   void RejectResponse(std::string_view reason);
   void RelayEvents(std::string_view bytes);
--- a/services/gateway/exchange_relay.cc
+++ b/services/gateway/exchange_relay.cc
@@ -16,6 +16,7 @@
 // are complete, so that a truncated one can be replaced by a response from
 // another server.
 constexpr std::size_t kMaxBufferedResponse = 256 << 10;
+constexpr std::string_view kStatusLineStart = "HTTP/1.";
 // Outcome logged for a response that reached the client in full, whatever its
 // status.
 constexpr std::string_view kDelivered = "delivered";
@@ -75,6 +76,23 @@
   OnEnd(OutboundConnection::EndReason::kBroken);
 }
 
+bool Exchange::HoldsAnotherResponse() const {
+  if (attempt_->streaming || !attempt_->is_unframed) return false;
+  const std::string_view body = attempt_->body;
+  for (std::size_t at = body.find(kStatusLineStart); at != std::string::npos;
+       at = body.find(kStatusLineStart, at + 1)) {
+    http1::ResponseParser parser({}, /*is_response_to_head=*/false);
+    std::string rest;
+    parser.Consume(body.substr(at), rest);
+    // A body may be about HTTP, but not name a request.
+    if (parser.head_complete() &&
+        !context_.dialect.ParseResponse(parser.head()).request_id.empty()) {
+      return true;
+    }
+  }
+  return false;
+}
+
 void Exchange::OnBody(std::string_view bytes) {
   if (attempt_->streaming) {
     RelayEvents(bytes);
--- a/tests/services/gateway/stream_continuation_test.cc
+++ b/tests/services/gateway/stream_continuation_test.cc
@@ -298,5 +298,38 @@
   EXPECT_EQ(sink_.text, kFirstTwoEvents);
 }
 
+// Guards against a body that holds another response: a server sent a second one
+// after a response without a length, which was delivered with it.
+TEST_F(StreamContinuationTest, ResponseWithAnotherBehindItIsNotDelivered) {
+  first_.on_request = [](const auto& request) {
+    Write(request.socket,
+          "HTTP/1.1 200 OK\r\nRequest-Id: r-1\r\nResponse-Seal: s\r\n\r\nown");
+    Write(request.socket,
+          "HTTP/1.1 200 OK\r\nRequest-Id: r-0\r\nResponse-Seal: s\r\n"
+          "Content-Length: 5\r\n\r\nother");
+    request.socket->flush();
+    request.socket->disconnectFromHost();
+  };
+  Send(routing::RequestKind::kNonIdempotent, 1);
+  RunUntilDone();
+  EXPECT_EQ(sink_.status, 502);
+}
+
+// A body may be about HTTP.
+TEST_F(StreamContinuationTest, StatusLineInBodyIsDelivered) {
+  const std::string body = "Send HTTP/1.1 200 OK\r\nAge: 1\r\n\r\n and stop.";
+  first_.on_request = [&](const auto& request) {
+    Write(request.socket,
+          "HTTP/1.1 200 OK\r\nRequest-Id: r-1\r\nResponse-Seal: s\r\n\r\n" +
+              body);
+    request.socket->flush();
+    request.socket->disconnectFromHost();
+  };
+  Send(routing::RequestKind::kNonIdempotent, 1);
+  RunUntilDone();
+  EXPECT_EQ(sink_.status, 200);
+  EXPECT_EQ(sink_.text, body);
+}
+
 }  // namespace
 }  // namespace balsam::gateway
