Let a begun stream go on behind an engine that did not run it

Callers saw streams broken off that could have gone on: the stream had begun and broke off, the engine that it went to next could not be reached or proved that it did not run the request, and no other was asked.

What may run once is not concerned.

StreamGoesOnBehindUnreachableEngine failed before (broken off after two of four events). If there is no other engine the stream is broken off, as before.

--- a/libraries/retry/attempt_policy.cc
+++ b/libraries/retry/attempt_policy.cc
@@ -16,7 +16,14 @@
   // client has a part of.
   const bool is_completed =
       state.end == AttemptEnd::kAnswered && state.is_relayed;
-  if (state.response_started && !is_completed) return NextStep::kBreakOff;
+  if (state.response_started && !is_completed) {
+    // A server that did not run the request changes nothing for its stream.
+    const bool not_run =
+        state.end == AttemptEnd::kNotSent || state.end == AttemptEnd::kNotRun;
+    return not_run && state.may_repeat && MayTryAnother(state)
+               ? NextStep::kTryAnother
+               : NextStep::kBreakOff;
+  }
   switch (state.end) {
     case AttemptEnd::kAnswered:
       return NextStep::kDeliver;
--- a/services/gateway/exchange.cc
+++ b/services/gateway/exchange.cc
@@ -364,6 +364,10 @@
   }
   context_.metrics.CountEvent("attempts_repeated_total");
   if (TryDispatch()) return;
+  if (response_started_) {
+    BreakOff("no_other_server");
+    return;
+  }
   switch (end) {
     case AttemptEnd::kNotSent:
     case AttemptEnd::kNotRun:
--- a/tests/services/gateway/stream_continuation_test.cc
+++ b/tests/services/gateway/stream_continuation_test.cc
@@ -298,6 +298,43 @@
   EXPECT_EQ(sink_.text, kFirstTwoEvents);
 }
 
+// Guards against breaking off a stream that can go on: the next engine could
+// not be reached, and others were not asked.
+TEST_F(StreamContinuationTest, StreamGoesOnBehindUnreachableEngine) {
+  first_.on_request = BreakingOffAfterTwoEvents();
+  ScriptedEngine third;
+  third.on_request = [](const auto& request) {
+    EXPECT_NE(request.head.find("Last-Event-Id: 2"), std::string::npos);
+    BeginStream(request.socket, 3, 4);
+    EndStream(request.socket);
+  };
+  Announce("i-3", third);
+  directory::BackendServer unreachable = *context_.directory.Find("i-2");
+  // Nothing listens there.
+  unreachable.endpoint.port = FreePort();
+  context_.directory.OnAnnounced(unreachable, BootClock::now());
+  Offer(routing::RequestKind::kStream, 2, /*resumable=*/true);
+  // The third engine has more work than the second.
+  for (int i = 0; i < 3; ++i) context_.selector.OnStart("i-3", {});
+  SendRequest();
+  RunUntilDone();
+  EXPECT_EQ(sink_.complete, true);
+  EXPECT_EQ(sink_.text, std::string(kFirstTwoEvents) +
+                            "id: 3\ndata: t\n\nid: 4\ndata: t\n\n");
+}
+
+// The same without another engine.
+TEST_F(StreamContinuationTest, StreamIsBrokenOffIfNoEngineCanBeReached) {
+  first_.on_request = BreakingOffAfterTwoEvents();
+  directory::BackendServer unreachable = *context_.directory.Find("i-2");
+  unreachable.endpoint.port = FreePort();
+  context_.directory.OnAnnounced(unreachable, BootClock::now());
+  SendResumable();
+  RunUntilDone();
+  EXPECT_EQ(sink_.complete, false);
+  EXPECT_EQ(sink_.text, kFirstTwoEvents);
+}
+
 // Guards against a body that holds another response: a server sent a second one
 // after a response without a length, which was delivered with it.
 TEST_F(StreamContinuationTest, ResponseWithAnotherBehindItIsNotDelivered) {
