Keep a slow run whose request may not be sent again

Callers got 502 for a request that was running: what its prompt shares was quarantined while its first event was awaited, and the run was then given up as slow for another engine, to which a quarantined request is not sent. The same held for a request that had crashed two engines.

A slow run is given up only if the request may be sent again. SlowRunOfQuarantinedRequestIsKept failed before (502).

--- a/services/gateway/exchange.cc
+++ b/services/gateway/exchange.cc
@@ -416,7 +416,8 @@
         attempt_->server_id,
         MustKeepAttempt() ? AttemptResult::kFailed : AttemptResult::kSlow, now);
   }
-  const bool may_give_up = !MustKeepAttempt() && !response_started_ &&
+  const bool may_give_up = !MustKeepAttempt() && MayRetryAfterCrash() &&
+                           !response_started_ &&
                            sent_attempts_ + 1 < request_.route->max_attempts;
   if (!may_give_up || !RetryBudget().CanSpend(now)) {
     return;
--- a/tests/services/gateway/deadly_part_test.cc
+++ b/tests/services/gateway/deadly_part_test.cc
@@ -245,5 +245,35 @@
   EXPECT_EQ(context_.crash_ledger.CrashesOf(membership::StableHash("dead")), 2);
 }
 
+// Guards against giving up a run that must not be repeated: what the prompt
+// shares was quarantined while the run was slow, and the slow run was given up
+// for another engine, to which it was then not sent.
+TEST_F(DeadlyPartTest, SlowRunOfQuarantinedRequestIsKept) {
+  latency_objective_ = std::chrono::milliseconds(20);
+  Offer(routing::RequestKind::kStream, 2, true);
+  QTcpSocket* socket = nullptr;
+  for (ScriptedEngine* engine : {&first_, &second_}) {
+    engine->on_request = [&](const auto& request) {
+      socket = request.socket;
+      BeginStream(socket, 1, 0);
+    };
+  }
+  StartWithParts(kDeadlyPart);
+  ASSERT_TRUE(RunUntil([&] { return socket != nullptr; }));
+  const std::string id = first_.heads.empty() ? "i-2" : "i-1";
+  QuarantineDeadlyPart();
+  // The run has been found to be slow.
+  ASSERT_TRUE(RunUntil([&] {
+    return sink_.complete.has_value() ||
+           context_.selector.FailureRate(id, BootClock::now()) > 0.0;
+  }));
+  const std::string event = http1::EncodeChunk("id: 1\ndata: t\n\n");
+  socket->write(event.data(), static_cast<qint64>(event.size()));
+  EndStream(socket);
+  RunUntilDone();
+  EXPECT_EQ(sink_.status, 200);
+  EXPECT_EQ(sink_.complete, true);
+}
+
 }  // namespace
 }  // namespace balsam::gateway
