--- a/libraries/http1/message_head.h
+++ b/libraries/http1/message_head.h
@@ -62,6 +62,9 @@
   bool chunked = false;
 };
 
+// What a response begins with.
+inline constexpr std::string_view kStatusLineStart = "HTTP/1.";
+
 // Returns the bytes of a head, up to and including the empty line.
 std::string Serialize(const RequestHead& head, const Framing& framing);
 std::string Serialize(const ResponseHead& head, const Framing& framing);
--- a/libraries/migration/event_splitter.cc
+++ b/libraries/migration/event_splitter.cc
@@ -1,15 +1,17 @@
 // Finds the ends of server-sent events (WHATWG HTML, 9.2).
 #include "libraries/migration/event_splitter.h"
 
+#include "libraries/http1/message_head.h"
+
 namespace balsam::migration {
 namespace {
 
 constexpr std::string_view kEventEnd = "\n\n";
-constexpr std::string_view kStatusLineStart = "HTTP/1.";
 
 // Returns where another response begins in `text`, the rest of a run up to the
 // end of its next event; npos if nowhere.
 std::size_t FindOtherResponse(std::string_view text) {
+  using http1::kStatusLineStart;
   if (text.starts_with(kStatusLineStart)) return 0;
   // The engine may have broken off an event. Unlike a status line, the lines of
   // events end without a carriage return.
@@ -34,7 +36,7 @@
   const bool is_whole = end != std::string::npos;
   const std::string_view event = std::string_view(buffer_).substr(
       begin_, is_whole ? end + kEventEnd.size() - begin_ : std::string::npos);
-  if (framing_ == Framing::kUnmarked) {
+  if (framing_ == Framing::kUnframed) {
     const std::size_t other_response = FindOtherResponse(event);
     if (other_response != std::string::npos) {
       ended_ = true;
@@ -44,7 +46,6 @@
   }
   if (!is_whole) return std::nullopt;
   begin_ += event.size();
-  ++events_;
   return event;
 }
 
--- a/libraries/migration/event_splitter.h
+++ b/libraries/migration/event_splitter.h
@@ -4,7 +4,6 @@
 #pragma once
 
 #include <cstddef>
-#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -15,13 +14,13 @@
  public:
   enum class Framing {
     // The run's response has a length or chunks.
-    kMarked,
+    kFramed,
     // The response ends with its connection, so that another response that the
     // engine sends after it looks like a part of it.
-    kUnmarked,
+    kUnframed,
   };
 
-  explicit EventSplitter(Framing framing = Framing::kMarked)
+  explicit EventSplitter(Framing framing = Framing::kFramed)
       : framing_(framing) {}
 
   // Maximum size of an event in bytes: longer than any engine sends.
@@ -40,8 +39,6 @@
   std::size_t partial_bytes() const { return buffer_.size() - begin_; }
   // The incomplete event is longer than any engine sends.
   bool is_too_long() const { return partial_bytes() > kMaxEventBytes; }
-  // Events returned so far.
-  std::uint64_t events() const { return events_; }
 
  private:
   Framing framing_;
@@ -50,7 +47,6 @@
   // The bytes from `begin_` on have not been returned yet.
   std::string buffer_;
   std::size_t begin_ = 0;
-  std::uint64_t events_ = 0;
 };
 
 }  // namespace balsam::migration
--- a/services/gateway/exchange_relay.cc
+++ b/services/gateway/exchange_relay.cc
@@ -16,7 +16,6 @@
 // are complete, so that a truncated one can be replaced by a response from
 // another server.
 constexpr std::size_t kMaxBufferedResponse = 256 << 10;
-constexpr std::string_view kStatusLineStart = "HTTP/1.";
 // Outcome logged for a response that reached the client in full, whatever its
 // status.
 constexpr std::string_view kDelivered = "delivered";
@@ -57,7 +56,7 @@
                         request_.route->kind == routing::RequestKind::kStream;
   if (attempt_->streaming && attempt_->is_unframed) {
     attempt_->splitter =
-        migration::EventSplitter(migration::EventSplitter::Framing::kUnmarked);
+        migration::EventSplitter(migration::EventSplitter::Framing::kUnframed);
   }
   if (!attempt_->streaming || !attempt_->is_resumed) return;
   migration_->OnResumeResult(true);
@@ -79,8 +78,9 @@
 bool Exchange::HoldsAnotherResponse() const {
   if (attempt_->streaming || !attempt_->is_unframed) return false;
   const std::string_view body = attempt_->body;
-  for (std::size_t at = body.find(kStatusLineStart); at != std::string::npos;
-       at = body.find(kStatusLineStart, at + 1)) {
+  for (std::size_t at = body.find(http1::kStatusLineStart);
+       at != std::string::npos;
+       at = body.find(http1::kStatusLineStart, at + 1)) {
     http1::ResponseParser parser({}, /*is_response_to_head=*/false);
     std::string rest;
     parser.Consume(body.substr(at), rest);
@@ -103,6 +103,7 @@
   } else {
     attempt_->body += bytes;
     if (attempt_->body.size() <= kMaxBufferedResponse) return;
+    // Only the success of a first run is relayed before it is complete.
     if (response_started_ || !http1::IsSuccess(attempt_->head.status)) {
       RejectResponse("failure_too_long");
       return;
