--- a/services/gateway/exchange.cc
+++ b/services/gateway/exchange.cc
@@ -468,12 +468,18 @@
       .With("reason", reason)
       .With("retry_after", retry_after.value_or(milliseconds(0)))
       .With("attempts", sent_attempts_)
-      .With("config",
-            request_.routes == nullptr ? 0 : request_.routes->version());
+      .With("config", ConfigurationVersion());
   Finish(reason, status);
   sink_.SendComplete(std::move(head), std::string(reason) + "\n");
 }
 
+std::uint64_t Exchange::ConfigurationVersion() const {
+  // A rejected request keeps no route table.
+  const auto& routes =
+      request_.routes == nullptr ? context_.routes : request_.routes;
+  return routes == nullptr ? 0 : routes->version();
+}
+
 void Exchange::BreakOff(std::string_view outcome) {
   Finish(outcome, 0);
   sink_.BreakOff();
--- a/services/gateway/exchange.h
+++ b/services/gateway/exchange.h
@@ -196,6 +196,9 @@
   // Final responses.
   void Answer(int status, std::string_view reason,
               std::optional<std::chrono::milliseconds> retry_after = {});
+  // Of the configuration by which the request is handled; zero if none is
+  // known.
+  std::uint64_t ConfigurationVersion() const;
   void BreakOff(std::string_view outcome);
   void Finish(std::string_view outcome, int status);
   telemetry::RequestInstruments& Instruments();
