--- a/tests/libraries/revisions/revisioned_map_test.cc
+++ b/tests/libraries/revisions/revisioned_map_test.cc
@@ -64,6 +64,27 @@
   EXPECT_EQ(map.ChangesAfter(10).size(), 2U);
 }
 
+// Guards against a version of the configuration that a replica never gets: an
+// entry that was newer than the others, from a later page of a read, raised the
+// revision from which peers and the replica itself went on.
+TEST(RevisionedMapTest, NewerEntryDoesNotHideChangesBeforeIt) {
+  RevisionedMap reader;
+  reader.ApplySnapshot({}, {{"first", 90, "v1"}, {"second", 105, "s"}}, 100);
+  EXPECT_EQ(reader.revision(), 100U);
+  RevisionedMap follower;
+  follower.ApplySnapshot({}, reader.LiveEntries(), reader.revision());
+  // The watch goes on after the first page.
+  reader.Apply({"first", 103, "v2"});
+  reader.AdvanceTo(105);
+  ASSERT_GT(reader.revision(), follower.revision());
+  for (const auto& entry : reader.ChangesAfter(follower.revision())) {
+    follower.Apply(entry);
+  }
+  follower.AdvanceTo(reader.revision());
+  ASSERT_NE(follower.Find("first"), nullptr);
+  EXPECT_EQ(*follower.Find("first"), "v2");
+}
+
 RC_GTEST_PROP(RevisionedMapPropertyTest, ReplicasConvergeInAnyOrder, ()) {
   const auto count = *rc::gen::inRange<std::size_t>(1, 30);
   std::vector<RevisionedEntry> history;
--- a/tests/platform/store_client_test.cc
+++ b/tests/platform/store_client_test.cc
@@ -322,6 +322,31 @@
   EXPECT_EQ(revision_, *revisions::MakeRevision(2, 13));
 }
 
+// Guards against missed changes: a client that had read nothing yet learned the
+// era from a refusal, took over what peers knew of the era before, and watched
+// after a counter that the restored store had given out again.
+TEST_F(StoreClientTest, RevisionOfEarlierEraIsNotAdopted) {
+  known_revision_ = *revisions::MakeRevision(1, 42);
+  StartWithResponses({InEra(2, {503, "text/plain", {}}),
+                      InEra(2, Page(Item("a", 9), 12, false))});
+  ASSERT_TRUE(RunUntil([this] { return targets_.size() >= 2; }));
+  EXPECT_NE(targets_[1].find("/kv-range"), std::string::npos) << targets_[1];
+  ASSERT_TRUE(RunUntil([this] { return !snapshots_.empty(); }));
+  EXPECT_EQ(revision_, *revisions::MakeRevision(2, 12));
+}
+
+// Guards against a configuration that is late after a disruption of the store:
+// the response to a watch is lost, its connection stays open and returns
+// nothing more. A gateway is expected to be up to date five seconds later
+// (platform: 3 s of calm, and 2 s for a configuration to take effect).
+TEST_F(StoreClientTest, WatchWhoseResponseIsLostIsGivenUpInTime) {
+  constexpr milliseconds kUpToDateAfterLoss{5000};
+  const StoreClient::Limits limits;
+  const milliseconds retry = limits.min_retry_delay;
+  EXPECT_LT(limits.watch_timeout + limits.response_timeout + retry,
+            kUpToDateAfterLoss);
+}
+
 // The values of items that another writer may leave, as they may arrive.
 class OddValueTest : public StoreClientTest,
                      public testing::WithParamInterface<const char*> {
