Claim only what is known in full as a replica's revision

Cause: RevisionedMap::Apply raised the replica's revision to that of any entry. Entries of a later page of a read are newer than the first page, from which the watch goes on. Why this fix works: revision() is what AdvanceTo was told, after all changes up to there were applied; entries beyond are kept, and merged as before.

--- a/libraries/revisions/revisioned_map.cc
+++ b/libraries/revisions/revisioned_map.cc
@@ -8,9 +8,8 @@
 namespace balsam::revisions {
 
 bool RevisionedMap::Apply(const RevisionedEntry& entry) {
-  revision_ = std::max(revision_, entry.revision);
   const auto found = entries_.find(entry.key);
-  if (found == entries_.end() && entry.revision <= complete_to_) return false;
+  if (found == entries_.end() && entry.revision <= revision_) return false;
   Entry& known = entries_[entry.key];
   if (entry.revision <= known.revision) return false;
   known = {entry.revision, entry.value};
@@ -70,7 +69,6 @@
 
 void RevisionedMap::AdvanceTo(std::uint64_t revision) {
   revision_ = std::max(revision_, revision);
-  complete_to_ = std::max(complete_to_, revision);
 }
 
 }  // namespace balsam::revisions
--- a/libraries/revisions/revisioned_map.h
+++ b/libraries/revisions/revisioned_map.h
@@ -23,9 +23,10 @@
 
 class RevisionedMap {
  public:
-  // Applies one change. Returns false if it is not newer than the known state.
-  // That includes a change of an unknown key at a revision up to which all
-  // changes are known: the key has been deleted since.
+  // Applies one change, which does not raise `revision()`: changes before it
+  // may still be unknown. Returns false if it is not newer than the known
+  // state. That includes a change of an unknown key at a revision up to which
+  // all changes are known: the key has been deleted since.
   bool Apply(const RevisionedEntry& entry);
   // Applies a complete read of all keys that begin with `prefix`, made when the
   // store was at `store_revision`: keys that it does not contain were deleted.
@@ -47,8 +48,8 @@
   std::vector<RevisionedEntry> LiveEntries() const;
   // Returns null if the key is unknown or deleted.
   const std::string* Find(std::string_view key) const;
-  // The highest revision that was applied or that the store is known to have
-  // reached.
+  // All changes up to this revision are known, so that a watch or a peer can go
+  // on from here. Some later ones may be known, too.
   std::uint64_t revision() const { return revision_; }
   // Records that all changes up to this revision were applied.
   void AdvanceTo(std::uint64_t revision);
@@ -66,8 +67,6 @@
   // weeks needs an age limit.
   std::map<std::string, Entry, std::less<>> entries_;
   std::uint64_t revision_ = 0;
-  // All changes up to this revision are known; at most `revision_`.
-  std::uint64_t complete_to_ = 0;
   // Revision of the last complete read; later deletions are all recorded.
   std::uint64_t history_start_ = 0;
 };
--- a/tests/services/gateway/peer_exchange_test.cc
+++ b/tests/services/gateway/peer_exchange_test.cc
@@ -88,6 +88,7 @@
 TEST_F(PeerExchangeTest, FetchesMissingChanges) {
   first_->replica.Apply({"k", 7, "value"});
   first_->replica.Apply({"gone", 8, std::nullopt});
+  first_->replica.AdvanceTo(8);
   RunUntilChangesArrive();
   ASSERT_NE(second_->replica.Find("k"), nullptr);
   EXPECT_EQ(*second_->replica.Find("k"), "value");
@@ -123,6 +124,7 @@
 // expired entry, and did not migrate its runs.
 TEST_F(PeerExchangeTest, PeerReportsStoreAccess) {
   first_->replica.Apply({"gone", 8, std::nullopt});
+  first_->replica.AdvanceTo(8);
   first_->reaches_store = true;
   RunUntilChangesArrive();
   EXPECT_TRUE(second_->exchange.AnyReachesStore());
@@ -131,6 +133,7 @@
 
 TEST_F(PeerExchangeTest, DetectsOutageForAllGateways) {
   first_->replica.Apply({"gone", 8, std::nullopt});
+  first_->replica.AdvanceTo(8);
   RunUntilChangesArrive();
   EXPECT_FALSE(second_->exchange.AnyReachesStore());
 }
