--- a/tests/platform/store_client_test.cc
+++ b/tests/platform/store_client_test.cc
@@ -186,6 +186,20 @@
   EXPECT_NE(targets_[1].find("after=42"), std::string::npos) << targets_[1];
 }
 
+// Guards against gateways that take over in an outage and hear nothing after
+// it: the store swallows the first watch, which looked like one without
+// changes.
+TEST_F(StoreClientTest, FirstWatchAfterStandbyDoesNotWaitForChanges) {
+  should_watch_ = false;
+  StartWithResponses(
+      {Page(Item("a", 3), 7, false), Events("", 50), Events("", 50)});
+  ASSERT_TRUE(RunUntil([this] { return standbys_ > 0; }));
+  should_watch_ = true;
+  ASSERT_TRUE(RunUntil([this] { return targets_.size() >= 3; }));
+  EXPECT_NE(targets_[1].find("waitMs=0"), std::string::npos) << targets_[1];
+  EXPECT_EQ(targets_[2].find("waitMs=0"), std::string::npos) << targets_[2];
+}
+
 // Peers may lag behind, too.
 TEST_F(StoreClientTest, WatchRevisionNeverDecreases) {
   should_watch_ = false;
