Read and log the limits that servers name

A table of limits by server (libraries/limits) keeps the newest statement; nothing is decided by it yet. A response to a poll does not end a limit.

--- a/services/gateway/dialect.h
+++ b/services/gateway/dialect.h
@@ -82,6 +82,9 @@
   // How long the server wants no requests from this gateway; unset if it does
   // not say.
   std::optional<std::chrono::milliseconds> retry_after;
+  // The requests a second that the server takes from all gateways together;
+  // unset if it names no limit.
+  std::optional<double> requests_per_second;
 };
 
 // A call to a backend server's own interface.
--- a/services/gateway/gateway_context.h
+++ b/services/gateway/gateway_context.h
@@ -16,6 +16,7 @@
 #include "libraries/dispatch/server_selector.h"
 #include "libraries/dispatch/wait_estimator.h"
 #include "libraries/dispatch/wait_queue.h"
+#include "libraries/limits/limit_table.h"
 #include "libraries/migration/copy_queue.h"
 #include "libraries/quarantine/crash_ledger.h"
 #include "libraries/retry/shared_retry_budget.h"
@@ -68,6 +69,8 @@
   std::shared_ptr<const routing::RouteTable> routes;
   directory::BackendDirectory directory;
   dispatch::ServerSelector selector;
+  // The limits that servers name, as received here or by peers.
+  limits::LimitTable limits;
   ConnectionPool pool;
   // Both by service.
   std::map<std::string, dispatch::WaitQueue<Exchange*>> wait_queues;
--- a/services/gateway/gateway_node.cc
+++ b/services/gateway/gateway_node.cc
@@ -371,15 +371,20 @@
       for (Exchange* exchange : Exchanges()) {
         exchange->OnServerRestarted(change.id);
       }
-      context_.selector.Forget(change.id);
+      ForgetState(change.id);
       return;
     case Kind::kGone:
       context_.pool.CloseIdleConnections(change.id);
-      context_.selector.Forget(change.id);
+      ForgetState(change.id);
       return;
   }
 }
 
+void GatewayNode::ForgetState(const std::string& server_id) {
+  context_.selector.Forget(server_id);
+  context_.limits.Forget(dispatch::ServerKey(server_id));
+}
+
 std::vector<Exchange*> GatewayNode::Exchanges() const {
   return {context_.exchanges.begin(), context_.exchanges.end()};
 }
@@ -390,6 +395,7 @@
   if (notice.leaving || notice.is_other_server) {
     OnLeavingForGood(server_id, notice);
   }
+  OnLimitStated(server_id, notice.requests_per_second, head);
   if (!notice.retry_after.has_value()) return;
   LogEvent("server_rests")
       .With("server", server_id)
@@ -399,6 +405,24 @@
                                        BootClock::now() + *notice.retry_after);
 }
 
+void GatewayNode::OnLimitStated(const std::string& server_id,
+                                std::optional<double> requests_per_second,
+                                const http1::ResponseHead& head) {
+  // A response to a poll may not name a limit that still holds.
+  if (!requests_per_second.has_value() &&
+      context_.dialect.ParseResponse(head).request_id.empty()) {
+    return;
+  }
+  if (!context_.limits.OnResponse(dispatch::ServerKey(server_id),
+                                  requests_per_second, BootClock::now())) {
+    return;
+  }
+  LogEvent("server_limit")
+      .With("server", server_id)
+      .With("limited", requests_per_second.has_value() ? 1 : 0)
+      .With("per_second", std::to_string(requests_per_second.value_or(0.0)));
+}
+
 void GatewayNode::OnLeavingForGood(const std::string& server_id,
                                    const ServerNotice& notice) {
   const auto change = context_.directory.OnReportedLeaving(
@@ -478,6 +502,7 @@
   }
   PollReports();
   context_.selector.RemoveIdleServers(now);
+  context_.limits.RemoveExpired(now);
   LogQuarantineChanges(context_.crash_ledger.DropExpired(now));
 }
 
--- a/services/gateway/gateway_node.h
+++ b/services/gateway/gateway_node.h
@@ -71,6 +71,8 @@
   void OnServerEntry(const std::string& id,
                      const std::optional<std::string>& text, bool is_restored);
   void OnServerChange(const directory::ServerChange& change);
+  // Drops what is known of a server's incarnation that has ended.
+  void ForgetState(const std::string& server_id);
   // Returns a copy, since the set changes while its members are called.
   std::vector<Exchange*> Exchanges() const;
   // Returns the entries, with an empty text where it is of no use here: of
@@ -88,6 +90,10 @@
   // Handles what any response of a server says about the server itself.
   void OnResponseHead(const std::string& server_id,
                       const http1::ResponseHead& head);
+  // A response names a limit or none.
+  void OnLimitStated(const std::string& server_id,
+                     std::optional<double> requests_per_second,
+                     const http1::ResponseHead& head);
   // A response says that the engine is leaving, or that it is gone and another
   // one has its address.
   void OnLeavingForGood(const std::string& server_id,
--- a/tests/platform/wire_dialect_test.cc
+++ b/tests/platform/wire_dialect_test.cc
@@ -208,6 +208,21 @@
   EXPECT_FALSE(WireDialect().ParseNotice(head).retry_after.has_value());
 }
 
+TEST(WireDialectNoticeTest, ReadsLimits) {
+  const auto limit_of = [](const std::string& value) {
+    http1::ResponseHead head;
+    head.status = 200;
+    head.fields.Add("server-limit", value);
+    return WireDialect().ParseNotice(head).requests_per_second;
+  };
+  EXPECT_EQ(limit_of("4.6"), 4.6);
+  EXPECT_EQ(limit_of("0"), 0.0);
+  for (const char* odd : {"", "-1", "4,6", "nan", "1e999", "4 a second"}) {
+    EXPECT_FALSE(limit_of(odd).has_value()) << odd;
+  }
+  EXPECT_FALSE(WireDialect().ParseNotice({}).requests_per_second.has_value());
+}
+
 TEST(WireDialectTest, AnyResponseMayReportLeaving) {
   for (const int status : {200, 404, 421, 500, 503}) {
     http1::ResponseHead head;
