Keep the limits that servers name, as a sum over all gateways

Cause: Server-Limit was not read; a server in need answers quickly and looks idle. Change: a server with a limit is chosen only with a permit. The primary aggregator of its load issues them for all gateways (limits::PermitIssuer); its backup issues a quarter of the limit to those that the primary does not answer. Digests carry the newest statements, so that gateways know of a limit before they are told, and after a restart. First attempts, repeats, waiting requests and targets of migrations ask for a permit; a run that goes on at its source only reports that it was sent. A denied server is skipped until its turn, and counts in the estimate of waits, so that what cannot be served in time is refused at once. The search for engines serves plain services as well now (server_search).

--- a/libraries/dispatch/server_selector.cc
+++ b/libraries/dispatch/server_selector.cc
@@ -82,6 +82,7 @@
   const Record& record = RecordOf(server.id);
   if (record.backoff_until > now) return &SkipCounts::in_backoff;
   if (record.cooldown_until > now) return &SkipCounts::in_cooldown;
+  if (record.no_permit_until > now) return &SkipCounts::limited;
   const int slots = std::max(server.slots, 1);
   if (engine == nullptr) {
     const auto max_requests =
@@ -294,6 +295,10 @@
   backoff_until = std::max(backoff_until, until);
 }
 
+void ServerSelector::OnPermitDenied(const std::string& id, BootTime until) {
+  records_[id].no_permit_until = until;
+}
+
 std::optional<BootTime> ServerSelector::EarliestBackoffEnd(
     const directory::BackendDirectory& directory, const Demand& demand,
     BootTime now) const {
@@ -304,7 +309,8 @@
     if (state == ServerState::kLeaving || demand.excluded.contains(server.id)) {
       return;
     }
-    const BootTime end = RecordOf(server.id).backoff_until;
+    const Record& record = RecordOf(server.id);
+    const BootTime end = std::max(record.backoff_until, record.no_permit_until);
     all_backing_off = all_backing_off && end > now;
     earliest = std::min(earliest.value_or(end), end);
   });
@@ -320,7 +326,7 @@
   std::erase_if(records_, [&](const auto& item) {
     const Record& record = item.second;
     return record.local.requests == 0 && record.backoff_until <= now &&
-           record.outcomes.HasDecayed(now);
+           record.no_permit_until <= now && record.outcomes.HasDecayed(now);
   });
   reports_.RemoveExpired(now);
 }
--- a/libraries/dispatch/server_selector.h
+++ b/libraries/dispatch/server_selector.h
@@ -90,6 +90,8 @@
     int in_cooldown = 0;
     // Requested backoff.
     int in_backoff = 0;
+    // Names a limit that other requests use up for now.
+    int limited = 0;
     // Failed too many recent requests.
     int unhealthy = 0;
     int without_slot = 0;
@@ -134,11 +136,15 @@
   void OnResult(const std::string& id, AttemptResult result, BootTime now);
   // The server asked this entry to send no requests before `until`.
   void OnBackoffRequested(const std::string& id, BootTime until);
+  // The server names a limit, and there is no permit for another request before
+  // `until`.
+  void OnPermitDenied(const std::string& id, BootTime until);
   bool IsBackingOff(const std::string& id, BootTime now) const {
     return RecordOf(id).backoff_until > now;
   }
-  // The earliest end of backoff among the servers that can take the request;
-  // nothing if any of them is not in backoff, or if there are none.
+  // The earliest end of backoff, or of a wait for permits, among the servers
+  // that can take the request; nothing if any of them has neither, or if there
+  // are none.
   std::optional<BootTime> EarliestBackoffEnd(
       const directory::BackendDirectory& directory, const Demand& demand,
       BootTime now) const;
@@ -176,6 +182,8 @@
     BootTime cooldown_until;
     // Requested by the server.
     BootTime backoff_until;
+    // Until then there is no permit for the server.
+    BootTime no_permit_until;
   };
 
   // The counter to increment for a skipped server; null if it is eligible.
--- a/libraries/gossip/digest.cc
+++ b/libraries/gossip/digest.cc
@@ -3,6 +3,8 @@
 
 #include <algorithm>
 #include <boost/asio/ip/address_v4.hpp>
+#include <cmath>
+#include <iterator>
 #include <nlohmann/json.hpp>
 
 #include "libraries/decoding/bounded_json.h"
@@ -15,17 +17,24 @@
 
 // First element of each message: its type and the version of its format. The
 // value changes with the format, and messages of unknown formats are rejected.
-constexpr int kDigestFormat = 13;
+constexpr int kDigestFormat = 14;
 constexpr int kLoadUpdateFormat = 10;
 constexpr int kLoadTotalsFormat = 11;
 constexpr int kLoadQueryFormat = 12;
-constexpr std::size_t kDigestElements = 10;
+constexpr int kPermitRequestFormat = 15;
+constexpr int kPermitReplyFormat = 16;
+constexpr std::size_t kDigestElements = 11;
 constexpr std::size_t kLoadMessageElements = 3;
+constexpr std::size_t kPermitReplyElements = 5;
 
 // Token counts are sent in units of this size, rounded up: smaller numbers
 // encode in fewer bytes, and loads are estimates anyway.
 constexpr std::int64_t kTokensPerUnit = 64;
 
+// Limits are sent as requests in this many seconds, rounded: the decoder
+// accepts integers only.
+constexpr double kLimitSeconds = 1000.0;
+
 // No load is higher.
 constexpr std::int64_t kMaxCount = std::int64_t{1} << 40;
 
@@ -69,6 +78,39 @@
   return bytes;
 }
 
+// Bounded, since a message may hold any number.
+std::chrono::milliseconds ReadMilliseconds(const json& number) {
+  constexpr std::chrono::milliseconds kLongest{std::chrono::hours(24)};
+  return std::chrono::milliseconds(std::clamp<std::int64_t>(
+      number.get<std::int64_t>(), 0, kLongest.count()));
+}
+
+json ToJson(const limits::Statement& statement) {
+  json limit;
+  if (statement.requests_per_second.has_value()) {
+    limit = std::llround(*statement.requests_per_second * kLimitSeconds);
+  }
+  return {statement.server, statement.age.count(), std::move(limit)};
+}
+
+limits::Statement ReadStatement(const json& item) {
+  limits::Statement statement{item.at(0).get<std::uint32_t>(), std::nullopt,
+                              ReadMilliseconds(item.at(1))};
+  if (!item.at(2).is_null()) {
+    statement.requests_per_second =
+        static_cast<double>(item.at(2).get<std::int64_t>()) / kLimitSeconds;
+  }
+  return statement;
+}
+
+json ToJson(const std::vector<limits::Statement>& statements) {
+  json list = json::array();
+  for (const limits::Statement& statement : statements) {
+    list.push_back(ToJson(statement));
+  }
+  return list;
+}
+
 Digest ReadDigest(const json& message) {
   Digest digest;
   digest.sequence = message[1].get<std::uint64_t>();
@@ -80,6 +122,8 @@
   digest.leaving_servers = message[7].get<std::vector<std::string>>();
   digest.state_version = message[8].get<std::uint32_t>();
   digest.reply_requested = message[9].get<bool>();
+  std::ranges::transform(message[10], std::back_inserter(digest.limits),
+                         ReadStatement);
   return digest;
 }
 
@@ -113,11 +157,11 @@
 }  // namespace
 
 std::string Encode(const Digest& digest) {
-  return ToCbor({kDigestFormat, digest.sequence, digest.incarnation,
-                 digest.revision, digest.reaches_store,
-                 ToJson(digest.peer_updates),
-                 quarantine::ToJson(digest.evidence), digest.leaving_servers,
-                 digest.state_version, digest.reply_requested});
+  return ToCbor(
+      {kDigestFormat, digest.sequence, digest.incarnation, digest.revision,
+       digest.reaches_store, ToJson(digest.peer_updates),
+       quarantine::ToJson(digest.evidence), digest.leaving_servers,
+       digest.state_version, digest.reply_requested, ToJson(digest.limits)});
 }
 
 std::string Encode(const std::vector<PeerUpdate>& list) {
@@ -136,6 +180,15 @@
   return ToCbor({kLoadQueryFormat, query.query_id, query.servers});
 }
 
+std::string Encode(const PermitRequest& request) {
+  return ToCbor({kPermitRequestFormat, request.id, ToJson(request.limit)});
+}
+
+std::string Encode(const PermitReply& reply) {
+  return ToCbor({kPermitReplyFormat, reply.id, reply.is_granted,
+                 reply.retry_after.count(), ToJson(reply.limit)});
+}
+
 Result<Message> Decode(std::string_view bytes) {
   const json message = decoding::ParseCbor(bytes);
   try {
@@ -155,6 +208,16 @@
         return Message(LoadQuery{sequence_or_id,
                                  message[2].get<std::vector<std::uint32_t>>()});
       }
+      if (message[0] == kPermitRequestFormat) {
+        return Message(
+            PermitRequest{sequence_or_id, ReadStatement(message[2])});
+      }
+    }
+    if (message.is_array() && message.size() == kPermitReplyElements &&
+        message[0] == kPermitReplyFormat) {
+      return Message(
+          PermitReply{message[1].get<std::uint64_t>(), message[2].get<bool>(),
+                      ReadMilliseconds(message[3]), ReadStatement(message[4])});
     }
   } catch (const json::exception& error) {
     return Fail(ResultCode::kInvalidPeerMessage, error.what());
--- a/libraries/gossip/digest.h
+++ b/libraries/gossip/digest.h
@@ -2,9 +2,10 @@
 // newest revision it holds and updates about other entries; each digest
 // replaces the previous one. Load messages carry changes of load, repeated at
 // intervals since datagrams may be lost, and load totals, which are also sent
-// on request.
+// on request. Permits for limited servers are asked for one by one.
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -13,6 +14,7 @@
 
 #include "libraries/base/error.h"
 #include "libraries/dispatch/usage.h"
+#include "libraries/limits/limit_table.h"
 #include "libraries/quarantine/crash_ledger.h"
 
 namespace balsam::gossip {
@@ -53,6 +55,8 @@
   std::vector<std::string> leaving_servers;
   // Which requests crash servers.
   quarantine::Evidence evidence;
+  // What servers stated about their limits.
+  std::vector<limits::Statement> limits;
 };
 
 // Changes of the sender's own load, sent to an aggregator for the servers that
@@ -78,7 +82,27 @@
   std::vector<std::uint32_t> servers;
 };
 
-using Message = std::variant<Digest, LoadUpdate, LoadTotals, LoadQuery>;
+// Asks the issuer of a limited server's permits for one.
+struct PermitRequest {
+  // Unique among the sender's requests; zero if a request was sent to the
+  // server without a permit, which is only reported.
+  std::uint64_t id = 0;
+  // What the sender knows of the server's limit.
+  limits::Statement limit;
+};
+
+// The reply to a `PermitRequest`.
+struct PermitReply {
+  std::uint64_t id = 0;
+  bool is_granted = false;
+  // If not granted: when to ask again.
+  std::chrono::milliseconds retry_after{0};
+  // What the issuer knows of the server's limit.
+  limits::Statement limit;
+};
+
+using Message = std::variant<Digest, LoadUpdate, LoadTotals, LoadQuery,
+                             PermitRequest, PermitReply>;
 
 // Encodes as CBOR (RFC 8949).
 std::string Encode(const std::vector<PeerUpdate>& list);
@@ -86,6 +110,8 @@
 std::string Encode(const LoadUpdate& update);
 std::string Encode(const LoadTotals& totals);
 std::string Encode(const LoadQuery& query);
+std::string Encode(const PermitRequest& request);
+std::string Encode(const PermitReply& reply);
 // Fails with kInvalidPeerMessage.
 Result<Message> Decode(std::string_view bytes);
 Result<std::vector<PeerUpdate>> DecodePeerList(std::string_view bytes);
--- a/services/gateway/exchange.cc
+++ b/services/gateway/exchange.cc
@@ -363,7 +363,11 @@
     RetryBudget().TrySpend(BootClock::now());
   }
   context_.metrics.CountEvent("attempts_repeated_total");
-  if (TryDispatch()) return;
+  repeated_end_ = end;
+  if (Dispatch() == DispatchResult::kNoCapacity) OnNoOtherServer(end);
+}
+
+void Exchange::OnNoOtherServer(AttemptEnd end) {
   if (response_started_) {
     BreakOff("no_other_server");
     return;
@@ -426,9 +430,11 @@
   // another server has capacity.
   dispatch::Demand elsewhere = request_.demand;
   elsewhere.excluded.insert(attempt_->server_id);
-  if (!context_.selector
-           .Select(context_.directory, request_.engine(), elsewhere, now)
-           .has_value()) {
+  const auto other = context_.selector.Select(
+      context_.directory, request_.engine(), elsewhere, now);
+  // There may be no permit for one that names a limit.
+  if (!other.has_value() ||
+      context_.limits.LimitOf(dispatch::ServerKey(other->id)).has_value()) {
     return;
   }
   attempt_->connection->Abort();
--- a/services/gateway/exchange.h
+++ b/services/gateway/exchange.h
@@ -15,11 +15,11 @@
 #include "libraries/migration/event_stream_merger.h"
 #include "libraries/retry/attempt_policy.h"
 #include "services/gateway/admission.h"
-#include "services/gateway/engine_search.h"
 #include "services/gateway/gateway_context.h"
 #include "services/gateway/generation_migration.h"
 #include "services/gateway/outbound_connection.h"
 #include "services/gateway/response_sink.h"
+#include "services/gateway/server_search.h"
 
 namespace balsam::gateway {
 
@@ -120,7 +120,7 @@
   };
   // Sends the request if a server is already known to have capacity.
   DispatchResult Dispatch();
-  void OnSearchEnded(const std::optional<EngineSearch::Choice>& choice);
+  void OnSearchEnded(const std::optional<ServerSearch::Choice>& choice);
   void SendTo(const dispatch::ServerSelector::Choice& choice);
   // The wait queue shared by all requests of the service.
   dispatch::WaitQueue<Exchange*>& ServiceWaitQueue();
@@ -164,6 +164,8 @@
   void OnAttemptEnded(retry::AttemptEnd end);
   retry::NextStep DecideNextStep(retry::AttemptEnd end) const;
   void RetryOnAnotherServer(retry::AttemptEnd end);
+  // No other server takes the request, whose last attempt ended so.
+  void OnNoOtherServer(retry::AttemptEnd end);
   // Releases the connection and the capacity reserved at the server.
   void EndAttempt(dispatch::AttemptResult result);
   // Ends an attempt whose response is no longer needed.
@@ -216,8 +218,10 @@
   telemetry::RequestInstruments* instruments_ = nullptr;
   std::optional<Attempt> attempt_;
   int sent_attempts_ = 0;
+  // While another server is searched for a repeat: how the last attempt ended.
+  std::optional<retry::AttemptEnd> repeated_end_;
   bool waiting_ = false;
-  EngineSearch search_;
+  ServerSearch search_;
   // The response head has been written to the client.
   bool response_started_ = false;
   // A server crashed when it began to answer, most likely because of this
--- a/services/gateway/exchange_placement.cc
+++ b/services/gateway/exchange_placement.cc
@@ -75,6 +75,7 @@
         .With("excluded", skip_counts.excluded)
         .With("paused", skip_counts.in_cooldown)
         .With("resting", skip_counts.in_backoff)
+        .With("limited", skip_counts.limited)
         .With("broken", skip_counts.unhealthy)
         .With("without_slot", skip_counts.without_slot)
         .With("without_memory", skip_counts.without_memory)
@@ -115,12 +116,9 @@
   if (search_.is_querying()) return DispatchResult::kSearching;
   // A request that was already sent to an engine has waited long enough and
   // skips the query.
-  const bool may_search = request_.engine() != nullptr && !attempt_.has_value();
-  const auto choice =
-      may_search
-          ? search_.Start(*request_.engine(), request_.demand)
-          : context_.selector.Select(context_.directory, request_.engine(),
-                                     request_.demand, BootClock::now());
+  const auto mode = attempt_.has_value() ? ServerSearch::Mode::kKnownLoads
+                                         : ServerSearch::Mode::kQueriedLoads;
+  const auto choice = search_.Start(request_.engine(), request_.demand, mode);
   if (choice.has_value()) {
     SendTo(*choice);
     return DispatchResult::kSent;
@@ -130,11 +128,13 @@
 }
 
 void Exchange::OnSearchEnded(
-    const std::optional<EngineSearch::Choice>& choice) {
+    const std::optional<ServerSearch::Choice>& choice) {
   if (finished_) return;
   if (choice.has_value()) {
     LeaveWaitQueue();
     SendTo(*choice);
+  } else if (repeated_end_.has_value()) {
+    OnNoOtherServer(*repeated_end_);
   } else if (!waiting_) {
     EnqueueOrReject();
   }
--- a/services/gateway/exchange_relay.cc
+++ b/services/gateway/exchange_relay.cc
@@ -290,6 +290,12 @@
   // Events that the source still had to send have arrived, or are generated
   // again by the engine that resumes the run.
   AbortAttempt(AttemptResult::kInconclusive);
+  // The target was searched with a permit. A run that goes on at its source
+  // cannot wait for one.
+  const bool is_at_source = resume_point.server_id == attempt_->server_id;
+  if (is_at_source && context_.request_permit) {
+    context_.request_permit(resume_point.server_id, nullptr);
+  }
   DispatchOptions options;
   options.memory = resume_point.memory;
   options.last_event = events_.last_event();
--- a/services/gateway/gateway_context.h
+++ b/services/gateway/gateway_context.h
@@ -37,6 +37,17 @@
 using LoadQueryCallback =
     std::function<void(const std::set<std::uint32_t>& unresolved)>;
 
+enum class PermitResult {
+  // The request may be sent now; the server may have no limit.
+  kGranted,
+  // No request before another permit is issued, as the selector knows.
+  kDenied,
+  // The issuer was asked; the callback receives whether it was granted.
+  kPending,
+};
+
+using PermitCallback = std::function<void(bool is_granted)>;
+
 struct GatewayContext {
   GatewayContext(const Dialect& dialect, ConnectionPool::Limits pool_limits,
                  retry::SharedRetryBudget::Limits retry_limits,
@@ -98,6 +109,11 @@
   std::function<bool(const std::vector<std::string>& server_ids,
                      LoadQueryCallback on_done)>
       query_loads;
+  // Asks for a permit for one request if the server names a limit. Without the
+  // callback, the request is sent in any case. If unset, limits are not kept.
+  std::function<PermitResult(const std::string& server_id,
+                             PermitCallback on_result)>
+      request_permit;
   // This gateway's load at an engine changed: reports it to the aggregators
   // immediately.
   std::function<void()> send_load;
--- a/services/gateway/generation_migration.cc
+++ b/services/gateway/generation_migration.cc
@@ -167,12 +167,13 @@
   demand.excluded.insert(run_.server_id);
   demand.excluded.insert(refused_targets_.begin(), refused_targets_.end());
   target_demand_ = std::move(demand);
-  const auto choice = search_.Start(engine_, target_demand_);
+  const auto choice = search_.Start(&engine_, target_demand_,
+                                    ServerSearch::Mode::kQueriedLoads);
   if (!search_.is_querying()) OnTargetChosen(choice);
 }
 
 void GenerationMigration::OnTargetChosen(
-    const std::optional<EngineSearch::Choice>& choice) {
+    const std::optional<ServerSearch::Choice>& choice) {
   // The run or its engine may have ended during the load query.
   if (ended_ || !state_machine_.choosing()) return;
   if (!choice.has_value()) {
--- a/services/gateway/generation_migration.h
+++ b/services/gateway/generation_migration.h
@@ -14,8 +14,8 @@
 
 #include "libraries/migration/copy_queue.h"
 #include "libraries/migration/migration_state_machine.h"
-#include "services/gateway/engine_search.h"
 #include "services/gateway/gateway_context.h"
+#include "services/gateway/server_search.h"
 
 namespace balsam::gateway {
 
@@ -78,7 +78,7 @@
   // Searches for an engine with capacity for the copy.
   void ChooseTarget();
   // Reserves capacity there and continues; without a choice no engine has any.
-  void OnTargetChosen(const std::optional<EngineSearch::Choice>& choice);
+  void OnTargetChosen(const std::optional<ServerSearch::Choice>& choice);
   void SendCopyCall(bool stop);
   void OnCopyResponse(const OutboundConnection::Response& reply);
   void Resume(bool at_target);
@@ -96,7 +96,7 @@
   directory::Endpoint target_;
   dispatch::Demand target_demand_;
   // Searches for the target, using `target_demand_`.
-  EngineSearch search_;
+  ServerSearch search_;
   bool target_reserved_ = false;
   std::set<std::string> refused_targets_;
   // The lack of a target has been logged; it is logged only once.
--- a/services/gateway/load_exchange.cc
+++ b/services/gateway/load_exchange.cc
@@ -199,8 +199,7 @@
     unresponsive.insert(aggregator);
   }
   for (const std::string& aggregator : unresponsive) {
-    unresponsive_aggregators_.insert_or_assign(aggregator, now);
-    peers_.AddProbe(aggregator, now);
+    OnAggregatorUnresponsive(aggregator);
     LogEvent("load_unanswered", LogEvent::Level::kWarning)
         .With("keeper", aggregator)
         .With("servers", query.mapped().unanswered.size());
@@ -255,6 +254,16 @@
   return synced_aggregators_.IsAggregator(own_ip_, server);
 }
 
+void LoadExchange::OnAggregatorUnresponsive(const std::string& aggregator) {
+  const BootTime now = BootClock::now();
+  unresponsive_aggregators_.insert_or_assign(aggregator, now);
+  peers_.AddProbe(aggregator, now);
+}
+
+const std::string& LoadExchange::PrimaryAggregatorOf(std::uint32_t server) {
+  return synced_aggregators_.AggregatorsOf(server)[0];
+}
+
 const std::string& LoadExchange::AggregatorToQuery(std::uint32_t server) {
   const membership::AggregatorAssignment::AggregatorPair& aggregators =
       synced_aggregators_.AggregatorsOf(server);
--- a/services/gateway/load_exchange.h
+++ b/services/gateway/load_exchange.h
@@ -46,6 +46,14 @@
   // more, and it has lost what it was sent.
   void ForgetPeer(const std::string& ip);
 
+  // The gateway to ask about a server, and the one that is asked unless it does
+  // not respond. Empty if there is none.
+  const std::string& AggregatorToQuery(std::uint32_t server);
+  const std::string& PrimaryAggregatorOf(std::uint32_t server);
+  // An aggregator did not reply: the other one of its servers is asked for a
+  // while.
+  void OnAggregatorUnresponsive(const std::string& aggregator);
+
   void OnMessage(const gossip::LoadUpdate& update, const std::string& sender);
   void OnMessage(const gossip::LoadTotals& totals, const std::string& sender);
   void OnMessage(const gossip::LoadQuery& query, const std::string& sender);
@@ -87,8 +95,6 @@
   std::vector<std::string> UpdateRecipients(std::uint32_t server);
   // Whether this gateway knows the complete load at a server from reports.
   bool IsAggregatorOf(std::uint32_t server);
-  // The aggregator to query about a server.
-  const std::string& AggregatorToQuery(std::uint32_t server);
 
   std::string own_ip_;
   GatewayContext& context_;
--- a/services/gateway/peer_exchange.cc
+++ b/services/gateway/peer_exchange.cc
@@ -37,6 +37,8 @@
 // to as many. Five steps reach hundreds of gateways, and the periodic digests
 // reach the few that were missed.
 constexpr std::size_t kAnnounceFanout = 4;
+// Statements about limits in one digest.
+constexpr std::size_t kMaxStatements = 8;
 constexpr std::string_view kChangesTarget = "/changes?after=";
 constexpr std::string_view kListTarget = "/gateways";
 // Key by which gateways are ranked for watching the store.
@@ -63,6 +65,11 @@
              [this](const std::string& ip, const std::string& bytes) {
                Send(ip, bytes);
              }),
+      permits_(identity_.ip, context, loads_,
+               [this](const std::string& ip, const std::string& bytes) {
+                 digest_rate_limiter_.Consume(bytes.size(), BootClock::now());
+                 Send(ip, bytes);
+               }),
       // Zero denotes a peer from which no digest has been received.
       incarnation_(seed | 1) {
   connect(&socket_, &QUdpSocket::readyRead, this, &PeerExchange::OnDatagrams);
@@ -143,6 +150,7 @@
     loads_.ForgetPeer(ip);
   }
   loads_.OnGossipRound();
+  permits_.OnGossipRound();
   SendDigest(peers_.SelectProbeTargets(now), true);
   const std::size_t max_recipients = digest_rate_limiter_.SendableMessages(
       std::max<std::size_t>(last_digest_bytes_, 1), now);
@@ -167,6 +175,8 @@
   for (const auto& [server_id, reported_at] : announced_leaving_) {
     digest.leaving_servers.push_back(server_id);
   }
+  digest.limits =
+      context_.limits.TakeStatements(kMaxStatements, BootClock::now());
   return digest;
 }
 
@@ -215,6 +225,9 @@
   for (const std::string& server_id : digest.leaving_servers) {
     on_leaving(server_id);
   }
+  for (const limits::Statement& statement : digest.limits) {
+    permits_.OnStatement(statement, ip);
+  }
   if (!digest.evidence.empty()) {
     const auto change = context_.crash_ledger.Merge(digest.evidence, now);
     if (change.is_news) on_evidence(change, ip);
--- a/services/gateway/peer_exchange.h
+++ b/services/gateway/peer_exchange.h
@@ -20,6 +20,7 @@
 #include "libraries/revisions/revisioned_map.h"
 #include "services/gateway/gateway_context.h"
 #include "services/gateway/load_exchange.h"
+#include "services/gateway/permit_exchange.h"
 #include "services/gateway/simple_http_server.h"
 
 namespace balsam::gateway {
@@ -103,6 +104,12 @@
   void OnMessage(const LoadMessage& message, const std::string& ip) {
     loads_.OnMessage(message, ip);
   }
+  void OnMessage(const gossip::PermitRequest& request, const std::string& ip) {
+    permits_.OnMessage(request, ip);
+  }
+  void OnMessage(const gossip::PermitReply& reply, const std::string& ip) {
+    permits_.OnMessage(reply, ip);
+  }
   // Fetches the list of all gateways that `ip` knows of.
   void FetchPeerList(const std::string& ip);
   // Fetches the changes that the replica lacks from `ip`.
@@ -132,6 +139,7 @@
   BootTime evidence_announced_at_;
   gossip::SendRateLimiter digest_rate_limiter_;
   LoadExchange loads_;
+  PermitExchange permits_;
   std::uint64_t incarnation_;
   std::uint64_t sequence_ = 0;
   // Servers that reported to this gateway that they are leaving, and when they
--- a/services/gateway/engine_search.cc
+++ b/services/gateway/server_search.cc
@@ -1,5 +1,5 @@
-// Query rounds of the engine search.
-#include "services/gateway/engine_search.h"
+// Query rounds of the search, and permits of limited servers.
+#include "services/gateway/server_search.h"
 
 #include <QPointer>
 #include <algorithm>
@@ -23,27 +23,68 @@
 
 }  // namespace
 
-std::optional<EngineSearch::Choice> EngineSearch::Start(
-    const routing::EngineTraits& engine, const dispatch::Demand& demand) {
-  if (querying_ || BootClock::now() < next_search_time_) return std::nullopt;
-  if (!context_.query_loads) {
-    return context_.selector.Select(context_.directory, &engine, demand,
-                                    BootClock::now());
+std::optional<ServerSearch::Choice> ServerSearch::Start(
+    const routing::EngineTraits* engine, const dispatch::Demand& demand,
+    Mode mode) {
+  if (querying_) return std::nullopt;
+  mode_ = engine != nullptr && context_.query_loads ? mode : Mode::kKnownLoads;
+  if (mode_ == Mode::kQueriedLoads && BootClock::now() < next_search_time_) {
+    return std::nullopt;
   }
-  engine_ = &engine;
+  engine_ = engine;
   demand_ = &demand;
   rounds_ = 0;
   unresolved_.clear();
-  return QueryNextRound();
+  return FindPermitted(std::nullopt);
 }
 
-std::optional<EngineSearch::Choice> EngineSearch::SelectBest(
+std::optional<ServerSearch::Choice> ServerSearch::FindPermitted(
+    std::optional<Choice> choice) {
+  while (true) {
+    if (!choice.has_value()) choice = FindNext();
+    if (!choice.has_value()) return std::nullopt;
+    switch (RequestPermit(*choice)) {
+      case PermitResult::kGranted:
+        return choice;
+      case PermitResult::kPending:
+        querying_ = true;
+        return std::nullopt;
+      case PermitResult::kDenied:
+        // The selector skips it now.
+        choice.reset();
+        break;
+    }
+  }
+}
+
+std::optional<ServerSearch::Choice> ServerSearch::FindNext() {
+  if (mode_ == Mode::kQueriedLoads) return QueryNextRound();
+  return context_.selector.Select(context_.directory, engine_, *demand_,
+                                  BootClock::now());
+}
+
+PermitResult ServerSearch::RequestPermit(const Choice& choice) {
+  if (!context_.request_permit) return PermitResult::kGranted;
+  return context_.request_permit(
+      choice.id,
+      [self = QPointer<ServerSearch>(this), choice](bool is_granted) {
+        if (!self) return;
+        self->querying_ = false;
+        if (is_granted) {
+          self->on_ended(choice);
+        } else {
+          self->Continue(std::nullopt);
+        }
+      });
+}
+
+std::optional<ServerSearch::Choice> ServerSearch::SelectBest(
     const std::vector<Choice>& candidates) {
   return context_.selector.SelectAmong(candidates, context_.directory, engine_,
                                        *demand_, BootClock::now());
 }
 
-std::optional<EngineSearch::Choice> EngineSearch::QueryNextRound() {
+std::optional<ServerSearch::Choice> ServerSearch::QueryNextRound() {
   while (rounds_ < kMaxRounds) {
     ++rounds_;
     const auto candidates =
@@ -53,7 +94,7 @@
     std::vector<std::string> ids;
     std::ranges::transform(candidates, std::back_inserter(ids), &Choice::id);
     querying_ = context_.query_loads(
-        ids, [self = QPointer<EngineSearch>(this),
+        ids, [self = QPointer<ServerSearch>(this),
               candidates](const std::set<std::uint32_t>& unresolved) {
           if (self) self->OnLoadQueryDone(candidates, unresolved);
         });
@@ -65,7 +106,7 @@
   return std::nullopt;
 }
 
-void EngineSearch::OnLoadQueryDone(const std::vector<Choice>& candidates,
+void ServerSearch::OnLoadQueryDone(const std::vector<Choice>& candidates,
                                    const std::set<std::uint32_t>& unresolved) {
   querying_ = false;
   std::vector<Choice> resolved;
@@ -74,8 +115,11 @@
         unresolved.contains(dispatch::ServerKey(candidate.id));
     (is_unresolved ? unresolved_ : resolved).push_back(candidate);
   }
-  std::optional<Choice> choice = SelectBest(resolved);
-  if (!choice.has_value()) choice = QueryNextRound();
+  Continue(SelectBest(resolved));
+}
+
+void ServerSearch::Continue(std::optional<Choice> choice) {
+  choice = FindPermitted(std::move(choice));
   if (!querying_) on_ended(choice);
 }
 
--- a/tests/services/gateway/peer_exchange_test.cc
+++ b/tests/services/gateway/peer_exchange_test.cc
@@ -4,6 +4,7 @@
 #include <gtest/gtest.h>
 
 #include <QCoreApplication>
+#include <map>
 #include <memory>
 #include <set>
 
@@ -166,6 +167,39 @@
   EXPECT_FALSE(was_called);
 }
 
+// Guards against a limit that each gateway keeps for itself.
+TEST_F(PeerExchangeTest, GatewaysShareOneLimit) {
+  constexpr double kLimit = 20.0;
+  const std::uint32_t server = dispatch::ServerKey("i-1");
+  first_->context.limits.OnResponse(server, kLimit, BootClock::now());
+  // The other one learns of it without a response of its own.
+  ASSERT_TRUE(RunUntil(
+      [&] { return second_->context.limits.LimitOf(server).has_value(); }));
+  std::map<Gateway*, int> granted;
+  std::map<Gateway*, int> replies;
+  const auto ask = [&](Gateway& gateway) {
+    const auto result =
+        gateway.context.request_permit("i-1", [&](bool is_granted) {
+          ++replies[&gateway];
+          if (is_granted) ++granted[&gateway];
+        });
+    if (result == PermitResult::kGranted) ++granted[&gateway];
+    return result;
+  };
+  const BootTime start = BootClock::now();
+  ASSERT_TRUE(RunUntil([&] {
+    ask(*first_);
+    ask(*second_);
+    return granted[first_.get()] >= 3 && granted[second_.get()] >= 3;
+  }));
+  // One of them decided for both.
+  EXPECT_FALSE(replies.empty());
+  const std::chrono::duration<double> time = BootClock::now() - start;
+  constexpr double kBurst = 1.0 + kLimit * 0.5;
+  EXPECT_LE(granted[first_.get()] + granted[second_.get()],
+            kLimit * time.count() + kBurst);
+}
+
 class CrashEvidencePeerTest : public PeerExchangeTest {
  protected:
   static constexpr quarantine::Trait kDeadlyPart = 3;
--- a/tests/services/gateway/server_limit_test.cc
+++ b/tests/services/gateway/server_limit_test.cc
@@ -17,7 +17,6 @@
 
   void SetUp() override {
     GatewayNodeTest::SetUp();
-    Publish({&first_, &second_});
     first_.on_request = [](const auto& request) {
       Reply(request, "Server-Limit: " + std::to_string(kLimit) + "\r\n");
     };
@@ -34,6 +33,7 @@
 
 // Guards against a server in need that gets all that it looks idle enough for.
 TEST_F(ServerLimitTest, LimitedServerGetsNoMoreThanItsLimit) {
+  Publish({&first_, &second_});
   const BootTime start = BootClock::now();
   for (int i = 0; i < 200; ++i) EXPECT_EQ(RequestStatus(), 200);
   EXPECT_LE(static_cast<double>(Requests(first_)),
@@ -41,5 +41,50 @@
   EXPECT_GE(Requests(first_), 1U);
 }
 
+TEST_F(ServerLimitTest, ServerGetsItsShareAgainWhenItNamesNoLimit) {
+  Publish({&first_, &second_});
+  for (int i = 0; i < 50; ++i) EXPECT_EQ(RequestStatus(), 200);
+  const std::size_t limited = Requests(first_);
+  first_.on_request = [](const auto& request) { Reply(request, ""); };
+  // The next permit brings the response that ends the limit.
+  ASSERT_TRUE(RunUntil([&] {
+    EXPECT_EQ(RequestStatus(), 200);
+    return Requests(first_) > limited;
+  }));
+  const std::size_t ended = Requests(first_);
+  for (int i = 0; i < 200; ++i) EXPECT_EQ(RequestStatus(), 200);
+  EXPECT_GT(Requests(first_) - ended, 40U);
+}
+
+// Guards against repeats that reach a limited server without a permit: the
+// other server fails all requests, and each may be sent twice.
+TEST_F(ServerLimitTest, RepeatsKeepToLimit) {
+  attempts_ = 2;
+  Publish({&first_, &second_});
+  second_.on_request = [](const auto& request) {
+    Reply(request, "", "500 Internal Server Error");
+  };
+  const BootTime start = BootClock::now();
+  for (int i = 0; i < 200; ++i) {
+    const int status = RequestStatus();
+    EXPECT_TRUE(status == 200 || status == 500) << status;
+  }
+  EXPECT_LE(static_cast<double>(Requests(first_)),
+            Allowed(BootClock::now() - start));
+}
+
+// Known to be unservable: all servers are at their limits for longer than the
+// request would wait.
+TEST_F(ServerLimitTest, RejectsAtOnceIfAllServersAreAtTheirLimits) {
+  objective_ = std::chrono::milliseconds(10);
+  Publish({&first_});
+  std::string head;
+  for (int i = 0; i < 20 && !head.starts_with("HTTP/1.1 503"); ++i) {
+    head = SendRequest();
+  }
+  EXPECT_TRUE(head.starts_with("HTTP/1.1 503")) << head;
+  EXPECT_NE(head.find("Retry-After"), std::string::npos) << head;
+}
+
 }  // namespace
 }  // namespace balsam::gateway
