--- a/tests/services/gateway/gateway_node_fixture.h
+++ b/tests/services/gateway/gateway_node_fixture.h
@@ -36,6 +36,7 @@
     settings.peers = {settings.ip, FreePort()};
     settings.gossip_port = FreePort();
     settings.retry_slack = 50.0;
+    settings.stop_grace = stop_grace_;
     client_port_ = settings.clients.port;
     peer_port_ = settings.peers.port;
     node_ = std::make_unique<GatewayNode>(settings, dialect_);
@@ -126,6 +127,8 @@
         [](const std::string& head) { return head.starts_with("GET /x"); }));
   }
 
+  // Time from the request to stop until the process is terminated.
+  std::chrono::milliseconds stop_grace_{8000};
   // Properties of the published route.
   std::string kind_ = "readonly";
   int attempts_ = 1;
