Accept while stopping only what can end, and answer what runs at the end of the grace

Cause: for 2.6 s after SIGTERM a gateway accepted everything, until the balancer had noticed; after that a stream only if the longest that it might be ended in time, so that short ones were refused with them; and nothing answered what still ran when the process was killed. Evidence: PlannedStopTest.RequestThatMayOutlastTheStopIsRefusedAtOnce and ExpiringStopTest.RunningRequestGetsAnswerBeforeTheEnd failed. Change: from SIGTERM on, what is expected to end 0.3 s before the grace does, by the expected length of the generation; the rest is refused at once and may go elsewhere after 0.1 s. 0.3 s before the end requests without a response get one: 503 if they were not sent, else 504. AcceptsAllUntilBalancerNotices asserted the acceptance itself and is replaced by RequestThatMayOutlastTheStopIsRefusedAtOnce and ShortRequestIsServedWhileStopping.

--- a/services/gateway/admission.cc
+++ b/services/gateway/admission.cc
@@ -22,14 +22,13 @@
 // milliseconds.
 constexpr milliseconds kUnconfiguredRetry{500};
 
-// Retry delay while the process stops: another VM, or this one after its
-// restart, is ready by then.
-constexpr milliseconds kStoppingRetry{1000};
-// Upper bounds for the first event and for each token of a generation on a
-// healthy engine (platform: steps of 8 ms, twice that beside the prefill of
-// other requests).
-constexpr milliseconds kMaxStartTime{2000};
-constexpr milliseconds kMaxTokenTime{25};
+// Retry delay while the process stops: a retry reaches another VM.
+constexpr milliseconds kStoppingRetry{100};
+// How long a generation takes to its first event, and for each expected token,
+// on a healthy engine (platform: steps of 8 ms and more). Half as much again,
+// as the expected length is exceeded as often as not.
+constexpr milliseconds kStartTime{1000};
+constexpr milliseconds kTokenTime{15};
 
 quarantine::Trait FingerprintOf(std::string_view target, std::string_view key,
                                 std::string_view body) {
@@ -64,15 +63,12 @@
   return demand;
 }
 
-// When the request will have completed, unless a server fails.
-BootTime EstimatedEnd(const AdmittedRequest& request,
-                      const RequestMetadata& metadata, BootTime received) {
-  if (request.engine() == nullptr || metadata.max_output_tokens <= 0) {
-    return request.deadline;
-  }
+// When the request will most likely have completed, unless a server fails.
+BootTime EstimatedEnd(const AdmittedRequest& request, BootTime received) {
+  if (request.engine() == nullptr) return request.deadline;
   return std::min(
       request.deadline,
-      received + kMaxStartTime + kMaxTokenTime * metadata.max_output_tokens);
+      received + kStartTime + kTokenTime * request.demand.output_tokens);
 }
 
 }  // namespace
@@ -121,11 +117,11 @@
   request.deadline =
       received + std::min(request.route->timeout,
                           metadata.time_left.value_or(request.route->timeout));
-  if (context.stopping && received > context.accept_all_until &&
-      EstimatedEnd(request, metadata, received) > context.stop_deadline) {
+  request.demand = DemandOf(request, metadata);
+  if (context.stopping &&
+      EstimatedEnd(request, received) > context.stop_deadline) {
     return Rejection{503, "stopping", kStoppingRetry};
   }
-  request.demand = DemandOf(request, metadata);
   request.traits = TraitsOf(metadata, head, body);
   if (const auto signature =
           context.crash_ledger.FindQuarantined(request.traits)) {
--- a/services/gateway/exchange.cc
+++ b/services/gateway/exchange.cc
@@ -457,6 +457,17 @@
   }
 }
 
+void Exchange::OnStopDeadline() {
+  if (finished_ || response_started_) return;
+  if (waiting_ || !attempt_.has_value()) {
+    LeaveWaitQueue();
+    Answer(503, "stopping", milliseconds(0));
+    return;
+  }
+  AbortAttempt(AttemptResult::kInconclusive);
+  Answer(504, "stopping");
+}
+
 void Exchange::Cancel() {
   if (finished_) return;
   LeaveWaitQueue();
--- a/services/gateway/exchange.h
+++ b/services/gateway/exchange.h
@@ -40,6 +40,9 @@
   bool TryDispatch();
   // The request reached its maximum time in the wait queue.
   void OnWaitExpired();
+  // The process is about to be terminated: answers, unless the response has
+  // begun.
+  void OnStopDeadline();
   // The server is leaving: migrates the run if it can be migrated.
   void OnServerLeaving(const std::string& server_id);
   // The server has restarted as a new incarnation that has no state of this
--- a/services/gateway/gateway_context.h
+++ b/services/gateway/gateway_context.h
@@ -99,9 +99,8 @@
   std::string data_center;
   std::minstd_rand random;
   bool stopping = false;
-  // Set while stopping: after `accept_all_until` a request is accepted only if
-  // it can complete by `stop_deadline`, when the process is terminated.
-  BootTime accept_all_until;
+  // Set while stopping: a request is accepted only if it can complete by then,
+  // shortly before the process is terminated.
   BootTime stop_deadline;
   // Queries the aggregators of these servers for their load. `on_done` is
   // called when enough have replied, or when the query times out. Returns false
--- a/services/gateway/gateway_node.cc
+++ b/services/gateway/gateway_node.cc
@@ -25,6 +25,8 @@
 // Entries that expired around an outage of the store may be missing for this
 // long after its recovery.
 constexpr milliseconds kStoreRecoveryTime{3000};
+// Before the process is terminated, so that the answers still reach clients.
+constexpr milliseconds kFinalAnswerTime{300};
 constexpr char kMetricsPath[] = "/metrics";
 // How long a leaving report holds if it is not repeated.
 constexpr milliseconds kLeavingReportLifetime{5000};
@@ -520,15 +522,19 @@
 void GatewayNode::BeginStop() {
   if (std::exchange(context_.stopping, true)) return;
   stop_started_at_ = BootClock::now();
-  context_.accept_all_until = stop_started_at_ + kBalancerDelay;
-  context_.stop_deadline = stop_started_at_ + settings_.stop_grace;
+  context_.stop_deadline =
+      stop_started_at_ + settings_.stop_grace - kFinalAnswerTime;
   LogEvent("stopping")
       .With("clients", clients_.size())
       .With("requests", context_.exchanges.size());
 }
 
 void GatewayNode::CheckStopped() {
-  const auto since = BootClock::now() - stop_started_at_;
+  const BootTime now = BootClock::now();
+  const auto since = now - stop_started_at_;
+  if (now >= context_.stop_deadline) {
+    for (Exchange* exchange : Exchanges()) exchange->OnStopDeadline();
+  }
   if (since < kBalancerDelay) return;
   const std::vector<ClientConnection*> clients(clients_.begin(),
                                                clients_.end());
