--- a/tests/libraries/backend/backend_client_test.cc
+++ b/tests/libraries/backend/backend_client_test.cc
@@ -579,6 +579,28 @@
                  ClientEvent::kCompleted}),
     [](const auto& row) { return row.param.name; });
 
+// Guards against a response whose head the server broke off, delivered as a
+// success with an empty or short body.
+TEST_F(BackendClientTest, AHeadThatIsBrokenOffIsABrokenCall) {
+  const std::string head =
+      "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n"
+      "Content-Length: 6\r\n\r\n";
+  for (std::size_t size = 1; size < head.size(); ++size) {
+    last_event_ = ClientEvent::kNone;
+    FixedServer server(QByteArray(head.data(), static_cast<qsizetype>(size)),
+                       /*close_after=*/true);
+    CreateClient(server.url());
+    execution::WorkItem work = execution::Call();
+    work.method = "POST";
+    work.path = "/release";
+    client_->StartCall(1, "s", work);
+    WaitUntil([this] { return last_event_ != ClientEvent::kNone; },
+              seconds(20));
+    EXPECT_EQ(last_event_, ClientEvent::kBroken)
+        << "after " << size << " bytes";
+  }
+}
+
 // A response without a length that is reset is not known to be complete.
 TEST_F(BackendClientTest, AResponseWithoutLengthThatIsResetIsABrokenCall) {
   processes::ScriptedEngine server([](const processes::ScriptedRequest&) {
--- a/tests/services/gateway/outbound_connection_test.cc
+++ b/tests/services/gateway/outbound_connection_test.cc
@@ -159,5 +159,24 @@
   EXPECT_FALSE(connection_->written());
 }
 
+// Guards against a response whose head the server broke off, taken for a
+// success with an empty or short body. Each possible length is tried, also
+// after an interim response.
+TEST_F(OutboundConnectionTest, HeadThatIsBrokenOffIsBrokenResponse) {
+  const std::string head =
+      "HTTP/1.1 200 OK\r\nRequest-Id: r-1\r\nContent-Length: 6\r\n\r\n";
+  for (const std::string before : {"", "HTTP/1.1 100 Continue\r\n\r\n"}) {
+    for (std::size_t size = 1; size < head.size(); ++size) {
+      Script([&](QTcpSocket* socket) {
+        const std::string text = before + head.substr(0, size);
+        socket->write(text.data(), static_cast<qint64>(text.size()));
+        socket->disconnectFromHost();
+      });
+      EXPECT_EQ(Call(engine_.port()).end, EndReason::kBroken)
+          << size << " bytes after \"" << before << '"';
+    }
+  }
+}
+
 }  // namespace
 }  // namespace balsam::gateway
