Give the requests around a planned stop a timeout shorter than the stop

PlannedStopAnswersAcceptedRequests sent requests with a timeout of 15 s to a gateway that stops in 8, which are refused since. What it checks is unchanged.

--- a/tests/services/gateway/service_faults_test.cc
+++ b/tests/services/gateway/service_faults_test.cc
@@ -124,6 +124,8 @@
 // During a planned stop under load, requests that had just been accepted were
 // cut off without a response.
 TEST_F(ServiceFaultsTest, PlannedStopAnswersAcceptedRequests) {
+  // Shorter than the stop.
+  timeout_ = std::chrono::milliseconds(5000);
   QTcpSocket* running = nullptr;
   first_.on_request = [&](const auto& request) { running = request.socket; };
   Publish({&first_});
