Break a call whose response without a length is reset

Cause: QNetworkAccessManager reports a reset like an orderly close. Generations stay with Qt: their stream ends with a mark of its own.

--- a/libraries/backend/backend_client.cc
+++ b/libraries/backend/backend_client.cc
@@ -164,25 +164,30 @@
 void BackendClient::StartCall(execution::LocalId local_id,
                               const std::string& stream,
                               const execution::WorkItem& work) {
-  QNetworkReply* reply = SendWithoutRetry(
-      &call_manager_,
-      RequestFor(QString::fromStdString(work.path), stream, &work), work.method,
-      work.body);
-  Exchange exchange;
-  exchange.reply = reply;
-  exchange.is_call = true;
-  Track(local_id, std::move(exchange));
+  HttpCaller::Request request;
+  request.url =
+      settings_.base_url.resolved(QUrl(QString::fromStdString(work.path)))
+          .toEncoded()
+          .toStdString();
+  request.method = work.method;
+  request.fields = {
+      std::string(kStreamHeader) + ": " + stream,
+      std::string(kPriorityHeader) + ": " + std::to_string(work.priority),
+      "Content-Type: " + work.content_type, "Connection: close"};
+  request.body = work.body;
+  request.silence_limit = settings_.silence_limit;
+  caller_.Send(std::move(request),
+               [this, local_id](HttpCaller::Response response) {
+                 FinishCall(local_id, std::move(response));
+               });
 }
 
 void BackendClient::Track(execution::LocalId local_id, Exchange exchange) {
   QNetworkReply* reply = exchange.reply;
   if (exchange.manager != nullptr) ++streams_per_manager_[exchange.manager];
-  const bool is_call = exchange.is_call;
   exchanges_[local_id] = std::move(exchange);
-  if (!is_call) {
-    connect(reply, &QNetworkReply::readyRead, this,
-            [this, local_id] { ReadEvents(local_id); });
-  }
+  connect(reply, &QNetworkReply::readyRead, this,
+          [this, local_id] { ReadEvents(local_id); });
   connect(reply, &QNetworkReply::finished, this,
           [this, local_id, reply] { OnReplyFinished(local_id, reply); });
 }
@@ -228,46 +233,33 @@
   reply->deleteLater();
   const auto found = exchanges_.find(local_id);
   if (found == exchanges_.end() || found->second.reply != reply) return;
-  if (!found->second.is_call) ReadEvents(local_id);
+  ReadEvents(local_id);
   const auto remaining = exchanges_.find(local_id);
   if (remaining == exchanges_.end()) return;
   const Exchange exchange = std::move(remaining->second);
   if (exchange.manager != nullptr) --streams_per_manager_[exchange.manager];
   exchanges_.erase(remaining);
-  if (exchange.is_call) {
-    FinishCall(local_id, reply);
-  } else {
-    FinishStream(local_id, exchange, reply);
-  }
+  FinishStream(local_id, exchange, reply);
 }
 
 void BackendClient::FinishCall(execution::LocalId local_id,
-                               QNetworkReply* reply) {
-  const std::string reason = reply->errorString().toStdString();
-  const int status = StatusOf(reply);
-  if (status == 0) {
-    if (WasNeverConnected(reply)) {
-      on_not_sent(local_id, "backend server: " + reason);
-    } else {
-      on_broken(local_id, "backend server: " + reason);
-    }
-    return;
-  }
-  // A status without the complete body is a truncated response.
-  const bool was_cut_off =
-      reply->error() == QNetworkReply::RemoteHostClosedError ||
-      reply->error() == QNetworkReply::OperationCanceledError;
-  if (was_cut_off) {
-    on_broken(local_id, "backend server: " + reason);
-    return;
+                               HttpCaller::Response response) {
+  const std::string reason = "backend server: " + response.reason;
+  switch (response.end) {
+    case HttpCaller::End::kNotSent:
+      on_not_sent(local_id, reason);
+      return;
+    case HttpCaller::End::kBroken:
+      on_broken(local_id, reason);
+      return;
+    case HttpCaller::End::kComplete:
+      break;
   }
   Outcome outcome;
   outcome.run_state = RunState::kRan;
-  outcome.http_status = status;
-  outcome.content_type = reply->header(QNetworkRequest::ContentTypeHeader)
-                             .toString()
-                             .toStdString();
-  outcome.body = reply->readAll().toStdString();
+  outcome.http_status = response.status;
+  outcome.content_type = std::move(response.content_type);
+  outcome.body = std::move(response.body);
   on_completed(local_id, std::move(outcome));
 }
 
--- a/libraries/backend/backend_client.h
+++ b/libraries/backend/backend_client.h
@@ -16,6 +16,7 @@
 #include <vector>
 
 #include "libraries/backend/engine_stream.h"
+#include "libraries/backend/http_caller.h"
 #include "libraries/execution/work_record.h"
 
 class QNetworkReply;
@@ -69,7 +70,6 @@
     QNetworkAccessManager* manager = nullptr;
     EngineStream stream;
     bool is_resume = false;
-    bool is_call = false;
     std::uint64_t next = 0;
   };
 
@@ -85,7 +85,7 @@
   void Track(execution::LocalId local_id, Exchange exchange);
   void ReadEvents(execution::LocalId local_id);
   void OnReplyFinished(execution::LocalId local_id, QNetworkReply* reply);
-  void FinishCall(execution::LocalId local_id, QNetworkReply* reply);
+  void FinishCall(execution::LocalId local_id, HttpCaller::Response response);
   void FinishStream(execution::LocalId local_id, const Exchange& exchange,
                     QNetworkReply* reply);
   void Abort(execution::LocalId local_id);
@@ -96,9 +96,11 @@
   // manager and host.
   std::map<QNetworkAccessManager*, int> streams_per_manager_;
   std::uint64_t connections_ = 0;
-  QNetworkAccessManager call_manager_;
   QNetworkAccessManager control_manager_;
+  // Generations.
   std::map<execution::LocalId, Exchange> exchanges_;
+  // Calls to plain services, which a break must not complete.
+  HttpCaller caller_;
 };
 
 }  // namespace balsam::backend
--- /dev/null
+++ b/libraries/backend/http_caller.cc
@@ -0,0 +1,255 @@
+// Drives libcurl's multi interface with socket notifiers and a timer.
+#include "libraries/backend/http_caller.h"
+
+#include <curl/curl.h>
+
+#include <QSocketNotifier>
+#include <string_view>
+#include <utility>
+
+namespace balsam::backend {
+namespace {
+
+using std::chrono::milliseconds;
+
+struct HandleDeleter {
+  void operator()(CURL* handle) const { curl_easy_cleanup(handle); }
+};
+struct ListDeleter {
+  void operator()(curl_slist* list) const { curl_slist_free_all(list); }
+};
+
+bool WasNeverConnected(CURLcode code) {
+  return code == CURLE_COULDNT_CONNECT || code == CURLE_COULDNT_RESOLVE_HOST;
+}
+
+// Those below are of interim responses.
+constexpr int kFirstFinalStatus = 200;
+
+int StatusOf(CURL* handle) {
+  long status = 0;
+  curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &status);
+  return static_cast<int>(status);
+}
+
+}  // namespace
+
+struct HttpCaller::Call {
+  Id id = 0;
+  Request request;
+  OnResponse on_response;
+  std::unique_ptr<curl_slist, ListDeleter> fields;
+  std::unique_ptr<CURL, HandleDeleter> handle{curl_easy_init()};
+  std::string body;
+  QTimer silence;
+
+  // Signature of CURLOPT_WRITEFUNCTION.
+  static std::size_t OnBody(char* data, std::size_t size, std::size_t count,
+                            void* call) {
+    static_cast<Call*>(call)->body.append(data, size * count);
+    return size * count;
+  }
+  // Signature of CURLOPT_HEADERFUNCTION, which gets line by line.
+  static std::size_t OnHeadLine(char* data, std::size_t size, std::size_t count,
+                                void* call) {
+    const std::string_view line(data, size * count);
+    auto& self = *static_cast<Call*>(call);
+    if (line.starts_with("HTTP/")) self.has_whole_head = false;
+    if (line == "\r\n" || line == "\n") self.has_whole_head = true;
+    return line.size();
+  }
+  // Signature of CURLOPT_XFERINFOFUNCTION.
+  static int OnProgress(void* call, curl_off_t /*download_total*/,
+                        curl_off_t downloaded, curl_off_t /*upload_total*/,
+                        curl_off_t /*uploaded*/) {
+    auto& self = *static_cast<Call*>(call);
+    if (std::exchange(self.downloaded, downloaded) != downloaded) {
+      self.silence.start();
+    }
+    return 0;
+  }
+
+  void SetOptions();
+
+  // The head of the last response has ended. libcurl takes one that is broken
+  // off for that of a response without a body.
+  bool has_whole_head = false;
+  curl_off_t downloaded = 0;
+};
+
+void HttpCaller::Call::SetOptions() {
+  for (const std::string& field : request.fields) {
+    fields.reset(curl_slist_append(fields.release(), field.c_str()));
+  }
+  // Otherwise libcurl waits for an interim response before it sends a body.
+  fields.reset(curl_slist_append(fields.release(), "Expect:"));
+  CURL* curl = handle.get();
+  curl_easy_setopt(curl, CURLOPT_URL, request.url.c_str());
+  curl_easy_setopt(curl, CURLOPT_CUSTOMREQUEST, request.method.c_str());
+  curl_easy_setopt(curl, CURLOPT_HTTPHEADER, fields.get());
+  if (request.method == "HEAD") {
+    curl_easy_setopt(curl, CURLOPT_NOBODY, 1L);
+  } else {
+    curl_easy_setopt(curl, CURLOPT_POSTFIELDSIZE_LARGE,
+                     static_cast<curl_off_t>(request.body.size()));
+    curl_easy_setopt(curl, CURLOPT_POSTFIELDS, request.body.c_str());
+  }
+  curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, &Call::OnBody);
+  curl_easy_setopt(curl, CURLOPT_WRITEDATA, this);
+  curl_easy_setopt(curl, CURLOPT_HEADERFUNCTION, &Call::OnHeadLine);
+  curl_easy_setopt(curl, CURLOPT_HEADERDATA, this);
+  curl_easy_setopt(curl, CURLOPT_XFERINFOFUNCTION, &Call::OnProgress);
+  curl_easy_setopt(curl, CURLOPT_XFERINFODATA, this);
+  curl_easy_setopt(curl, CURLOPT_NOPROGRESS, 0L);
+  curl_easy_setopt(curl, CURLOPT_PRIVATE, this);
+  curl_easy_setopt(curl, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
+  curl_easy_setopt(curl, CURLOPT_PROTOCOLS_STR, "http");
+  curl_easy_setopt(curl, CURLOPT_PROXY, "");
+  curl_easy_setopt(curl, CURLOPT_NOSIGNAL, 1L);
+  // libcurl sends a request again if a kept connection turns out to be dead.
+  curl_easy_setopt(curl, CURLOPT_FRESH_CONNECT, 1L);
+  curl_easy_setopt(curl, CURLOPT_FORBID_REUSE, 1L);
+}
+
+struct HttpCaller::Multi {
+  CURLM* handle = curl_multi_init();
+
+  Multi() = default;
+  Multi(const Multi&) = delete;
+  Multi& operator=(const Multi&) = delete;
+  ~Multi() { curl_multi_cleanup(handle); }
+
+  // Signature of CURLMOPT_SOCKETFUNCTION.
+  static int OnSocket(CURL* /*handle*/, curl_socket_t socket, int events,
+                      void* caller, void* /*socket_data*/) {
+    static_cast<HttpCaller*>(caller)->WatchSocket(socket, events);
+    return 0;
+  }
+  // Signature of CURLMOPT_TIMERFUNCTION.
+  static int OnTimer(CURLM* /*handle*/, long timeout_ms, void* caller) {
+    QTimer& timer = static_cast<HttpCaller*>(caller)->timer_;
+    if (timeout_ms < 0) {
+      timer.stop();
+    } else {
+      timer.start(milliseconds(timeout_ms));
+    }
+    return 0;
+  }
+};
+
+HttpCaller::HttpCaller(QObject* parent)
+    : QObject(parent), multi_(std::make_unique<Multi>()) {
+  curl_multi_setopt(multi_->handle, CURLMOPT_SOCKETFUNCTION, &Multi::OnSocket);
+  curl_multi_setopt(multi_->handle, CURLMOPT_SOCKETDATA, this);
+  curl_multi_setopt(multi_->handle, CURLMOPT_TIMERFUNCTION, &Multi::OnTimer);
+  curl_multi_setopt(multi_->handle, CURLMOPT_TIMERDATA, this);
+  timer_.setSingleShot(true);
+  connect(&timer_, &QTimer::timeout, this,
+          [this] { OnSocketReady(CURL_SOCKET_TIMEOUT, 0); });
+}
+
+HttpCaller::~HttpCaller() {
+  while (!calls_.empty()) Abort(calls_.begin()->first);
+}
+
+HttpCaller::Id HttpCaller::Send(Request request, OnResponse on_response) {
+  const Id id = ++last_id_;
+  auto call = std::make_unique<Call>();
+  call->id = id;
+  call->request = std::move(request);
+  call->on_response = std::move(on_response);
+  call->SetOptions();
+  call->silence.setSingleShot(true);
+  call->silence.setInterval(call->request.silence_limit);
+  connect(&call->silence, &QTimer::timeout, this,
+          [this, id] { OnSilence(id); });
+  call->silence.start();
+  CURL* handle = call->handle.get();
+  calls_.emplace(id, std::move(call));
+  // Only sets a timer, so that no callback runs before this returns.
+  curl_multi_add_handle(multi_->handle, handle);
+  return id;
+}
+
+void HttpCaller::Abort(Id id) {
+  const auto found = calls_.find(id);
+  if (found == calls_.end()) return;
+  curl_multi_remove_handle(multi_->handle, found->second->handle.get());
+  calls_.erase(found);
+}
+
+void HttpCaller::WatchSocket(int socket, int events) {
+  // A notifier of this socket may be what this was called from.
+  const auto found = notifiers_.find(socket);
+  if (found != notifiers_.end()) {
+    for (auto& notifier : found->second) {
+      notifier->setEnabled(false);
+      notifier.release()->deleteLater();
+    }
+    notifiers_.erase(found);
+  }
+  const auto watch = [&](QSocketNotifier::Type type, int event) {
+    auto notifier = std::make_unique<QSocketNotifier>(socket, type);
+    connect(notifier.get(), &QSocketNotifier::activated, this,
+            [this, socket, event] { OnSocketReady(socket, event); });
+    notifiers_[socket].push_back(std::move(notifier));
+  };
+  if (events == CURL_POLL_IN || events == CURL_POLL_INOUT) {
+    watch(QSocketNotifier::Read, CURL_CSELECT_IN);
+  }
+  if (events == CURL_POLL_OUT || events == CURL_POLL_INOUT) {
+    watch(QSocketNotifier::Write, CURL_CSELECT_OUT);
+  }
+}
+
+void HttpCaller::OnSocketReady(int socket, int events) {
+  int running = 0;
+  curl_multi_socket_action(multi_->handle, socket, events, &running);
+  ReportFinished();
+}
+
+void HttpCaller::ReportFinished() {
+  std::vector<std::pair<Id, Response>> finished;
+  int remaining = 0;
+  while (const CURLMsg* message =
+             curl_multi_info_read(multi_->handle, &remaining)) {
+    if (message->msg != CURLMSG_DONE) continue;
+    CURL* handle = message->easy_handle;
+    Call* call = nullptr;
+    curl_easy_getinfo(handle, CURLINFO_PRIVATE, &call);
+    const CURLcode code = message->data.result;
+    Response response;
+    if (code != CURLE_OK) {
+      response.end = WasNeverConnected(code) ? End::kNotSent : End::kBroken;
+      response.reason = curl_easy_strerror(code);
+    } else if (StatusOf(handle) < kFirstFinalStatus || !call->has_whole_head) {
+      response.reason = "the head of the response was broken off";
+    } else {
+      const char* content_type = nullptr;
+      curl_easy_getinfo(handle, CURLINFO_CONTENT_TYPE, &content_type);
+      response.end = End::kComplete;
+      response.status = StatusOf(handle);
+      if (content_type != nullptr) response.content_type = content_type;
+      response.body = std::move(call->body);
+    }
+    finished.emplace_back(call->id, std::move(response));
+  }
+  // A callback may abort other calls.
+  for (auto& [id, response] : finished) Finish(id, std::move(response));
+}
+
+void HttpCaller::OnSilence(Id id) {
+  Response response;
+  response.reason = "no data within the silence limit";
+  Finish(id, std::move(response));
+}
+
+void HttpCaller::Finish(Id id, Response response) {
+  const auto found = calls_.find(id);
+  if (found == calls_.end()) return;
+  const OnResponse on_response = std::move(found->second->on_response);
+  Abort(id);
+  on_response(std::move(response));
+}
+
+}  // namespace balsam::backend
--- /dev/null
+++ b/libraries/backend/http_caller.h
@@ -0,0 +1,82 @@
+// Makes single HTTP calls with libcurl on Qt's event loop. Unlike
+// QNetworkAccessManager it tells a connection that was reset from one that was
+// closed, and only the latter ends a response without a length.
+#pragma once
+
+#include <QObject>
+#include <QTimer>
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+class QSocketNotifier;
+
+namespace balsam::backend {
+
+class HttpCaller : public QObject {
+  Q_OBJECT
+
+ public:
+  struct Request {
+    std::string url;
+    std::string method;
+    // "Name: value".
+    std::vector<std::string> fields;
+    std::string body;
+    // A call without received data for this long is broken.
+    std::chrono::milliseconds silence_limit{0};
+  };
+
+  enum class End {
+    kComplete,
+    // No connection was established, so that nothing was sent.
+    kNotSent,
+    // The response is missing or not known to be complete.
+    kBroken,
+  };
+
+  struct Response {
+    End end = End::kBroken;
+    int status = 0;
+    std::string content_type;
+    std::string body;
+    // Why the call did not complete.
+    std::string reason;
+  };
+
+  using Id = std::uint64_t;
+  using OnResponse = std::function<void(Response)>;
+
+  explicit HttpCaller(QObject* parent = nullptr);
+  ~HttpCaller() override;
+
+  // Sends the request once, on a connection of its own. `on_response` is called
+  // from the event loop, unless the call is aborted before.
+  Id Send(Request request, OnResponse on_response);
+  // Ends the call without a callback. An unknown id is ignored.
+  void Abort(Id id);
+
+ private:
+  struct Call;
+  struct Multi;
+
+  void WatchSocket(int socket, int events);
+  void OnSocketReady(int socket, int events);
+  void OnSilence(Id id);
+  // Reports the calls that libcurl has finished.
+  void ReportFinished();
+  void Finish(Id id, Response response);
+
+  std::unique_ptr<Multi> multi_;
+  std::map<Id, std::unique_ptr<Call>> calls_;
+  Id last_id_ = 0;
+  // Notifiers of a socket, for reading and writing.
+  std::map<int, std::vector<std::unique_ptr<QSocketNotifier>>> notifiers_;
+  QTimer timer_;
+};
+
+}  // namespace balsam::backend
--- a/tests/libraries/backend/backend_client_test.cc
+++ b/tests/libraries/backend/backend_client_test.cc
@@ -20,6 +20,10 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+QByteArray ToBytes(const std::string& text) {
+  return {text.data(), static_cast<qsizetype>(text.size())};
+}
+
 // A backend server that answers each request with a fixed response, or none.
 class FixedServer {
  public:
@@ -585,22 +589,46 @@
   const std::string head =
       "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n"
       "Content-Length: 6\r\n\r\n";
-  for (std::size_t size = 1; size < head.size(); ++size) {
-    last_event_ = ClientEvent::kNone;
-    FixedServer server(QByteArray(head.data(), static_cast<qsizetype>(size)),
-                       /*close_after=*/true);
-    CreateClient(server.url());
-    execution::WorkItem work = execution::Call();
-    work.method = "POST";
-    work.path = "/release";
-    client_->StartCall(1, "s", work);
-    WaitUntil([this] { return last_event_ != ClientEvent::kNone; },
-              seconds(20));
-    EXPECT_EQ(last_event_, ClientEvent::kBroken)
-        << "after " << size << " bytes";
+  for (const std::string before : {"", "HTTP/1.1 100 Continue\r\n\r\n"}) {
+    for (std::size_t size = 1; size < head.size(); ++size) {
+      last_event_ = ClientEvent::kNone;
+      FixedServer server(ToBytes(before + head.substr(0, size)),
+                         /*close_after=*/true);
+      CreateClient(server.url());
+      execution::WorkItem work = execution::Call();
+      work.method = "POST";
+      work.path = "/release";
+      client_->StartCall(1, "s", work);
+      WaitUntil([this] { return last_event_ != ClientEvent::kNone; },
+                seconds(20));
+      EXPECT_EQ(last_event_, ClientEvent::kBroken)
+          << size << " bytes after \"" << before << '"';
+    }
   }
 }
 
+TEST_F(BackendClientTest, AResponseWithTrailersIsComplete) {
+  FixedServer server(
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: X-Sum\r\n\r\n"
+      "4\r\nopen\r\n0\r\nX-Sum: 1\r\n\r\n",
+      true);
+  CreateClient(server.url());
+  EXPECT_EQ(Call("door"), ClientEvent::kCompleted);
+  EXPECT_EQ(outcome_.body, "open");
+}
+
+TEST_F(BackendClientTest, ACallSendsItsBodyAndFieldsOnce) {
+  FixedServer server("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", true);
+  CreateClient(server.url());
+  EXPECT_EQ(Call(std::string(5000, 'd')), ClientEvent::kCompleted);
+  const QByteArray& received = server.received();
+  EXPECT_TRUE(received.startsWith("POST /release HTTP/1.1\r\n"));
+  EXPECT_TRUE(received.contains("Content-Length: 5000\r\n"));
+  EXPECT_TRUE(received.contains("X-Stream-Id: s\r\n"));
+  EXPECT_FALSE(received.contains("Expect:"));
+  EXPECT_EQ(received.count(" HTTP/1.1\r\n"), 1);
+}
+
 // A response without a length that is reset is not known to be complete.
 TEST_F(BackendClientTest, AResponseWithoutLengthThatIsResetIsABrokenCall) {
   processes::ScriptedEngine server([](const processes::ScriptedRequest&) {
