--- a/libraries/backend/http_caller.cc
+++ b/libraries/backend/http_caller.cc
@@ -27,7 +27,7 @@
 constexpr int kFirstFinalStatus = 200;
 
 int StatusOf(CURL* handle) {
-  long status = 0;
+  long status = 0;  // NOLINT(google-runtime-int): libcurl's type
   curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &status);
   return static_cast<int>(status);
 }
@@ -126,6 +126,7 @@
     return 0;
   }
   // Signature of CURLMOPT_TIMERFUNCTION.
+  // NOLINTNEXTLINE(google-runtime-int): libcurl's type
   static int OnTimer(CURLM* /*handle*/, long timeout_ms, void* caller) {
     QTimer& timer = static_cast<HttpCaller*>(caller)->timer_;
     if (timeout_ms < 0) {
