--- a/services/gateway/permit_exchange.cc
+++ b/services/gateway/permit_exchange.cc
@@ -53,10 +53,11 @@
   return IsIssuer(primary) ? *limit : *limit * kBackupShare;
 }
 
-limits::PermitIssuer::Decision PermitExchange::Decide(std::uint32_t server) {
+limits::PermitIssuer::Decision PermitExchange::Decide(
+    std::uint32_t server, const std::string& entry) {
   const auto rate = IssueRate(server);
   if (!rate.has_value()) return {true, milliseconds(0)};
-  const auto decision = issuer_.Request(server, *rate, BootClock::now());
+  const auto decision = issuer_.Request(server, entry, *rate, BootClock::now());
   context_.metrics.CountEvent(decision.is_granted ? "permits_granted_total"
                                                   : "permits_denied_total");
   return decision;
@@ -92,7 +93,7 @@
       Charge(server);
       return PermitResult::kGranted;
     }
-    const auto decision = Decide(server);
+    const auto decision = Decide(server, own_ip_);
     if (decision.is_granted) return PermitResult::kGranted;
     Deny(server_id, decision.retry_after);
     return PermitResult::kDenied;
@@ -146,7 +147,7 @@
     Charge(server);
     return;
   }
-  const auto decision = Decide(server);
+  const auto decision = Decide(server, sender);
   // Neither a statement that has expired nor a server without a limit is
   // recorded.
   const auto known = context_.limits.StatementOf(server, BootClock::now());
--- a/services/gateway/permit_exchange.h
+++ b/services/gateway/permit_exchange.h
@@ -49,8 +49,10 @@
 
   PermitResult RequestPermit(const std::string& server_id,
                              PermitCallback on_result);
-  // Decides as the issuer, by the limit that is known here.
-  limits::PermitIssuer::Decision Decide(std::uint32_t server);
+  // Decides as the issuer about a request of `entry`, by the limit that is
+  // known here.
+  limits::PermitIssuer::Decision Decide(std::uint32_t server,
+                                        const std::string& entry);
   void Charge(std::uint32_t server);
   // The rate at which this gateway issues permits; nothing if the server has no
   // limit.
--- a/tests/libraries/limits/limited_fleet_test.cc
+++ b/tests/libraries/limits/limited_fleet_test.cc
@@ -172,8 +172,9 @@
       return;
     }
     const PermitIssuer::Decision decision =
-        limit.has_value() ? issuer.issuer.Request(kServer, rate, now_)
-                          : PermitIssuer::Decision{true, milliseconds(0)};
+        limit.has_value()
+            ? issuer.issuer.Request(kServer, entry.name, rate, now_)
+            : PermitIssuer::Decision{true, milliseconds(0)};
     const auto known = issuer.table.StatementOf(kServer, now_);
     Schedule(now_ + kMessageDelay, [this, &entry, decision, known] {
       if (!entry.is_alive) return;
