--- /dev/null
+++ b/services/gateway/planned_stop.h
@@ -0,0 +1,42 @@
+// What a gateway that was asked to stop still accepts. The load balancer takes
+// a while to notice the stop, and what runs at the end of the grace period is
+// cut.
+#pragma once
+
+#include <chrono>
+
+#include "libraries/base/boot_clock.h"
+
+namespace balsam::gateway {
+
+class PlannedStop {
+ public:
+  // When a request will have its complete response.
+  struct ExpectedEnd {
+    // Most likely.
+    BootTime likely;
+    // On a server that is healthy.
+    BootTime latest;
+  };
+
+  // The stop begins at `start`; the process is terminated after `grace`.
+  PlannedStop(BootTime start, std::chrono::milliseconds grace);
+
+  // Whether a request that arrives now may be accepted. While new clients still
+  // arrive, those whose requests will likely end in time are better served here
+  // than refused; later, a request may only be accepted if it is sure to end.
+  bool Accepts(const ExpectedEnd& end, BootTime now) const;
+  // By then the load balancer has noticed the stop.
+  bool IsKnownToBalancer(BootTime now) const;
+
+  BootTime start() const { return start_; }
+  // Shortly before the process is terminated: what has no response then is
+  // answered by the gateway.
+  BootTime deadline() const { return deadline_; }
+
+ private:
+  BootTime start_;
+  BootTime deadline_;
+};
+
+}  // namespace balsam::gateway
--- /dev/null
+++ b/tests/services/gateway/planned_stop_times_test.cc
@@ -0,0 +1,47 @@
+// What a stopping gateway accepts, and when, without network.
+#include <gtest/gtest.h>
+
+#include "services/gateway/planned_stop.h"
+
+namespace balsam::gateway {
+namespace {
+
+using std::chrono::milliseconds;
+
+const BootTime kStart{std::chrono::hours(1)};
+constexpr milliseconds kGrace{8000};
+
+PlannedStop::ExpectedEnd EndsIn(BootTime now, milliseconds likely,
+                                milliseconds latest) {
+  return {now + likely, now + latest};
+}
+
+TEST(PlannedStopTimesTest, AcceptsWhatWillLikelyEndWhileClientsStillArrive) {
+  const PlannedStop stop(kStart, kGrace);
+  const BootTime now = kStart + milliseconds(1000);
+  EXPECT_TRUE(
+      stop.Accepts(EndsIn(now, milliseconds(5000), milliseconds(30000)), now));
+  EXPECT_FALSE(
+      stop.Accepts(EndsIn(now, milliseconds(7000), milliseconds(30000)), now));
+}
+
+// Guards against streams that are accepted late in the grace period and cut at
+// its end, because they became longer than expected (all gateways stopped
+// within four seconds, seed 1).
+TEST(PlannedStopTimesTest, LaterAcceptsOnlyWhatIsSureToEnd) {
+  const PlannedStop stop(kStart, kGrace);
+  const BootTime now = kStart + milliseconds(5200);
+  EXPECT_FALSE(
+      stop.Accepts(EndsIn(now, milliseconds(2000), milliseconds(9000)), now));
+  EXPECT_TRUE(
+      stop.Accepts(EndsIn(now, milliseconds(1000), milliseconds(2000)), now));
+}
+
+TEST(PlannedStopTimesTest, AnswersBeforeTheProcessIsTerminated) {
+  const PlannedStop stop(kStart, kGrace);
+  EXPECT_LT(stop.deadline(), kStart + kGrace);
+  EXPECT_GT(stop.deadline(), kStart + kGrace - milliseconds(1000));
+}
+
+}  // namespace
+}  // namespace balsam::gateway
