Accept late in a planned stop only what is sure to end

Change: while the balancer still sends new clients, a request is accepted if it will likely end in time, and later only if the longest response that it allows does. PlannedStop holds the times and the decision, without network.

--- a/services/gateway/admission.cc
+++ b/services/gateway/admission.cc
@@ -63,12 +63,17 @@
   return demand;
 }
 
-// When the request will most likely have completed, unless a server fails.
-BootTime EstimatedEnd(const AdmittedRequest& request, BootTime received) {
-  if (request.engine() == nullptr) return request.deadline;
-  return std::min(
-      request.deadline,
-      received + kStartTime + kTokenTime * request.demand.output_tokens);
+PlannedStop::ExpectedEnd ExpectedEndOf(const AdmittedRequest& request,
+                                       const RequestMetadata& metadata,
+                                       BootTime received) {
+  if (request.engine() == nullptr) return {request.deadline, request.deadline};
+  const auto end_with = [&](std::int64_t tokens) {
+    return std::min(request.deadline,
+                    received + kStartTime + kTokenTime * tokens);
+  };
+  const std::int64_t likely = request.demand.output_tokens;
+  return {end_with(likely),
+          end_with(std::max(likely, metadata.max_output_tokens))};
 }
 
 }  // namespace
@@ -118,8 +123,9 @@
       received + std::min(request.route->timeout,
                           metadata.time_left.value_or(request.route->timeout));
   request.demand = DemandOf(request, metadata);
-  if (context.stopping &&
-      EstimatedEnd(request, received) > context.stop_deadline) {
+  if (context.stop.has_value() &&
+      !context.stop->Accepts(ExpectedEndOf(request, metadata, received),
+                             received)) {
     return Rejection{503, "stopping", kStoppingRetry};
   }
   request.traits = TraitsOf(metadata, head, body);
--- a/services/gateway/client_connection.cc
+++ b/services/gateway/client_connection.cc
@@ -129,7 +129,7 @@
 void ClientConnection::WriteHead(http1::ResponseHead head,
                                  const http1::Framing& framing) {
   head.fields.RemoveHopByHopFields();
-  if (context_.stopping) close_after_response_ = true;
+  if (context_.stop.has_value()) close_after_response_ = true;
   if (close_after_response_) head.fields.Add("Connection", "close");
   stream_.Write(http1::Serialize(head, framing));
 }
--- a/services/gateway/gateway_context.h
+++ b/services/gateway/gateway_context.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -24,6 +25,7 @@
 #include "libraries/telemetry/request_metrics.h"
 #include "services/gateway/connection_pool.h"
 #include "services/gateway/dialect.h"
+#include "services/gateway/planned_stop.h"
 
 namespace balsam::gateway {
 
@@ -98,10 +100,8 @@
   std::size_t gateway_count = 1;
   std::string data_center;
   std::minstd_rand random;
-  bool stopping = false;
-  // Set while stopping: a request is accepted only if it can complete by then,
-  // shortly before the process is terminated.
-  BootTime stop_deadline;
+  // Set once this gateway was asked to stop.
+  std::optional<PlannedStop> stop;
   // Queries the aggregators of these servers for their load. `on_done` is
   // called when enough have replied, or when the query times out. Returns false
   // without calling it if no query is needed. If unset, nothing is queried.
--- a/services/gateway/gateway_node.cc
+++ b/services/gateway/gateway_node.cc
@@ -19,14 +19,9 @@
 // Interval between passes over the entire directory, which may hold thousands
 // of servers: two per urgent report (ReportPoller::Limits).
 constexpr milliseconds kDirectoryRefreshInterval{125};
-// After a stop has begun, new connections may still arrive until the load
-// balancer has seen two failed readiness checks, which it makes once a second.
-constexpr milliseconds kBalancerDelay{2600};
 // Entries that expired around an outage of the store may be missing for this
 // long after its recovery.
 constexpr milliseconds kStoreRecoveryTime{3000};
-// Before the process is terminated, so that the answers still reach clients.
-constexpr milliseconds kFinalAnswerTime{300};
 constexpr char kMetricsPath[] = "/metrics";
 // How long a leaving report holds if it is not repeated.
 constexpr milliseconds kLeavingReportLifetime{5000};
@@ -192,7 +187,7 @@
 }
 
 bool GatewayNode::IsReady() const {
-  return !context_.stopping && context_.routes != nullptr;
+  return !context_.stop.has_value() && context_.routes != nullptr;
 }
 
 void GatewayNode::OnClient(int descriptor) {
@@ -494,7 +489,7 @@
   if (now - refreshed_at_ >= kDirectoryRefreshInterval) RefreshDirectory(now);
   DispatchWaiting();
   context_.pool.CloseExpired(now);
-  if (context_.stopping) CheckStopped();
+  if (context_.stop.has_value()) CheckStopped();
 }
 
 void GatewayNode::RefreshDirectory(BootTime now) {
@@ -520,10 +515,8 @@
 }
 
 void GatewayNode::BeginStop() {
-  if (std::exchange(context_.stopping, true)) return;
-  stop_started_at_ = BootClock::now();
-  context_.stop_deadline =
-      stop_started_at_ + settings_.stop_grace - kFinalAnswerTime;
+  if (context_.stop.has_value()) return;
+  context_.stop.emplace(BootClock::now(), settings_.stop_grace);
   LogEvent("stopping")
       .With("clients", clients_.size())
       .With("requests", context_.exchanges.size());
@@ -531,17 +524,16 @@
 
 void GatewayNode::CheckStopped() {
   const BootTime now = BootClock::now();
-  const auto since = now - stop_started_at_;
-  if (now >= context_.stop_deadline) {
+  if (now >= context_.stop->deadline()) {
     for (Exchange* exchange : Exchanges()) exchange->OnStopDeadline();
   }
-  if (since < kBalancerDelay) return;
+  if (!context_.stop->IsKnownToBalancer(now)) return;
   const std::vector<ClientConnection*> clients(clients_.begin(),
                                                clients_.end());
   for (ClientConnection* client : clients) client->CloseIfIdle();
   if (!clients_.empty() || !on_stopped) return;
   tick_timer_.stop();
-  LogEvent("stopped").With("after", since);
+  LogEvent("stopped").With("after", now - context_.stop->start());
   on_stopped();
 }
 
--- a/services/gateway/gateway_node.h
+++ b/services/gateway/gateway_node.h
@@ -144,7 +144,6 @@
   // Until this time the store is considered to lag behind, because an engine
   // reported that it is leaving before the store did.
   BootTime store_lagging_until_;
-  BootTime stop_started_at_;
   BootTime refreshed_at_;
 };
 
--- a/tests/services/gateway/exchange_fixture.h
+++ b/tests/services/gateway/exchange_fixture.h
@@ -116,7 +116,8 @@
     head.target = "/x";
     head.fields.Add("Host", "h");
     head.fields.Add("Request-Id", "r-1");
-    head.fields.Add("Token-Usage", "100,100");
+    head.fields.Add("Token-Usage", "100," + std::to_string(max_tokens_));
+    head.fields.Add("Length-Hint", std::to_string(expected_tokens_));
     if (client_last_event_.has_value()) {
       head.fields.Add("Last-Event-Id", std::to_string(*client_last_event_));
     }
@@ -160,6 +161,9 @@
 
   std::chrono::milliseconds route_timeout_{15000};
   std::chrono::milliseconds latency_objective_{10000};
+  // Output tokens of a request, as it states them.
+  int max_tokens_ = 100;
+  int expected_tokens_ = 100;
   // The last event that the client has from an earlier connection.
   std::optional<int> client_last_event_;
   platform::WireDialect dialect_;
--- a/tests/services/gateway/exchange_test.cc
+++ b/tests/services/gateway/exchange_test.cc
@@ -194,8 +194,7 @@
  protected:
   // The process is terminated in 300 s.
   StoppingExchangeTest() {
-    context_.stopping = true;
-    context_.stop_deadline = BootClock::now() + std::chrono::seconds(300);
+    context_.stop.emplace(BootClock::now(), std::chrono::seconds(300));
     first_.on_request = ReplyingOk("opened");
   }
 
@@ -215,6 +214,29 @@
   EXPECT_EQ(sink_.status, 200);
 }
 
+// Guards against a stream that is accepted because a short response is expected
+// and cut when it becomes long.
+TEST_F(StoppingExchangeTest, AcceptsNoStreamThatMayBeLongOnceBalancerKnows) {
+  const auto now = BootClock::now();
+  const auto grace = std::chrono::seconds(10);
+  route_timeout_ = std::chrono::seconds(600);
+  expected_tokens_ = 4;
+  max_tokens_ = 1000;
+  context_.stop.emplace(now - std::chrono::seconds(5), grace);
+  Send(routing::RequestKind::kStream, 1);
+  EXPECT_EQ(sink_.status, 503);
+  // One that is short in any case.
+  max_tokens_ = 8;
+  first_.on_request = [](const auto& request) {
+    BeginStream(request.socket, 1, 2);
+    EndStream(request.socket);
+  };
+  sink_.complete.reset();
+  Send(routing::RequestKind::kStream, 1);
+  RunUntilDone();
+  EXPECT_EQ(sink_.status, 200);
+}
+
 // A request whose client disconnected used to count as served, so that a
 // hanging engine appeared to serve every request abandoned there.
 TEST_F(ExchangeTest, ClientDisconnectDoesNotAffectFailureRate) {
