Let an entry that missed a loss learn of it from the views of its peers

Updates are disseminated a bounded number of times; beyond those, an entry learned only of peers that it probes itself, or from the peer list that it requests each 10 s.

Digests carry a hash of the entries that their sender considers alive. An entry whose own view has settled and differs from that of three peers in a row requests the list of one of them, at growing intervals while that changes nothing, so that fleets with a real difference do not request lists without end. An entry alone with an old view notices; the others, who see it differ now and then, do not ask.

--- a/libraries/gossip/digest.cc
+++ b/libraries/gossip/digest.cc
@@ -17,14 +17,14 @@
 
 // First element of each message: its type and the version of its format. The
 // value changes with the format, and messages of unknown formats are rejected.
-constexpr int kDigestFormat = 14;
+constexpr int kDigestFormat = 17;
 constexpr int kLoadUpdateFormat = 10;
 constexpr int kLoadTotalsFormat = 11;
 constexpr int kLoadQueryFormat = 12;
 constexpr int kPermitRequestFormat = 15;
 constexpr int kPermitReplyFormat = 16;
 // Without the limits, which are left out if there are none.
-constexpr std::size_t kDigestElements = 10;
+constexpr std::size_t kDigestElements = 11;
 constexpr std::size_t kLoadMessageElements = 3;
 constexpr std::size_t kPermitReplyElements = 5;
 
@@ -123,6 +123,7 @@
   digest.leaving_servers = message[7].get<std::vector<std::string>>();
   digest.state_version = message[8].get<std::uint32_t>();
   digest.reply_requested = message[9].get<bool>();
+  digest.membership_hash = message[10].get<std::uint32_t>();
   if (message.size() > kDigestElements) {
     std::ranges::transform(message[kDigestElements],
                            std::back_inserter(digest.limits), ReadStatement);
@@ -169,7 +170,8 @@
                   quarantine::ToJson(digest.evidence),
                   digest.leaving_servers,
                   digest.state_version,
-                  digest.reply_requested};
+                  digest.reply_requested,
+                  digest.membership_hash};
   // Few servers ever name a limit.
   if (!digest.limits.empty()) message.push_back(ToJson(digest.limits));
   return ToCbor(message);
--- a/libraries/gossip/digest.h
+++ b/libraries/gossip/digest.h
@@ -47,6 +47,9 @@
   bool reaches_store = false;
   // State version of the sender, see `PeerUpdate`.
   std::uint32_t state_version = 0;
+  // Of the entries that the sender considers alive, itself included; equal for
+  // equal sets.
+  std::uint32_t membership_hash = 0;
   // Asks the receiver to reply with a digest immediately.
   bool reply_requested = false;
   // State of other entries.
--- a/libraries/gossip/peer_table.cc
+++ b/libraries/gossip/peer_table.cc
@@ -61,6 +61,11 @@
   if (IsAlive(peer) && state == State::kLost) peer.loss_unreported = true;
   if (state == State::kAlive) peer.loss_unreported = false;
   if (!IsAlive(peer) && state != State::kLost) peer.alive_since = now;
+  if (IsAlive(peer) != (state != State::kLost)) {
+    view_changed_at_ = now;
+    differing_peers_.clear();
+    differing_list_interval_ = limits_.differing_list_interval;
+  }
   peer.is_refutation =
       state == State::kAlive && peer.state != State::kAlive && peer.version > 1;
   peer.state = state;
@@ -102,6 +107,7 @@
   const bool known = peer->incarnation != 0;
   peer->incarnation = digest.incarnation;
   peer->sequence = digest.sequence;
+  CompareViews(ip, digest, now);
   // The digest has the same state version, or its sender has not yet learned of
   // the newer one.
   peer->reaches_store = digest.reaches_store;
@@ -113,6 +119,24 @@
   return joined ? PeerEvent::kJoined : PeerEvent::kNone;
 }
 
+std::uint32_t PeerTable::MembershipHash() const {
+  std::uint64_t hash = membership::StableHash(own_ip_);
+  for (const auto& [ip, peer] : peers_) {
+    if (IsAlive(peer)) hash ^= peer.ring_position;
+  }
+  return static_cast<std::uint32_t>(hash);
+}
+
+void PeerTable::CompareViews(const std::string& ip, const Digest& digest,
+                             BootTime now) {
+  if (now - view_changed_at_ < limits_.settling_time) return;
+  if (digest.membership_hash == MembershipHash()) {
+    differing_peers_.clear();
+  } else {
+    differing_peers_.insert(ip);
+  }
+}
+
 bool PeerTable::OnLoadUpdate(const std::string& ip, std::uint64_t sequence,
                              BootTime now) {
   Peer* peer = FindOrAdd(ip, now);
@@ -306,10 +330,18 @@
 }
 
 std::optional<std::string> PeerTable::TakeListSource(BootTime now) {
+  const auto since_last = now - last_peer_list_request_;
+  if (differing_peers_.size() >= limits_.differing_digests &&
+      since_last >= differing_list_interval_) {
+    last_peer_list_request_ = now;
+    differing_list_interval_ =
+        std::min(2 * differing_list_interval_, limits_.peer_list_interval);
+    return differing_peers_.extract(differing_peers_.begin()).value();
+  }
   const auto wait = pending_peer_lists_ > 0
                         ? limits_.peer_list_interval_after_change
                         : limits_.peer_list_interval;
-  if (now - last_peer_list_request_ < wait) return std::nullopt;
+  if (since_last < wait) return std::nullopt;
   std::vector<std::string> source;
   std::ranges::sample(AlivePeers(), std::back_inserter(source), 1, random_);
   if (source.empty()) return std::nullopt;
--- a/libraries/gossip/peer_table.h
+++ b/libraries/gossip/peer_table.h
@@ -12,6 +12,7 @@
 #include <map>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -56,6 +57,14 @@
     // Interval between requests otherwise, so that parts of a fleet that were
     // separated find each other again.
     std::chrono::milliseconds peer_list_interval{10000};
+    // A peer list is also requested once this many peers in a row consider
+    // other entries alive than this one, which has not changed its view for a
+    // while: it missed an update that is no longer disseminated.
+    std::size_t differing_digests = 3;
+    std::chrono::milliseconds settling_time{300};
+    // The shortest interval between such requests; doubled each time that one
+    // changes nothing.
+    std::chrono::milliseconds differing_list_interval{400};
   };
 
   PeerTable(std::string own_ip, Limits limits, std::uint64_t seed)
@@ -115,6 +124,9 @@
   std::size_t CountStoreReachersRankedBefore(std::string_view key) const;
   std::size_t CountPeersRankedBefore(std::string_view key) const;
 
+  // Of the alive peers and this entry, see `Digest::membership_hash`.
+  std::uint32_t MembershipHash() const;
+
   std::uint32_t own_version() const { return own_version_; }
   bool own_reaches_store() const { return own_reaches_store_; }
 
@@ -166,6 +178,8 @@
   // Requests peer lists if many peers were newly suspected or lost.
   void RequestPeerListsIfManyUnreachable();
   void SetState(Peer& peer, PeerUpdate::State state, BootTime now);
+  // Compares the sender's view of the fleet with that of this entry.
+  void CompareViews(const std::string& ip, const Digest& digest, BootTime now);
   // Counts the peers for which `predicate` holds and that rank before this
   // entry for `key`.
   template <typename Predicate>
@@ -190,6 +204,14 @@
   BootTime last_peer_list_request_;
   // Number of peer lists still to be requested at the shorter interval.
   int pending_peer_lists_ = 1;
+  // When the set of alive peers last changed.
+  BootTime view_changed_at_;
+  // The senders of the last digests, as long as their views differ from that of
+  // this entry.
+  std::set<std::string> differing_peers_;
+  // The interval between requests for their lists.
+  std::chrono::milliseconds differing_list_interval_{
+      limits_.differing_list_interval};
   // The last peer that was sent a digest in turn.
   std::string last_digest_target_;
 };
--- a/services/gateway/peer_exchange.cc
+++ b/services/gateway/peer_exchange.cc
@@ -171,6 +171,7 @@
   digest.revision = replica_.revision();
   digest.reaches_store = peers_.own_reaches_store();
   digest.state_version = peers_.own_version();
+  digest.membership_hash = peers_.MembershipHash();
   digest.peer_updates = peers_.TakeUpdates(recipients);
   for (const auto& [server_id, reported_at] : announced_leaving_) {
     digest.leaving_servers.push_back(server_id);
--- a/tests/libraries/gossip/gossip_test.cc
+++ b/tests/libraries/gossip/gossip_test.cc
@@ -87,6 +87,7 @@
   digest.revision = 100;
   digest.reaches_store = true;
   digest.state_version = 5;
+  digest.membership_hash = 0xfedcba98;
   digest.reply_requested = true;
   digest.peer_updates = {
       {"10.0.0.2", 70000, PeerUpdate::State::kSuspected, true},
--- a/tests/libraries/gossip/membership_scale_test.cc
+++ b/tests/libraries/gossip/membership_scale_test.cc
@@ -25,8 +25,9 @@
 
 class Fleet {
  public:
-  explicit Fleet(std::size_t entries, double loss_rate = kDatagramLossRate)
-      : loss_rate_(loss_rate) {
+  explicit Fleet(std::size_t entries, double loss_rate = kDatagramLossRate,
+                 std::uint64_t seed = 7)
+      : loss_rate_(loss_rate), random_(seed) {
     for (std::size_t i = 0; i < entries; ++i) Start();
   }
 
@@ -109,6 +110,7 @@
     digest.incarnation = entry.incarnation;
     digest.sequence = ++entry.sequence;
     digest.state_version = entry.table.own_version();
+    digest.membership_hash = entry.table.MembershipHash();
     digest.revision = 1'000'000;
     digest.peer_updates = entry.table.TakeUpdates(recipients);
     return digest;
@@ -157,7 +159,7 @@
   }
 
   double loss_rate_;
-  std::mt19937_64 random_{7};
+  std::mt19937_64 random_;
   BootTime now_ = BootTime{} + std::chrono::hours(1);
   std::vector<std::unique_ptr<Entry>> entries_;
   std::map<std::string, Entry*> by_address_;
@@ -232,6 +234,23 @@
   EXPECT_EQ(fleet.CountIncorrectViews(), 0U);
 }
 
+// Guards against an entry that missed every update about a lost one and keeps
+// it for seconds, since it does not probe it itself.
+TEST_P(MembershipScaleTest, EveryEntryLearnsOfLossesInTrouble) {
+  constexpr std::size_t kEntriesOfAllRuns = 3000;
+  const std::size_t runs =
+      std::min<std::size_t>(30, kEntriesOfAllRuns / GetParam());
+  std::size_t incorrect = 0;
+  for (std::uint64_t seed = 1; seed <= runs; ++seed) {
+    Fleet fleet(GetParam(), kHighLossRate, seed);
+    fleet.Run(kConvergenceTime);
+    for (std::size_t i = 1; i < fleet.size(); i += 4) fleet.Kill(i);
+    fleet.Run(2 * kConvergenceTime);
+    incorrect += fleet.CountIncorrectViews();
+  }
+  EXPECT_EQ(incorrect, 0U);
+}
+
 TEST_P(MembershipScaleTest, DiscoversManySimultaneousJoins) {
   Fleet fleet(GetParam());
   fleet.Run(kConvergenceTime);
