Tell clients refused in a planned stop to return when another gateway is reached

Callers of a data centre with one gateway were refused twice, and for good: the retry after 0.1 s came over the same gateway, since the balancer needs two failed checks, one a second, to notice the stop.

Where the gateways are fewer than two to a data centre on average, the time to return is that at which the balancer has noticed; elsewhere 0.1 s as before. ClientsReturnOnceTheyReachAnotherGateway fails with 0.1 s always.

--- a/services/gateway/admission.cc
+++ b/services/gateway/admission.cc
@@ -21,9 +21,9 @@
 // Retry delay while no configuration is known: reading the store takes some
 // milliseconds.
 constexpr milliseconds kUnconfiguredRetry{500};
-
-// Retry delay while the process stops: a retry reaches another VM.
-constexpr milliseconds kStoppingRetry{100};
+// The load balancer forwards a client's retry to another gateway of its data
+// centre, if there is one: certain from this many on average.
+constexpr std::size_t kGatewaysToReachAnother = 2;
 // How long a generation takes to its first event, and for each expected token,
 // on a healthy engine (platform: steps of 8 ms and more). Half as much again,
 // as the expected length is exceeded as often as not.
@@ -126,7 +126,10 @@
   if (context.stop.has_value() &&
       !context.stop->Accepts(ExpectedEndOf(request, metadata, received),
                              received)) {
-    return Rejection{503, "stopping", kStoppingRetry};
+    const bool reaches_another =
+        context.gateway_count >= kGatewaysToReachAnother * context.data_centers;
+    return Rejection{503, "stopping",
+                     context.stop->RetryAfter(reaches_another, received)};
   }
   request.traits = TraitsOf(metadata, head, body);
   if (const auto signature =
--- a/services/gateway/gateway_context.h
+++ b/services/gateway/gateway_context.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -99,6 +100,7 @@
   // Number of gateways that share retry budgets, including this one.
   std::size_t gateway_count = 1;
   std::string data_center;
+  std::size_t data_centers = 1;
   std::minstd_rand random;
   // Set once this gateway was asked to stop.
   std::optional<PlannedStop> stop;
--- a/services/gateway/gateway_node.cc
+++ b/services/gateway/gateway_node.cc
@@ -71,6 +71,7 @@
       peers_({settings_.ip, settings_.peers, settings_.gossip_port}, context_,
              replica_, RandomNumber()) {
   context_.data_center = settings_.data_center;
+  context_.data_centers = settings_.data_centers;
   context_.on_capacity_freed = [this] {
     if (!dispatch_timer_.isActive()) dispatch_timer_.start(0);
   };
--- a/services/gateway/gateway_settings.h
+++ b/services/gateway/gateway_settings.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -15,6 +16,8 @@
   std::string node;
   std::string ip;
   std::string data_center;
+  // Number of data centres in the deployment.
+  std::size_t data_centers = 1;
   // Where clients connect, and where the load balancer checks readiness.
   directory::Endpoint clients;
   directory::Endpoint readiness;
--- a/services/gateway/planned_stop.cc
+++ b/services/gateway/planned_stop.cc
@@ -1,14 +1,20 @@
 // The times of a planned stop.
 #include "services/gateway/planned_stop.h"
 
+#include <algorithm>
+
 namespace balsam::gateway {
 namespace {
 
 using std::chrono::milliseconds;
 
-// After a stop has begun, new connections may still arrive until the load
-// balancer has seen two failed readiness checks, which it makes once a second.
+// The load balancer makes a readiness check once a second and has noticed a
+// stop after two that failed.
+constexpr milliseconds kBalancerNoticeTime{2100};
+// New connections that were forwarded before may arrive until then.
 constexpr milliseconds kBalancerDelay{2600};
+// Retry delay if the retry reaches another gateway.
+constexpr milliseconds kShortRetry{100};
 // Before the process is terminated, so that the answers still reach clients.
 constexpr milliseconds kFinalAnswerTime{300};
 
@@ -21,6 +27,12 @@
   return now - start_ >= kBalancerDelay;
 }
 
+milliseconds PlannedStop::RetryAfter(bool reaches_another, BootTime now) const {
+  if (reaches_another) return kShortRetry;
+  const auto until_noticed = start_ + kBalancerNoticeTime - now;
+  return std::max(kShortRetry, std::chrono::ceil<milliseconds>(until_noticed));
+}
+
 bool PlannedStop::Accepts(const ExpectedEnd& end, BootTime now) const {
   return (IsKnownToBalancer(now) ? end.latest : end.likely) <= deadline_;
 }
--- a/services/gateway/planned_stop.h
+++ b/services/gateway/planned_stop.h
@@ -28,6 +28,11 @@
   bool Accepts(const ExpectedEnd& end, BootTime now) const;
   // By then the load balancer has noticed the stop.
   bool IsKnownToBalancer(BootTime now) const;
+  // When a client whose request was not accepted should try again.
+  // `reaches_another`: its next connection most likely reaches another gateway
+  // even if the load balancer has not noticed the stop.
+  std::chrono::milliseconds RetryAfter(bool reaches_another,
+                                       BootTime now) const;
 
   BootTime start() const { return start_; }
   // Shortly before the process is terminated: what has no response then is
--- a/tests/services/gateway/planned_stop_times_test.cc
+++ b/tests/services/gateway/planned_stop_times_test.cc
@@ -37,6 +37,20 @@
       stop.Accepts(EndsIn(now, milliseconds(1000), milliseconds(2000)), now));
 }
 
+// Guards against clients that are refused twice by the only gateway of their
+// data centre, because the load balancer has not noticed its stop yet.
+TEST(PlannedStopTimesTest, ClientsReturnOnceTheyReachAnotherGateway) {
+  const PlannedStop stop(kStart, kGrace);
+  constexpr milliseconds kCheckInterval{1000};
+  for (const milliseconds since : {milliseconds(0), milliseconds(700)}) {
+    const BootTime now = kStart + since;
+    EXPECT_GT(now + stop.RetryAfter(false, now), kStart + 2 * kCheckInterval);
+    EXPECT_LE(stop.RetryAfter(true, now), milliseconds(100));
+  }
+  const BootTime late = kStart + milliseconds(5000);
+  EXPECT_LE(stop.RetryAfter(false, late), milliseconds(100));
+}
+
 TEST(PlannedStopTimesTest, AnswersBeforeTheProcessIsTerminated) {
   const PlannedStop stop(kStart, kGrace);
   EXPECT_LT(stop.deadline(), kStart + kGrace);
