Keep nothing of VMs that have left in an entry's loads

LoadTracker::Retain left the time of the lagged report of each VM that was ever listed, so that the map grew with every VM that left, and a VM that was listed again within two seconds had no lagged report for up to that long (TwoChoices took it for idle).

That time now stands beside the report that it belongs to, and goes with it. NothingIsKeptOfVmsThatAreNotListed failed before (no lagged report after the return; the count of VMs did not exist). No other state in the tracker is kept by VM.

--- a/libraries/placement/load_tracker.h
+++ b/libraries/placement/load_tracker.h
@@ -2,6 +2,7 @@
 // and the requests sent since. Thread-safe; shared by the entry's threads.
 #pragma once
 
+#include <cstddef>
 #include <map>
 #include <mutex>
 #include <set>
@@ -25,11 +26,18 @@
 
   // Returns a candidate for each of `vms` that is not draining.
   std::vector<Candidate> Candidates(const std::vector<std::string>& vms) const;
+  // Number of VMs of which anything is known.
+  std::size_t tracked_vms() const;
 
  private:
+  struct TrackedVm {
+    Candidate candidate;
+    // When `candidate.lagged_report` was received.
+    BootTime lagged_report_at;
+  };
+
   mutable std::mutex mutex_;
-  std::map<std::string, Candidate> candidates_;
-  std::map<std::string, BootTime> lagged_report_at_;
+  std::map<std::string, TrackedVm> vms_;
 };
 
 }  // namespace balsam::placement
--- a/tests/libraries/placement/placement_test.cc
+++ b/tests/libraries/placement/placement_test.cc
@@ -80,6 +80,28 @@
   EXPECT_EQ(board.Candidates({"a", "b"}).size(), 2U);
 }
 
+// Guards against what is kept of VMs that have left: it grew with each, and a
+// VM that was listed again within two seconds had no lagged report.
+TEST(LeavingPlacementTest, NothingIsKeptOfVmsThatAreNotListed) {
+  LoadTracker tracker;
+  execution::LoadReport report;
+  report.queued = 3;
+  constexpr int kVms = 1000;
+  for (int i = 0; i < kVms; ++i) {
+    const std::string vm = "vm-" + std::to_string(i);
+    tracker.OnReport(vm, report);
+    tracker.Retain({vm});
+    EXPECT_EQ(tracker.tracked_vms(), 1U);
+  }
+  tracker.Retain({});
+  EXPECT_EQ(tracker.tracked_vms(), 0U);
+  tracker.OnReport("vm-0", report);
+  const auto candidates = tracker.Candidates({"vm-0"});
+  ASSERT_EQ(candidates.size(), 1U);
+  ASSERT_TRUE(candidates.front().lagged_report.has_value());
+  EXPECT_EQ(candidates.front().lagged_report->queued, 3);
+}
+
 TEST(OverloadRetryBudgetTest, RetriesStayWithinTheBudgetDuringAnOutage) {
   relay::RetryBudget budget(0.1, 20);
   int retries = 0;
