Carry out no order whose notice waited while the sidecar was suspended

NoticeThatWaitedIsNotCarriedOut, on real processes, failed with the loads v1, v3, v2; NoticeOfBeforeAPauseConfirmsNothing failed without processes.

Cause: the age of a notice was the time at which it was read. A suspension was detected first and dropped the last confirmation, and the notice that had waited confirmed its state again.

A sidecar's reply to a notice holds a number that changes with each suspension, and whenever the engine's state has changed under it; only a notice that repeats the present number confirms the desired state, since its sender has sent it after that reply. The number begins at the incarnation, so that one learned from an earlier process of the VM does not match. Sidecars of this version carry out no orders of entries before it.

--- a/libraries/backend/engine_controller.h
+++ b/libraries/backend/engine_controller.h
@@ -24,11 +24,12 @@
                    orders::EngineReconciler::Config config,
                    QObject* parent = nullptr);
 
-  void OnDesiredState(const orders::DesiredState& desired, BootTime now) {
-    reconciler_.OnDesiredState(desired, now);
+  // See `EngineReconciler::OnDesiredState`.
+  void OnDesiredState(const orders::DesiredState& desired,
+                      std::uint64_t challenge, BootTime now) {
+    reconciler_.OnDesiredState(desired, challenge, now);
   }
-  // The process was suspended. No orders are sent until the next
-  // `OnDesiredState`.
+  // The process was suspended.
   void OnPause() { reconciler_.OnPause(); }
   // Sends the orders and state reads that are due.
   void Tick(BootTime now);
--- a/libraries/orders/engine_reconciler.cc
+++ b/libraries/orders/engine_reconciler.cc
@@ -5,10 +5,15 @@
 
 namespace balsam::orders {
 
+void EngineReconciler::DropConfirmation() {
+  confirmed_at_.reset();
+  ++challenge_;
+}
+
 void EngineReconciler::OnDesiredState(const DesiredState& desired,
-                                      BootTime now) {
+                                      std::uint64_t challenge, BootTime now) {
   if (desired.revision < desired_.revision) return;
-  confirmed_at_ = now;
+  if (challenge == challenge_) confirmed_at_ = now;
   if (desired.revision == desired_.revision) return;
   desired_ = desired;
   superseded_ = desired_.revision < highest_fencing_number_;
@@ -74,7 +79,7 @@
   // or because the engine lost it. Only a later confirmation of the desired
   // state shows whether to repair it.
   const bool was_changed = !matches && (settled_ || applied_);
-  if (was_changed) confirmed_at_.reset();
+  if (was_changed) DropConfirmation();
   // A repair is not staggered, since only this engine needs it.
   if (was_changed) next_order_at_ = now;
   settled_ = matches;
--- a/libraries/orders/engine_reconciler.h
+++ b/libraries/orders/engine_reconciler.h
@@ -66,16 +66,24 @@
     // Maximum age of the last confirmation of the desired state at which an
     // order may be sent.
     std::chrono::milliseconds freshness{5000};
+    // See `challenge()`; differs between two runs of the process.
+    std::uint64_t first_challenge = 1;
   };
 
-  explicit EngineReconciler(Config config) : config_(config) {}
-
-  // Takes the published state. A lower revision is ignored; an equal one
-  // confirms the current state.
-  void OnDesiredState(const DesiredState& desired, BootTime now);
-  // The process was suspended. No orders are sent until the next
-  // `OnDesiredState`.
-  void OnPause() { confirmed_at_.reset(); }
+  explicit EngineReconciler(Config config)
+      : config_(config), challenge_(config.first_challenge) {}
+
+  // Takes the published state. A lower revision is ignored. The state is
+  // confirmed only if its sender knows the present `challenge`; any other
+  // message may have waited while the process was suspended.
+  void OnDesiredState(const DesiredState& desired, std::uint64_t challenge,
+                      BootTime now);
+  // The process was suspended. No orders are sent until the desired state is
+  // confirmed again.
+  void OnPause() { DropConfirmation(); }
+  // Tells the senders of the desired state what to repeat in their next
+  // message. Changes whenever an earlier message may no longer confirm it.
+  std::uint64_t challenge() const { return challenge_; }
 
   // Returns the order to send now, if one is due, and counts it as sent. At
   // most one order is in flight.
@@ -95,9 +103,11 @@
   std::uint64_t revision() const { return desired_.revision; }
 
  private:
+  void DropConfirmation();
   bool IsFresh(BootTime now) const;
 
   Config config_;
+  std::uint64_t challenge_ = 0;
   DesiredState desired_;
   // The last read showed the engine in the desired state, or no state has been
   // published yet.
--- a/libraries/peer/messages.cc
+++ b/libraries/peer/messages.cc
@@ -358,6 +358,7 @@
 void VisitFields(Fields& fields, OrderNotice& message) {
   fields(1, message.vm);
   fields.Nested(2, message.desired);
+  fields(3, message.challenge);
 }
 
 template <typename Fields>
@@ -365,6 +366,7 @@
   fields(1, message.revision);
   fields(2, message.settled);
   fields(3, message.superseded);
+  fields(4, message.challenge);
 }
 
 // Constructs the alternative of `Message` with this index and reads its fields.
--- a/libraries/peer/messages.h
+++ b/libraries/peer/messages.h
@@ -125,6 +125,9 @@
 struct OrderNotice {
   std::string vm;
   orders::DesiredState desired;
+  // From the sidecar's last reply, which shows that the notice is newer than
+  // it; zero before the first.
+  std::uint64_t challenge = 0;
 };
 
 struct OrderReply {
@@ -133,6 +136,8 @@
   bool settled = false;
   // The engine has accepted a higher fencing number than the sidecar knows.
   bool superseded = false;
+  // See `orders::EngineReconciler::challenge`.
+  std::uint64_t challenge = 0;
 };
 
 using Message =
--- a/services/entry/order_notifier.cc
+++ b/services/entry/order_notifier.cc
@@ -53,7 +53,7 @@
     if (!is_local) continue;
     Engine& engine = engines_[vm];
     if (engine.desired != desired) {
-      engine = {desired, false, now};
+      engine = {desired, false, now, engine.challenge};
     }
     if (engine.next_notice <= now) Notify(*listed_vm, engine, now);
   }
@@ -69,6 +69,11 @@
     const auto found = engines_.find(id);
     if (reply == nullptr || found == engines_.end()) return;
     Engine& current = found->second;
+    // The notice did not confirm the order; the next one will.
+    if (std::exchange(current.challenge, reply->challenge) !=
+        reply->challenge) {
+      current.next_notice = BootClock::now();
+    }
     if (reply->revision != current.desired.revision) return;
     const bool settled = reply->settled && !reply->superseded;
     // An engine that no longer matches its order is notified at once, and then
@@ -76,7 +81,8 @@
     if (!settled && current.settled) current.next_notice = BootClock::now();
     current.settled = settled;
   };
-  get_link_(vm).Open(peer::kOrderPath, peer::OrderNotice{vm.id, engine.desired},
+  get_link_(vm).Open(peer::kOrderPath,
+                     peer::OrderNotice{vm.id, engine.desired, engine.challenge},
                      std::move(handlers));
 }
 
--- a/services/entry/order_notifier.h
+++ b/services/entry/order_notifier.h
@@ -39,6 +39,8 @@
     orders::DesiredState desired;
     bool settled = false;
     BootTime next_notice;
+    // From the sidecar's last reply.
+    std::uint64_t challenge = 0;
   };
 
   void Tick();
--- a/services/sidecar/sidecar_node.cc
+++ b/services/sidecar/sidecar_node.cc
@@ -51,6 +51,13 @@
   return config;
 }
 
+orders::EngineReconciler::Config MakeReconcilerConfig(
+    std::uint64_t incarnation) {
+  orders::EngineReconciler::Config config;
+  config.first_challenge = incarnation;
+  return config;
+}
+
 config_service::WatcherSettings MakeWatcherSettings(
     const SidecarSettings& settings) {
   config_service::WatcherSettings watcher;
@@ -68,7 +75,8 @@
       backend_({QUrl(QString::fromStdString(settings_.backend_url)),
                 settings_.backend_silence_limit}),
       engine_controller_(QUrl(QString::fromStdString(settings_.backend_url)),
-                         settings_.order_answer_limit, {}),
+                         settings_.order_answer_limit,
+                         MakeReconcilerConfig(executor_.incarnation())),
       service_peers_(settings_.vm.id, settings_.service, settings_.peer_key,
                      executor_),
       peer_server_(QByteArray::fromStdString(settings_.peer_key), {}),
@@ -246,15 +254,14 @@
     stream.Refuse();
     return;
   }
-  // Detecting a suspension of this process discards the last confirmation of
-  // the desired state, so it must come before this notice confirms it.
+  // The notice may have waited while this process was suspended.
   DetectPauses();
   const BootTime now = BootClock::now();
-  engine_controller_.OnDesiredState(notice.desired, now);
+  engine_controller_.OnDesiredState(notice.desired, notice.challenge, now);
   engine_controller_.Tick(now);
   const orders::EngineReconciler& reconciler = engine_controller_.reconciler();
   stream.Send(peer::OrderReply{reconciler.revision(), reconciler.settled(),
-                               reconciler.superseded()},
+                               reconciler.superseded(), reconciler.challenge()},
               true);
 }
 
--- a/tests/libraries/orders/order_book_test.cc
+++ b/tests/libraries/orders/order_book_test.cc
@@ -44,7 +44,7 @@
 TEST(EngineReconcilerTest, SettlesOnlyByAStateRead) {
   EngineReconciler reconciler({});
   Engine engine;
-  reconciler.OnDesiredState(DesiredStateAt(3), kStart);
+  reconciler.OnDesiredState(DesiredStateAt(3), reconciler.challenge(), kStart);
   const auto order = reconciler.TakeOrder(kStart);
   ASSERT_TRUE(order.has_value());
   EXPECT_EQ(order->fencing_number, 3U);
@@ -60,28 +60,44 @@
   Engine engine;
   engine.last_number = 5;
   EngineReconciler late_sidecar({});
-  late_sidecar.OnDesiredState(DesiredStateAt(4), kStart);
+  late_sidecar.OnDesiredState(DesiredStateAt(4), late_sidecar.challenge(),
+                              kStart);
   const auto order = late_sidecar.TakeOrder(kStart);
   late_sidecar.OnOrderResult(engine.Apply(*order), kStart);
   EXPECT_TRUE(late_sidecar.superseded());
   EXPECT_FALSE(late_sidecar.TakeOrder(kStart + seconds(1)).has_value());
   // Once it receives the newer revision, it sends orders again.
-  late_sidecar.OnDesiredState(DesiredStateAt(5), kStart);
+  late_sidecar.OnDesiredState(DesiredStateAt(5), late_sidecar.challenge(),
+                              kStart);
   EXPECT_TRUE(late_sidecar.TakeOrder(kStart + seconds(1)).has_value());
 }
 
 TEST(EngineReconcilerTest, SendsNothingAfterAPauseUntilConfirmed) {
   EngineReconciler reconciler({});
-  reconciler.OnDesiredState(DesiredStateAt(1), kStart);
+  reconciler.OnDesiredState(DesiredStateAt(1), reconciler.challenge(), kStart);
   reconciler.OnPause();
   EXPECT_FALSE(reconciler.TakeOrder(kStart).has_value());
-  reconciler.OnDesiredState(DesiredStateAt(1), kStart);
+  reconciler.OnDesiredState(DesiredStateAt(1), reconciler.challenge(), kStart);
+  EXPECT_TRUE(reconciler.TakeOrder(kStart).has_value());
+}
+
+// Guards against a notice that waited while the process was suspended and was
+// taken for a new one.
+TEST(EngineReconcilerTest, NoticeOfBeforeAPauseConfirmsNothing) {
+  EngineReconciler reconciler({});
+  const std::uint64_t challenge = reconciler.challenge();
+  reconciler.OnDesiredState(DesiredStateAt(1), challenge, kStart);
+  reconciler.OnPause();
+  reconciler.OnDesiredState(DesiredStateAt(2), challenge, kStart);
+  EXPECT_EQ(reconciler.revision(), 2U);
+  EXPECT_FALSE(reconciler.TakeOrder(kStart).has_value());
+  reconciler.OnDesiredState(DesiredStateAt(2), reconciler.challenge(), kStart);
   EXPECT_TRUE(reconciler.TakeOrder(kStart).has_value());
 }
 
 TEST(EngineReconcilerTest, SendsNothingWithoutARecentConfirmation) {
   EngineReconciler reconciler({});
-  reconciler.OnDesiredState(DesiredStateAt(1), kStart);
+  reconciler.OnDesiredState(DesiredStateAt(1), reconciler.challenge(), kStart);
   EXPECT_FALSE(reconciler.TakeOrder(kStart + seconds(6)).has_value());
 }
 
@@ -89,20 +105,20 @@
   Engine engine;
   engine.checks_numbers = false;
   EngineReconciler reconciler({});
-  reconciler.OnDesiredState(DesiredStateAt(2), kStart);
+  reconciler.OnDesiredState(DesiredStateAt(2), reconciler.challenge(), kStart);
   reconciler.OnOrderResult(engine.Apply(*reconciler.TakeOrder(kStart)), kStart);
   reconciler.OnStateRead(engine.state, 0, kStart);
   ASSERT_TRUE(reconciler.settled());
   // An outdated sidecar reverts it after a pause.
   engine.Apply({1, StateOf(1)});
   const BootTime later = kStart + seconds(2);
-  reconciler.OnDesiredState(DesiredStateAt(2), later);
+  reconciler.OnDesiredState(DesiredStateAt(2), reconciler.challenge(), later);
   ASSERT_TRUE(reconciler.BeginStateRead(later));
   reconciler.OnStateRead(engine.state, 0, later);
   // A newer sidecar may have made the change, so nothing is sent before the
   // desired state is confirmed.
   EXPECT_FALSE(reconciler.TakeOrder(later).has_value());
-  reconciler.OnDesiredState(DesiredStateAt(2), later);
+  reconciler.OnDesiredState(DesiredStateAt(2), reconciler.challenge(), later);
   reconciler.OnOrderResult(engine.Apply(*reconciler.TakeOrder(later)), later);
   EXPECT_EQ(engine.state, StateOf(2));
 }
@@ -110,7 +126,8 @@
 TEST(EngineReconcilerTest, EngineWithAnOldFencingNumberIsOrderedAgain) {
   Engine engine;
   EngineReconciler reconciler({});
-  reconciler.OnDesiredState({3, StateOf(2), {}}, kStart);
+  reconciler.OnDesiredState({3, StateOf(2), {}}, reconciler.challenge(),
+                            kStart);
   engine.last_number = 2;
   engine.state = StateOf(2);
   reconciler.OnStateRead(engine.state, engine.last_number, kStart);
@@ -126,9 +143,11 @@
   for (std::int64_t rank = 0; rank < 50; ++rank) {
     EngineReconciler reconciler({});
     const milliseconds delay = rank * kLoadInterval;
-    reconciler.OnDesiredState(DesiredStateAt(1, delay), kStart);
+    reconciler.OnDesiredState(DesiredStateAt(1, delay), reconciler.challenge(),
+                              kStart);
     for (BootTime now = kStart;; now += milliseconds(100)) {
-      reconciler.OnDesiredState(DesiredStateAt(1, delay), now);
+      reconciler.OnDesiredState(DesiredStateAt(1, delay),
+                                reconciler.challenge(), now);
       if (!reconciler.TakeOrder(now).has_value()) continue;
       loads.push_back(now);
       break;
@@ -142,11 +161,11 @@
 
 TEST(EngineReconcilerTest, BusyWeightStoreCausesBackoff) {
   EngineReconciler reconciler({});
-  reconciler.OnDesiredState(DesiredStateAt(1), kStart);
+  reconciler.OnDesiredState(DesiredStateAt(1), reconciler.challenge(), kStart);
   int orders_sent = 0;
   for (BootTime now = kStart; now < kStart + seconds(60);
        now += milliseconds(100)) {
-    reconciler.OnDesiredState(DesiredStateAt(1), now);
+    reconciler.OnDesiredState(DesiredStateAt(1), reconciler.challenge(), now);
     if (!reconciler.TakeOrder(now).has_value()) continue;
     ++orders_sent;
     reconciler.OnOrderResult(OrderResult::kWeightStoreBusy, now);
@@ -166,7 +185,7 @@
   std::uint64_t newest_revision = 1;
   std::optional<Order> late_order;
   std::uint64_t highest_applied = 0;
-  old_sidecar.OnDesiredState(DesiredStateAt(1), now);
+  old_sidecar.OnDesiredState(DesiredStateAt(1), old_sidecar.challenge(), now);
   const auto apply = [&](EngineReconciler& reconciler, const Order& order) {
     reconciler.OnOrderResult(engine.Apply(order), now);
     highest_applied = std::max(highest_applied, order.fencing_number);
@@ -181,7 +200,8 @@
   for (const std::uint32_t choice : choices) {
     switch (choice % 6) {
       case 0:
-        new_sidecar.OnDesiredState(DesiredStateAt(++newest_revision), now);
+        new_sidecar.OnDesiredState(DesiredStateAt(++newest_revision),
+                                   new_sidecar.challenge(), now);
         break;
       case 1:
         // The old sidecar is paused between its check and its write.
@@ -196,7 +216,7 @@
         break;
       case 4:
         old_sidecar.OnDesiredState(DesiredStateAt(1 + choice % newest_revision),
-                                   now);
+                                   old_sidecar.challenge(), now);
         break;
       default:
         now += milliseconds(choice % 3000);
@@ -206,7 +226,8 @@
   if (late_order.has_value()) apply(old_sidecar, *late_order);
   for (int i = 0; i < 20; ++i) {
     now += seconds(1);
-    new_sidecar.OnDesiredState(DesiredStateAt(newest_revision), now);
+    new_sidecar.OnDesiredState(DesiredStateAt(newest_revision),
+                               new_sidecar.challenge(), now);
     run(new_sidecar);
   }
   if (newest_revision > 1) RC_ASSERT(engine.state == StateOf(newest_revision));
--- a/tests/processes/orders_test.cc
+++ b/tests/processes/orders_test.cc
@@ -96,6 +96,30 @@
   ResumeAfterNewerOrder({"--ignore-fencing"});
 }
 
+// Guards against an order notice that waited in the socket of a suspended
+// sidecar and was carried out after a newer order.
+TEST_F(OrdersProcessTest, NoticeThatWaitedIsNotCarriedOut) {
+  BackendOptions options;
+  options.engine_arguments = {"--ignore-fencing"};
+  cluster_.AddEngine("llm-1", options);
+  cluster_.AddEntry("entry-1");
+  cluster_.AddReplacement("llm-1b", "llm-1");
+  ASSERT_TRUE(cluster_.Start());
+  Publish(1, {"llm-1"});
+  ASSERT_TRUE(WaitSettled("llm-1", 1));
+  cluster_.process("llm-1").Suspend();
+  Publish(2, {"llm-1"});
+  // Until the entry has sent its notice.
+  WaitUntil([] { return false; }, seconds(2));
+  cluster_.process("llm-1b").Start();
+  cluster_.ListReplacement("llm-1b", "llm-1");
+  Publish(3, {"llm-1"});
+  ASSERT_TRUE(WaitSettled("llm-1b", 3));
+  cluster_.process("llm-1").Resume();
+  WaitUntil([] { return false; }, seconds(5));
+  EXPECT_EQ(cluster_.EngineState("llm-1")["loads"], json({"v1", "v3"}));
+}
+
 TEST_F(OrdersProcessTest, RestartedEngineIsLoadedAgain) {
   cluster_.AddEngine("llm-1");
   cluster_.AddEntry("entry-1");
