Take no confirmation that was asked for before a suspension

Not seen to run a key twice: a key must be created after the confirmations, and callers go to the new sidecar, unless an entry has an old list.

A confirmation now counts in the round in which it was asked for, which ends with each suspension; a suspension is looked for before the reply is read. What holds for good (keys relinquished, a later incarnation) is taken in any. ConfirmationOfBeforeASuspensionConfirmsNothing failed without the check.

--- a/libraries/execution/key_ownership.cc
+++ b/libraries/execution/key_ownership.cc
@@ -143,7 +143,7 @@
 }
 
 void KeyOwnership::OnConfirmation(const Confirmation& confirmation,
-                                  WallTime now) {
+                                  std::uint64_t round, WallTime now) {
   if (confirmation.requester_superseded) {
     superseded_ = true;
     return;
@@ -157,6 +157,7 @@
     AppendView(now);
     views_.back().confirmed.insert_or_assign(confirmation.vm, now);
   }
+  if (round != confirmation_round_) return;
   std::ranges::for_each(views_, [&](View& view) {
     if (view.revision <= confirmation.list_revision) {
       view.confirmed.emplace(confirmation.vm, now);
@@ -166,6 +167,7 @@
 
 void KeyOwnership::OnPause(WallTime now) {
   started_ = std::max(started_, now);
+  ++confirmation_round_;
   if (views_.empty()) return;
   View newest = std::move(views_.back());
   newest.confirmed.clear();
--- a/libraries/execution/key_ownership.h
+++ b/libraries/execution/key_ownership.h
@@ -78,8 +78,14 @@
   // be adopted before this call.
   Confirmation Confirm(const std::string& requester, std::uint64_t incarnation,
                        WallTime now);
-  // Processes a peer's confirmation.
-  void OnConfirmation(const Confirmation& confirmation, WallTime now);
+  // Processes a peer's confirmation. `round`: of the moment at which it was
+  // asked for. That the peer has relinquished its keys, or knows of a later
+  // incarnation of this VM, holds for good; the rest counts only in the same
+  // round, as the peer may have answered before this process was suspended.
+  void OnConfirmation(const Confirmation& confirmation, std::uint64_t round,
+                      WallTime now);
+  // Changes with each suspension of the process.
+  std::uint64_t confirmation_round() const { return confirmation_round_; }
 
   // Relinquishes all keys for the rest of this incarnation.
   void RelinquishKeys() { keys_relinquished_ = true; }
@@ -116,6 +122,7 @@
   WallTime started_;
   bool keys_relinquished_ = false;
   bool superseded_ = false;
+  std::uint64_t confirmation_round_ = 0;
   membership::VmList list_;
   // In order of adoption; never empty once a list is adopted. Confirmations
   // are only added, except that OnPause discards them.
--- a/services/sidecar/service_peers.cc
+++ b/services/sidecar/service_peers.cc
@@ -79,6 +79,7 @@
   if (request.keys_relinquished) {
     executor_.key_ownership().OnConfirmation(
         {request.vm, request.incarnation, request.list_revision, true, false},
+        executor_.key_ownership().confirmation_round(),
         ClockReading::Now().wall);
   }
   peer::ConfirmReply reply;
@@ -113,11 +114,14 @@
         peer::ConnectionLimits{});
   }
   peer::PeerLink::Handlers handlers;
-  handlers.on_message = [this](const peer::Message& message) {
+  const std::uint64_t round = executor_.key_ownership().confirmation_round();
+  handlers.on_message = [this, round](const peer::Message& message) {
     const auto* reply = std::get_if<peer::ConfirmReply>(&message);
     if (reply == nullptr) return;
+    // Detects a suspension in which the reply waited.
+    executor_.Tick(ClockReading::Now());
     AdoptList(reply->confirmation.list_revision, reply->list_text);
-    executor_.key_ownership().OnConfirmation(reply->confirmation,
+    executor_.key_ownership().OnConfirmation(reply->confirmation, round,
                                              ClockReading::Now().wall);
   };
   handlers.on_end = [on_end = std::move(on_end)](peer::StreamEnd) { on_end(); };
--- a/tests/libraries/execution/executor_test.cc
+++ b/tests/libraries/execution/executor_test.cc
@@ -57,6 +57,22 @@
   Executor executor_;
 };
 
+// Guards against a peer's confirmation that waited while this process was
+// suspended and possibly replaced.
+TEST_F(ExecutorTest, ConfirmationOfBeforeASuspensionConfirmsNothing) {
+  KeyOwnership& ownership = executor_.key_ownership();
+  ownership.AdoptList(ListOf(2, {"a", "b"}), now_.wall);
+  const std::uint64_t round = ownership.confirmation_round();
+  now_ = now_ + seconds(5);
+  executor_.Tick(now_);
+  const Confirmation confirmation{"b", 1, 2, false, false};
+  ownership.OnConfirmation(confirmation, round, now_.wall);
+  EXPECT_EQ(ownership.UnconfirmedPeers(), std::vector<std::string>{"b"});
+  ownership.OnConfirmation(confirmation, ownership.confirmation_round(),
+                           now_.wall);
+  EXPECT_TRUE(ownership.UnconfirmedPeers().empty());
+}
+
 class ExecutorNotRunTest : public ExecutorTest {};
 
 TEST_F(ExecutorNotRunTest, CancelledBeforeDispatchIsNotRunAndNeverDispatched) {
--- a/tests/libraries/execution/key_home_property_test.cc
+++ b/tests/libraries/execution/key_home_property_test.cc
@@ -32,9 +32,11 @@
   std::string vm;
   std::uint64_t incarnation;
   std::uint64_t revision;
+  std::uint64_t round;
 };
 struct ConfirmReplyMessage {
   Confirmation confirmation;
+  std::uint64_t round;
 };
 struct Envelope {
   std::string to;
@@ -240,12 +242,13 @@
       network_.push_back(
           {request->vm,
            ConfirmReplyMessage{process.executor->key_ownership().Confirm(
-               request->vm, request->incarnation, now.wall)}});
+                                   request->vm, request->incarnation, now.wall),
+                               request->round}});
     } else {
       const auto& reply = std::get<ConfirmReplyMessage>(envelope.content);
       AdoptList(process, reply.confirmation.list_revision);
       process.executor->key_ownership().OnConfirmation(reply.confirmation,
-                                                       now.wall);
+                                                       reply.round, now.wall);
     }
   }
 
@@ -368,9 +371,12 @@
       for (const std::string& vm : peers) {
         Process* peer = CurrentProcessOf(vm);
         if (peer == nullptr || peer->paused) continue;
-        Handle(*peer, {vm, ConfirmRequestMessage{
-                               process->vm, process->executor->incarnation(),
-                               process->revision}});
+        Handle(
+            *peer,
+            {vm, ConfirmRequestMessage{
+                     process->vm, process->executor->incarnation(),
+                     process->revision,
+                     process->executor->key_ownership().confirmation_round()}});
         const Envelope reply = network_.back();
         network_.pop_back();
         Handle(*process, reply);
