--- a/services/gateway/gateway_node.cc
+++ b/services/gateway/gateway_node.cc
@@ -1,17 +1,14 @@
 // Process-wide logic of the gateway.
 #include "services/gateway/gateway_node.h"
 
-#include <algorithm>
 #include <random>
 #include <utility>
 
 #include "libraries/base/log_event.h"
-#include "libraries/revisions/revision.h"
 
 namespace balsam::gateway {
 namespace {
 
-using revisions::RevisionedEntry;
 using std::chrono::milliseconds;
 
 // Interval of the checks that need no better precision.
@@ -19,9 +16,6 @@
 // Interval between passes over the entire directory, which may hold thousands
 // of servers: two per urgent report (ReportPoller::Limits).
 constexpr milliseconds kDirectoryRefreshInterval{125};
-// Entries that expired around an outage of the store may be missing for this
-// long after its recovery.
-constexpr milliseconds kStoreRecoveryTime{3000};
 constexpr char kMetricsPath[] = "/metrics";
 // How long a leaving report holds if it is not repeated.
 constexpr milliseconds kLeavingReportLifetime{5000};
@@ -29,21 +23,6 @@
 // not: a watch can stall without a visible error.
 constexpr milliseconds kStoreLagTime{8000};
 
-// Changes come in bursts, for example when several engines leave at the same
-// time, and each watch response is a billed call. The next watch is therefore
-// delayed a little, and then returns all changes since. The delay grows with
-// the number of gateways, so that the total number of their calls does not.
-// Several gateways watch at different moments and forward what they learn, so
-// changes become known much sooner than the delay suggests.
-constexpr milliseconds kWatchDelayPerGateway{8};
-// Well within the time in which a configuration must take effect (platform: 2 s
-// and more), and a small part of an engine's leave notice.
-constexpr milliseconds kMaxWatchDelay{200};
-
-// The entry of a server has some hundred bytes. A longer one is not one, and
-// peers would be sent it each time that they lack a change.
-constexpr std::size_t kMaxServerEntryBytes = 64 << 10;
-
 std::uint64_t RandomNumber() {
   std::random_device device;
   return (std::uint64_t{device()} << 32) | device();
@@ -200,152 +179,6 @@
   };
 }
 
-std::vector<RevisionedEntry> GatewayNode::WithoutUnusableTexts(
-    std::vector<RevisionedEntry> entries) const {
-  for (RevisionedEntry& entry : entries) {
-    if (!entry.value.has_value() ||
-        context_.dialect.IsConfigurationKey(entry.key)) {
-      continue;
-    }
-    const bool is_server = context_.dialect.ServerIdOf(entry.key).has_value();
-    if (is_server && entry.value->size() <= kMaxServerEntryBytes) continue;
-    if (is_server) {
-      LogEvent("store_text_dropped", LogEvent::Level::kWarning)
-          .With("key", entry.key)
-          .With("bytes", entry.value->size());
-    }
-    // The key stays, so that what it held before is replaced.
-    entry.value.emplace();
-  }
-  return entries;
-}
-
-void GatewayNode::OnStoreChanges(std::vector<RevisionedEntry> changes,
-                                 std::uint64_t store_revision) {
-  const std::uint64_t before = replica_.revision();
-  changes = WithoutUnusableTexts(std::move(changes));
-  for (const RevisionedEntry& entry : changes) {
-    if (replica_.Apply(entry)) OnEntry(entry, false);
-  }
-  replica_.AdvanceTo(store_revision);
-  if (replica_.revision() > before) peers_.AnnounceRevision();
-}
-
-void GatewayNode::OnStoreSnapshot(std::vector<RevisionedEntry> entries,
-                                  std::uint64_t store_revision) {
-  // A snapshot older than the replica has no new information.
-  if (store_revision < replica_.revision()) return;
-  const std::uint64_t before = replica_.revision();
-  const bool is_restored =
-      before > 0 && revisions::EraOf(store_revision) > revisions::EraOf(before);
-  entries = WithoutUnusableTexts(std::move(entries));
-  const auto changes = replica_.ApplySnapshot({}, entries, store_revision);
-  if (is_restored) {
-    // Servers that are missing from the copy announce themselves again.
-    store_recovered_at_ = BootClock::now();
-    LogEvent("store_copy_applied", LogEvent::Level::kWarning)
-        .With("before", before)
-        .With("revision", store_revision)
-        .With("changes", changes.size());
-  }
-  for (const RevisionedEntry& entry : changes) OnEntry(entry, is_restored);
-  if (store_revision > before) peers_.AnnounceRevision();
-}
-
-milliseconds GatewayNode::WatchDelay() const {
-  return std::min(kMaxWatchDelay,
-                  kWatchDelayPerGateway *
-                      static_cast<std::int64_t>(context_.gateway_count - 1));
-}
-
-void GatewayNode::OnStoreAvailable(bool available) {
-  if (available == store_available_) return;
-  store_available_ = available;
-  if (available) store_recovered_at_ = BootClock::now();
-  LogEvent(available ? "store_regained" : "store_lost",
-           available ? LogEvent::Level::kInfo : LogEvent::Level::kWarning)
-      .With("revision", replica_.revision());
-}
-
-void GatewayNode::OnStoreStandby() {
-  store_available_ = false;
-  LogEvent("store_left_to_others").With("revision", replica_.revision());
-}
-
-bool GatewayNode::ShouldWatchStore() {
-  return watcher_selection_.ShouldWatch(peers_.HigherRankedWatchers(),
-                                        peers_.HigherRankedGateways(),
-                                        BootClock::now());
-}
-
-bool GatewayNode::ReachesStore() const {
-  return store_available_ &&
-         BootClock::now() - store_recovered_at_ >= kStoreRecoveryTime;
-}
-
-bool GatewayNode::MayHaveLapsed() const {
-  return !ReachesStore() && !peers_.AnyReachesStore();
-}
-
-void GatewayNode::OnEntry(const RevisionedEntry& entry, bool is_restored) {
-  if (context_.dialect.IsConfigurationKey(entry.key)) {
-    if (entry.value.has_value()) OnConfiguration(*entry.value);
-    return;
-  }
-  const auto id = context_.dialect.ServerIdOf(entry.key);
-  if (id.has_value()) OnServerEntry(*id, entry.value, is_restored);
-}
-
-void GatewayNode::OnConfiguration(const std::string& text) {
-  const auto on_error = [](const Error& error) {
-    LogEvent("configuration_refused", LogEvent::Level::kError)
-        .With("reason", error.detail);
-    return std::shared_ptr<const routing::RouteTable>();
-  };
-  const auto table = TryOr(
-      [&]() -> Result<std::shared_ptr<const routing::RouteTable>> {
-        BOOST_LEAF_AUTO(configuration,
-                        context_.dialect.ParseConfiguration(text));
-        return routing::RouteTable::Build(std::move(configuration));
-      },
-      on_error);
-  if (table == nullptr) return;
-  const std::uint64_t before =
-      context_.routes == nullptr ? 0 : context_.routes->version();
-  if (table->version() <= before) return;
-  context_.routes = table;
-  configured_at_ = BootClock::now();
-  LogEvent("configuration_in_force")
-      .With("version", table->version())
-      .With("before", before)
-      .With("revision", replica_.revision());
-}
-
-void GatewayNode::OnServerEntry(const std::string& id,
-                                const std::optional<std::string>& text,
-                                bool is_restored) {
-  const BootTime now = BootClock::now();
-  std::optional<directory::ServerChange> change;
-  if (text.has_value()) {
-    change = TryOr(
-        [&]() -> Result<std::optional<directory::ServerChange>> {
-          BOOST_LEAF_AUTO(server, context_.dialect.ParseServer(id, *text));
-          return is_restored ? context_.directory.OnRestored(server, now)
-                             : context_.directory.OnAnnounced(server, now);
-        },
-        [&](const Error& error) {
-          LogEvent("server_entry_refused", LogEvent::Level::kWarning)
-              .With("server", id)
-              .With("reason", error.detail);
-          return context_.directory.OnRemoved(id, false, now);
-        });
-  } else {
-    change =
-        context_.directory.OnRemoved(id, is_restored || MayHaveLapsed(), now);
-  }
-  if (change.has_value()) OnServerChange(*change);
-}
-
 void GatewayNode::OnServerChange(const directory::ServerChange& change) {
   using Kind = directory::ServerChange::Kind;
   LogEvent("server_changed")
--- a/services/sidecar/sidecar_node.cc
+++ b/services/sidecar/sidecar_node.cc
@@ -51,13 +51,6 @@
   return config;
 }
 
-orders::EngineReconciler::Config MakeReconcilerConfig(
-    std::uint64_t incarnation) {
-  orders::EngineReconciler::Config config;
-  config.first_challenge = incarnation;
-  return config;
-}
-
 config_service::WatcherSettings MakeWatcherSettings(
     const SidecarSettings& settings) {
   config_service::WatcherSettings watcher;
@@ -76,7 +69,7 @@
                 settings_.backend_silence_limit}),
       engine_controller_(QUrl(QString::fromStdString(settings_.backend_url)),
                          settings_.order_answer_limit,
-                         MakeReconcilerConfig(executor_.incarnation())),
+                         {.first_challenge = executor_.incarnation()}),
       service_peers_(settings_.vm.id, settings_.service, settings_.peer_key,
                      executor_),
       peer_server_(QByteArray::fromStdString(settings_.peer_key), {}),
