--- a/services/gateway/admission.cc
+++ b/services/gateway/admission.cc
@@ -21,8 +21,8 @@
 // Retry delay while no configuration is known: reading the store takes some
 // milliseconds.
 constexpr milliseconds kUnconfiguredRetry{500};
-// The load balancer forwards a client's retry to another gateway of its data
-// centre, if there is one: certain from this many on average.
+// Gateways to a data centre, on average, from which on a client's retry most
+// likely reaches another one, to which the load balancer forwards it.
 constexpr std::size_t kGatewaysToReachAnother = 2;
 // How long a generation takes to its first event, and for each expected token,
 // on a healthy engine (platform: steps of 8 ms and more). Half as much again,
