--- a/review/1/case.cc
+++ b/review/1/case.cc
@@ -5,6 +5,7 @@
 #include <iostream>
 
 #include "review/standin/client.h"
+#include "review/standin/deployment.h"
 #include "review/standin/gateway.h"
 #include "review/standin/model_engine.h"
 #include "review/standin/store.h"
@@ -17,31 +18,6 @@
 constexpr double kOverlap = 0.4;
 constexpr int kRequests = 12;
 
-std::string RequestText(int number) {
-  const std::string body(300, 'p');
-  return "POST /guest/reply HTTP/1.1\r\nHost: locker.example\r\n"
-         "Request-Id: guest-" +
-         std::to_string(number) +
-         "\r\nModel: m\r\nToken-Usage: 3000,600\r\nPrefix-Hash: a1:79,b" +
-         std::to_string(number) +
-         ":2921\r\nDeadline-Ms: 39000\r\nCredential: key-1\r\n"
-         "Content-Length: " +
-         std::to_string(body.size()) + "\r\n\r\n" + body;
-}
-
-constexpr char kConfiguration[] =
-    R"({"version":7,"routes":[{"name":"r-guest","host":"locker.example",)"
-    R"("prefix":"/guest/","kind":"stream","timeoutMs":39000,"goalMs":1800,)"
-    R"("priority":1,"service":"llm","attempts":1,"public":false,)"
-    R"("sticky":true,"resumable":false,"gapGoalMs":180}],)"
-    R"("services":[{"name":"llm","healthPath":"/health","maxConns":312,)"
-    R"("protocol":"h1","tls":false,"engine":{"slots":32,"kvCapacity":34316,)"
-    R"("kvBytes":163840,"linkMbps":24000.0,"moves":true,"backups":true,)"
-    R"("stride":4,"most":12,"pinMs":4000.0,"holdMs":2000.0,"handleS":5.0,)"
-    R"("models":[{"name":"m"}]}}],"limits":{"maxHeaderBytes":16384,)"
-    R"("maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},)"
-    R"("tenants":[{"name":"owner","apiKeys":["key-1"],"priority":1}]})";
-
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -54,12 +30,12 @@
   const std::string ip = "127.0.0.1";
 
   Store store(ip);
-  store.Put("op/config", kConfiguration);
+  store.Put("op/config", Configuration(7));
   std::vector<std::unique_ptr<ModelEngine>> engines;
   for (const char* id : {"i-1", "i-2", "i-3", "i-4"}) {
     ModelEngine::Options options;
     options.id = id;
-    options.service = "llm";
+    options.service = kModelService;
     // PROTOCOL.md: "Most engines drop a request when its connection closes."
     options.drops_on_close = engines.size() > 0;
     engines.push_back(std::make_unique<ModelEngine>(options, store, record));
@@ -75,12 +51,14 @@
   std::atomic<int> complete = 0;
   for (int i = 0; i < kRequests; ++i) {
     clients.emplace_back([&, i] {
-      record.Line("client sends guest-" + std::to_string(i));
-      const Answer answer = Ask(ip, gateway.front_port(), RequestText(i),
-                                milliseconds(39000));
+      const std::string id = "9" + std::to_string(i);
+      record.Line("client sends " + id);
+      const Answer answer =
+          Ask(ip, gateway.front_port(),
+              GenerationText("/guest/reply", id, 3000, 600, 39000),
+              milliseconds(39000));
       complete += answer.status == 200 && answer.is_complete ? 1 : 0;
-      record.Line("client has guest-" + std::to_string(i) + ": " +
-                  std::to_string(answer.status) +
+      record.Line("client has " + id + ": " + std::to_string(answer.status) +
                   (answer.is_complete ? ", complete" : ", broken off"));
     });
     std::this_thread::sleep_for(milliseconds(60));
--- a/review/standin/model_engine.h
+++ b/review/standin/model_engine.h
@@ -40,12 +40,10 @@
   ModelEngine(Options options, Store& store, Record& record)
       : options_(std::move(options)),
         store_(store),
-        record_(record),
-        server_(options_.ip, [this](Socket& socket, const Message& request) {
-          return Handle(socket, request);
-        }) {
+        record_(record) {
+    Listen(0);
     const std::scoped_lock lock(FleetMutex());
-    Fleet()[server_.address()] = this;
+    Fleet()[address()] = this;
   }
 
   void Announce(const std::string& state) {
@@ -53,7 +51,7 @@
     record_.Line("engine " + options_.id + " is " + state);
     store_.Put("servers/" + options_.id,
                R"({"service":")" + options_.service + R"(","addr":")" +
-                   server_.address() +
+                   address() +
                    R"(","zone":"zone-a","version":"v1","slots":)" +
                    std::to_string(options_.slots) + R"(,"state":")" + state +
                    R"(","coldLeftMs":0,"stage":"hybrid","models":[{"name":"m",)"
@@ -62,13 +60,32 @@
   }
   // The process is gone: its entry is removed and its connections are reset.
   void Exit() {
-    record_.Line("engine " + options_.id + " exits");
-    exited_ = true;
+    Crash();
     store_.Delete("servers/" + options_.id);
-    server_.Stop();
+  }
+  // The process ends, its connections are reset. Its entry stays.
+  void Crash() {
+    record_.Line("engine " + options_.id + " ends");
+    exited_ = true;
+    ++incarnation_;
+    server_->Stop();
+  }
+  // Starts again under the id and at the address that it had. It knows nothing
+  // of before.
+  void Restart() {
+    {
+      const std::scoped_lock lock(mutex_);
+      runs_.clear();
+      copies_.clear();
+      handles_ = 0;
+    }
+    born_ = NowMs();
+    exited_ = false;
+    Listen(server_->port());
+    record_.Line("engine " + options_.id + " has started again");
   }
   const std::string& id() const { return options_.id; }
-  std::string address() const { return server_.address(); }
+  std::string address() const { return server_->address(); }
   std::vector<Period> Periods() {
     const std::scoped_lock lock(mutex_);
     return periods_;
@@ -77,6 +94,8 @@
  private:
   struct Run {
     std::string request;
+    // Of the engine.
+    int incarnation = 0;
     int tokens_in = 0;
     int events = 0;
     // Number of the last event that was made.
@@ -111,6 +130,22 @@
     return json.substr(begin, json.find('"', begin) - begin);
   }
 
+  static long long NowMs() {
+    return std::chrono::duration_cast<milliseconds>(
+               std::chrono::system_clock::now().time_since_epoch())
+        .count();
+  }
+  void Listen(int port) {
+    // A server that was stopped stays for the threads of its connections.
+    servers_.push_back(std::make_unique<Server>(
+        options_.ip,
+        [this](Socket& socket, const Message& request) {
+          return Handle(socket, request);
+        },
+        port));
+    server_ = servers_.back().get();
+  }
+
   bool Handle(Socket& socket, const Message& request) {
     const std::string target = request.Target();
     if (target == "/report") return Report(socket);
@@ -192,7 +227,7 @@
     }
     {
       const std::scoped_lock lock(other->mutex_);
-      other->copies_[server_.address() + "/" + run->handle] = {
+      other->copies_[address() + "/" + run->handle] = {
           run->copied_events, run->request};
     }
     record_.Line("engine " + options_.id + " copied " + id + " to " +
@@ -213,7 +248,7 @@
     }
     for (const auto& run : runs_) {
       const bool is_meant = !run->handle.empty() &&
-                            from == server_.address() + "/" + run->handle;
+                            from == address() + "/" + run->handle;
       if (is_meant && run->stopped.exchange(false)) {
         return Copy{run->made, run->request};
       }
@@ -230,6 +265,7 @@
     }
     auto run = std::make_shared<Run>();
     run->request = id;
+    run->incarnation = incarnation_;
     const std::string usage = request.Header("Token-Usage");
     run->tokens_in = std::atoi(usage.c_str());
     run->events = std::atoi(usage.c_str() + usage.find(',') + 1) / 4;
@@ -253,7 +289,10 @@
     const bool is_done = run->made >= run->events;
     run->stopped = run->stop && !is_done;
     run->ended = true;
-    End(period, is_done ? "done" : run->stop ? "stopped for a move" : "dropped");
+    End(period, is_done                              ? "done"
+                : run->stop                          ? "stopped for a move"
+                : run->incarnation != incarnation_ ? "crashed"
+                                                     : "dropped");
     return is_whole;
   }
 
@@ -267,7 +306,8 @@
         (leaving_ ? "Server-Leaving: 1\r\n" : "") +
         "Transfer-Encoding: chunked\r\n\r\n");
     int sent = last;
-    while (run.made < run.events && !run.stop && !exited_) {
+    while (run.made < run.events && !run.stop &&
+           run.incarnation == incarnation_) {
       std::this_thread::sleep_for(options_.event_interval);
       ++run.made;
       if (is_connected && socket.IsClosedByPeer()) {
@@ -312,10 +352,9 @@
   const Options options_;
   Store& store_;
   Record& record_;
-  const long long born_ =
-      std::chrono::duration_cast<milliseconds>(
-          std::chrono::system_clock::now().time_since_epoch())
-          .count();
+  std::atomic<long long> born_ = NowMs();
+  // Number of times that it has ended.
+  std::atomic<int> incarnation_ = 0;
   std::atomic<bool> leaving_ = false;
   std::atomic<bool> exited_ = false;
   std::mutex mutex_;
@@ -324,7 +363,8 @@
   std::vector<Period> periods_;
   std::map<std::string, Copy> copies_;
   int handles_ = 0;
-  Server server_;
+  std::vector<std::unique_ptr<Server>> servers_;
+  Server* server_ = nullptr;
 };
 
 }  // namespace standin
--- a/review/standin/net.h
+++ b/review/standin/net.h
@@ -192,11 +192,15 @@
   // Handles one request. Returns false to close the connection.
   using Handler = std::function<bool(Socket&, const Message&)>;
 
-  Server(std::string ip, Handler handler)
+  // Port 0 takes any that is free.
+  Server(std::string ip, Handler handler, int port = 0)
       : ip_(std::move(ip)), handler_(std::move(handler)) {
     descriptor_ = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const int on = 1;
+    ::setsockopt(descriptor_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
     sockaddr_in address{};
     address.sin_family = AF_INET;
+    address.sin_port = htons(static_cast<std::uint16_t>(port));
     ::inet_pton(AF_INET, ip_.c_str(), &address.sin_addr);
     socklen_t size = sizeof(address);
     if (::bind(descriptor_, reinterpret_cast<sockaddr*>(&address), size) != 0 ||
