--- a/review/standin/gateway.h
+++ b/review/standin/gateway.h
@@ -102,6 +102,7 @@
     process_ = -1;
   }
 
+  const std::string& name() const { return name_; }
   const std::string& ip() const { return ip_; }
   int front_port() const { return front_port_; }
 
