Review case 4: a part of prompts that crashes engines is not quarantined

Cause: the parts of a prompt are suspected only once the head of the response was received. An engine that crashes before it has written any byte leaves the fingerprint of the whole request as the only suspect, and no two are alike. Change: the case; engines that crash on a part of a prompt.

--- a/review/standin/deployment.h
+++ b/review/standin/deployment.h
@@ -40,15 +40,17 @@
          R"("tenants":[{"name":"owner","apiKeys":["key-1"],"priority":1}]})";
 }
 
-// A request for a generation of at most `tokens_out` tokens.
+// A request for a generation of at most `tokens_out` tokens. `shared_parts`:
+// the parts of its prompt that others share, with a comma after each.
 inline std::string GenerationText(const std::string& path,
                                   const std::string& id, int tokens_in,
-                                  int tokens_out, int deadline_ms) {
+                                  int tokens_out, int deadline_ms,
+                                  const std::string& shared_parts = "a1:79,") {
   const std::string body(300, 'p');
   return "POST " + path + " HTTP/1.1\r\nHost: locker.example\r\nRequest-Id: " +
          id + "\r\nModel: m\r\nToken-Usage: " + std::to_string(tokens_in) +
-         "," + std::to_string(tokens_out) + "\r\nPrefix-Hash: a1:79,b" + id +
-         ":" + std::to_string(tokens_in - 79) +
+         "," + std::to_string(tokens_out) + "\r\nPrefix-Hash: " + shared_parts +
+         "b" + id + ":" + std::to_string(tokens_in / 2) +
          "\r\nDeadline-Ms: " + std::to_string(deadline_ms) +
          "\r\nCredential: key-1\r\nContent-Length: " +
          std::to_string(body.size()) + "\r\n\r\n" + body;
--- a/review/standin/model_engine.h
+++ b/review/standin/model_engine.h
@@ -22,6 +22,14 @@
     // An event holds 4 tokens; a step takes 7 ms and more.
     milliseconds event_interval{40};
     int slots = 32;
+    // A part of prompts that crashes the engine when it begins to write an
+    // answer on it; empty if there is none. It is back after `crash_time`.
+    std::string deadly_part;
+    milliseconds crash_time{2000};
+    // Whether the head of the response is out by then.
+    bool sends_head_before_crash = false;
+    // While the engine is in trouble, bytes that follow the head without end.
+    std::string endless_bytes;
   };
 
   // What one engine did for one request. A run goes on at another engine as
@@ -84,6 +92,12 @@
     Listen(server_->port());
     record_.Line("engine " + options_.id + " has started again");
   }
+  // In trouble, it answers with bytes without end (`endless_bytes`).
+  void SetInTrouble(bool in_trouble) {
+    record_.Line("engine " + options_.id +
+                 (in_trouble ? " is in trouble" : " is well again"));
+    in_trouble_ = in_trouble;
+  }
   const std::string& id() const { return options_.id; }
   std::string address() const { return server_->address(); }
   std::vector<Period> Periods() {
@@ -283,6 +297,27 @@
     if (from.empty()) {
       std::this_thread::sleep_for(milliseconds(run->tokens_in / 14));
     }
+    const bool is_deadly =
+        !options_.deadly_part.empty() &&
+        request.Header("Prefix-Hash").find(options_.deadly_part + ":") !=
+            std::string::npos;
+    if (is_deadly && run->incarnation == incarnation_) {
+      if (options_.sends_head_before_crash) {
+        socket.Write(HeadText(name));
+        std::this_thread::sleep_for(milliseconds(5));
+      }
+      CrashOn(period);
+      return false;
+    }
+    if (in_trouble_) {
+      const bool has_head = socket.Write(HeadText(name));
+      while (has_head && in_trouble_ &&
+             socket.Write(Chunk(options_.endless_bytes))) {
+      }
+      run->ended = true;
+      End(period, "dropped");
+      return false;
+    }
     const std::string last = request.Header("Last-Event-Id");
     const bool is_whole =
         Stream(socket, *run, name, last.empty() ? 0 : std::atoi(last.c_str()));
@@ -296,15 +331,34 @@
     return is_whole;
   }
 
+  static std::string Chunk(const std::string& bytes) {
+    char size[24];
+    std::snprintf(size, sizeof(size), "%zx\r\n", bytes.size());
+    return size + bytes + "\r\n";
+  }
+  std::string HeadText(const std::string& name) const {
+    return "HTTP/1.1 200 OK\r\n" + name +
+           "Response-Seal: 3e1b.07.5a2.600.0.c9f2a4d1\r\n"
+           "Content-Type: text/event-stream\r\n" +
+           (leaving_ ? "Server-Leaving: 1\r\n" : "") +
+           "Transfer-Encoding: chunked\r\n\r\n";
+  }
+
+  // The run of this period crashes the engine, which starts again later.
+  void CrashOn(std::size_t period) {
+    End(period, "crashed the engine");
+    Crash();
+    std::thread([this] {
+      std::this_thread::sleep_for(options_.crash_time);
+      Restart();
+      Announce("ready");
+    }).detach();
+  }
+
   // Makes the events, and sends those after `last` as long as the connection
   // is there. Returns whether the response is complete.
   bool Stream(Socket& socket, Run& run, const std::string& name, int last) {
-    bool is_connected = socket.Write(
-        "HTTP/1.1 200 OK\r\n" + name +
-        "Response-Seal: 3e1b.07.5a2.600.0.c9f2a4d1\r\n"
-        "Content-Type: text/event-stream\r\n" +
-        (leaving_ ? "Server-Leaving: 1\r\n" : "") +
-        "Transfer-Encoding: chunked\r\n\r\n");
+    bool is_connected = socket.Write(HeadText(name));
     int sent = last;
     while (run.made < run.events && !run.stop &&
            run.incarnation == incarnation_) {
@@ -321,10 +375,8 @@
         events += "id: " + std::to_string(sent + 1) + "\ndata: " + run.request +
                   "." + std::to_string(sent + 1) + "\n\n";
       }
-      char size[16];
-      std::snprintf(size, sizeof(size), "%zx\r\n", events.size());
       if (is_connected && !events.empty()) {
-        is_connected = socket.Write(size + events + "\r\n");
+        is_connected = socket.Write(Chunk(events));
       }
     }
     if (run.made < run.events || !is_connected) return false;
@@ -357,6 +409,7 @@
   std::atomic<int> incarnation_ = 0;
   std::atomic<bool> leaving_ = false;
   std::atomic<bool> exited_ = false;
+  std::atomic<bool> in_trouble_ = false;
   std::mutex mutex_;
   std::mutex link_mutex_;
   std::vector<std::shared_ptr<Run>> runs_;
