--- a/review/standin/model_engine.h
+++ b/review/standin/model_engine.h
@@ -28,8 +28,6 @@
     milliseconds crash_time{2000};
     // Whether the head of the response is out by then.
     bool sends_head_before_crash = false;
-    // While the engine is in trouble, bytes that follow the head without end.
-    std::string endless_bytes;
   };
 
   // What one engine did for one request. A run goes on at another engine as
@@ -89,12 +87,6 @@
     Listen(server_->port());
     record_.Line("engine " + options_.id + " has started again");
   }
-  // In trouble, it answers with bytes without end (`endless_bytes`).
-  void SetInTrouble(bool in_trouble) {
-    record_.Line("engine " + options_.id +
-                 (in_trouble ? " is in trouble" : " is well again"));
-    in_trouble_ = in_trouble;
-  }
   const std::string& id() const { return options_.id; }
   std::string address() const { return server_->address(); }
   std::vector<Period> Periods() {
@@ -307,15 +299,6 @@
       CrashOn(period);
       return false;
     }
-    if (in_trouble_) {
-      const bool has_head = socket.Write(HeadText(name));
-      while (has_head && in_trouble_ &&
-             socket.Write(Chunk(options_.endless_bytes))) {
-      }
-      run->ended = true;
-      End(period, "dropped");
-      return false;
-    }
     const std::string last = request.Header("Last-Event-Id");
     const bool is_whole =
         Stream(socket, *run, name, last.empty() ? 0 : std::atoi(last.c_str()));
@@ -408,7 +391,6 @@
   std::atomic<int> incarnation_ = 0;
   std::atomic<bool> leaving_ = false;
   std::atomic<bool> exited_ = false;
-  std::atomic<bool> in_trouble_ = false;
   std::mutex mutex_;
   std::mutex link_mutex_;
   std::vector<std::shared_ptr<Run>> runs_;
