Accept late in a planned stop only what its deadline ends in time

Cause: PlannedStop::Accepts was told a latest end that was a guess, 1 s and 15 ms a token of the longest response. Engines that produce an event of four tokens in 120 ms are on time and take twice as long. Nothing that a gateway knows bounds how long a stream takes: neither the stated length, which says nothing of the time for a token, nor token times measured a moment ago. Only the request's deadline does, which the gateway itself enforces.

Once the balancer has noticed the stop, a request of either kind is accepted only if its deadline lies before the end of the grace period. The refused client is told to come back when stopped gateways have restarted, if it would wait so long: the balancer forwards clients to a stopping gateway at that time only if fewer than half of its data centre's gateways are ready, so that a client that returns at once likely meets another one of them and is refused for good. Others return at once as before.

Weighed: moving a run elsewhere does not help, as the client's connection ends with this process. Real token times bound nothing, see above.

AcceptsNoStreamThatMayBeLongOnceBalancerKnows expected that a stream of at most 8 tokens is accepted under a deadline of 600 s, which is this fault; it now expects a refusal, and that one with a deadline within the grace period is served. That a late client returns at once with a single gateway to a data centre is now expected of those that would not wait for the restart.

--- a/libraries/dispatch/retry_after_delay.cc
+++ b/libraries/dispatch/retry_after_delay.cc
@@ -34,7 +34,11 @@
   delay = std::max(delay, kMinDelay);
   const double jitter_factor = 1.0 + jitter * (kMaxJitterFactor - 1.0);
   return std::min(duration_cast<milliseconds>(delay * jitter_factor),
-                  duration_cast<milliseconds>(time_left * kMaxShareOfTimeLeft));
+                  MaxRetryAfter(time_left));
+}
+
+milliseconds MaxRetryAfter(milliseconds time_left) {
+  return duration_cast<milliseconds>(time_left * kMaxShareOfTimeLeft);
 }
 
 }  // namespace balsam::dispatch
--- a/libraries/dispatch/retry_after_delay.h
+++ b/libraries/dispatch/retry_after_delay.h
@@ -17,4 +17,7 @@
     std::chrono::milliseconds objective, std::chrono::milliseconds time_left,
     double jitter);
 
+// The longest Retry-After that a client with this much time left honours.
+std::chrono::milliseconds MaxRetryAfter(std::chrono::milliseconds time_left);
+
 }  // namespace balsam::dispatch
--- a/services/gateway/admission.cc
+++ b/services/gateway/admission.cc
@@ -6,9 +6,11 @@
 #include <boost/algorithm/string/join.hpp>
 #include <cstddef>
 #include <iterator>
+#include <random>
 #include <string>
 
 #include "libraries/base/log_event.h"
+#include "libraries/dispatch/retry_after_delay.h"
 #include "libraries/membership/rendezvous.h"
 
 namespace balsam::gateway {
@@ -24,9 +26,9 @@
 // Gateways to a data centre, on average, from which on a client's retry most
 // likely reaches another one, to which the load balancer forwards it.
 constexpr std::size_t kGatewaysToReachAnother = 2;
-// How long a generation takes to its first event, and for each expected token,
-// on a healthy engine (platform: steps of 8 ms and more). Half as much again,
-// as the expected length is exceeded as often as not.
+// How long a generation likely takes to its first event, and for each expected
+// token (platform: steps of 8 ms and more). Half as much again, as the expected
+// length is exceeded as often as not.
 constexpr milliseconds kStartTime{1000};
 constexpr milliseconds kTokenTime{15};
 
@@ -64,16 +66,23 @@
 }
 
 PlannedStop::ExpectedEnd ExpectedEndOf(const AdmittedRequest& request,
-                                       const RequestMetadata& metadata,
                                        BootTime received) {
   if (request.engine() == nullptr) return {request.deadline, request.deadline};
-  const auto end_with = [&](std::int64_t tokens) {
-    return std::min(request.deadline,
-                    received + kStartTime + kTokenTime * tokens);
-  };
-  const std::int64_t likely = request.demand.output_tokens;
-  return {end_with(likely),
-          end_with(std::max(likely, metadata.max_output_tokens))};
+  const BootTime likely =
+      received + kStartTime + kTokenTime * request.demand.output_tokens;
+  return {std::min(request.deadline, likely), request.deadline};
+}
+
+milliseconds StopRetryAfter(GatewayContext& context, BootTime deadline,
+                            BootTime now) {
+  const bool reaches_another =
+      context.gateway_count >= kGatewaysToReachAnother * context.data_centers;
+  std::uniform_real_distribution<double> jitter(0.0, 1.0);
+  return context.stop->RetryAfter(
+      reaches_another,
+      dispatch::MaxRetryAfter(
+          std::chrono::duration_cast<milliseconds>(deadline - now)),
+      jitter(context.random), now);
 }
 
 }  // namespace
@@ -95,7 +104,7 @@
       .With("whole", is_in_signature(traits.back()) ? 1 : 0);
 }
 
-std::variant<AdmittedRequest, Rejection> Admit(const GatewayContext& context,
+std::variant<AdmittedRequest, Rejection> Admit(GatewayContext& context,
                                                const RequestMetadata& metadata,
                                                const http1::RequestHead& head,
                                                std::string_view body,
@@ -124,12 +133,9 @@
                           metadata.time_left.value_or(request.route->timeout));
   request.demand = DemandOf(request, metadata);
   if (context.stop.has_value() &&
-      !context.stop->Accepts(ExpectedEndOf(request, metadata, received),
-                             received)) {
-    const bool reaches_another =
-        context.gateway_count >= kGatewaysToReachAnother * context.data_centers;
+      !context.stop->Accepts(ExpectedEndOf(request, received), received)) {
     return Rejection{503, "stopping",
-                     context.stop->RetryAfter(reaches_another, received)};
+                     StopRetryAfter(context, request.deadline, received)};
   }
   request.traits = TraitsOf(metadata, head, body);
   if (const auto signature =
--- a/services/gateway/admission.h
+++ b/services/gateway/admission.h
@@ -68,7 +68,7 @@
                     std::span<const quarantine::Trait> traits,
                     const quarantine::Signature& signature);
 
-std::variant<AdmittedRequest, Rejection> Admit(const GatewayContext& context,
+std::variant<AdmittedRequest, Rejection> Admit(GatewayContext& context,
                                                const RequestMetadata& metadata,
                                                const http1::RequestHead& head,
                                                std::string_view body,
--- a/services/gateway/planned_stop.cc
+++ b/services/gateway/planned_stop.cc
@@ -17,6 +17,11 @@
 constexpr milliseconds kShortRetry{100};
 // Before the process is terminated, so that the answers still reach clients.
 constexpr milliseconds kFinalAnswerTime{300};
+// From the termination of a process until the load balancer has noticed that it
+// is back.
+constexpr milliseconds kRestartTime{1500};
+// Range over which clients that wait for the restart are spread.
+constexpr milliseconds kReturnSpread{1000};
 
 }  // namespace
 
@@ -27,7 +32,18 @@
   return now - start_ >= kBalancerDelay;
 }
 
-milliseconds PlannedStop::RetryAfter(bool reaches_another, BootTime now) const {
+milliseconds PlannedStop::RetryAfter(bool reaches_another, milliseconds longest,
+                                     double jitter, BootTime now) const {
+  // The balancer still forwards clients here although it has noticed the stop:
+  // most gateways of the data centre are stopping, and a client that returns at
+  // once likely meets another one of them.
+  if (IsKnownToBalancer(now)) {
+    const auto until_restart =
+        std::chrono::ceil<milliseconds>(deadline_ + kFinalAnswerTime - now) +
+        kRestartTime +
+        std::chrono::duration_cast<milliseconds>(kReturnSpread * jitter);
+    return until_restart <= longest ? until_restart : kShortRetry;
+  }
   if (reaches_another) return kShortRetry;
   const auto until_noticed = start_ + kBalancerNoticeTime - now;
   return std::max(kShortRetry, std::chrono::ceil<milliseconds>(until_noticed));
--- a/services/gateway/planned_stop.h
+++ b/services/gateway/planned_stop.h
@@ -15,7 +15,8 @@
   struct ExpectedEnd {
     // Most likely.
     BootTime likely;
-    // On a server that is healthy.
+    // The request's deadline. Nothing else bounds how long a server that works
+    // properly takes.
     BootTime latest;
   };
 
@@ -30,9 +31,12 @@
   bool IsKnownToBalancer(BootTime now) const;
   // When a client whose request was not accepted should try again.
   // `reaches_another`: its next connection most likely reaches another gateway
-  // even if the load balancer has not noticed the stop.
+  // even if the load balancer has not noticed the stop. `longest`: a client
+  // would not wait longer. `jitter`: a number from 0 to 1 that spreads the
+  // clients that wait until stopped gateways have restarted.
   std::chrono::milliseconds RetryAfter(bool reaches_another,
-                                       BootTime now) const;
+                                       std::chrono::milliseconds longest,
+                                       double jitter, BootTime now) const;
 
   BootTime start() const { return start_; }
   // Shortly before the process is terminated: what has no response then is
--- a/tests/services/gateway/exchange_test.cc
+++ b/tests/services/gateway/exchange_test.cc
@@ -215,18 +215,22 @@
 }
 
 // Guards against a stream that is accepted because a short response is expected
-// and cut when it becomes long.
+// and cut when it becomes long, or its engine slow.
 TEST_F(StoppingExchangeTest, AcceptsNoStreamThatMayBeLongOnceBalancerKnows) {
   const auto now = BootClock::now();
   const auto grace = std::chrono::seconds(10);
   route_timeout_ = std::chrono::seconds(600);
   expected_tokens_ = 4;
-  max_tokens_ = 1000;
   context_.stop.emplace(now - std::chrono::seconds(5), grace);
-  Send(routing::RequestKind::kStream, 1);
-  EXPECT_EQ(sink_.status, 503);
-  // One that is short in any case.
-  max_tokens_ = 8;
+  for (const int tokens : {1000, 8}) {
+    max_tokens_ = tokens;
+    sink_.complete.reset();
+    Send(routing::RequestKind::kStream, 1);
+    EXPECT_EQ(sink_.status, 503);
+  }
+  EXPECT_TRUE(first_.heads.empty());
+  // One that its deadline ends in any case.
+  route_timeout_ = std::chrono::seconds(3);
   first_.on_request = [](const auto& request) {
     BeginStream(request.socket, 1, 2);
     EndStream(request.socket);
--- a/tests/services/gateway/planned_stop_times_test.cc
+++ b/tests/services/gateway/planned_stop_times_test.cc
@@ -10,6 +10,8 @@
 
 const BootTime kStart{std::chrono::hours(1)};
 constexpr milliseconds kGrace{8000};
+// How long a client of a long generation would wait.
+constexpr milliseconds kPatience{13000};
 
 PlannedStop::ExpectedEnd EndsIn(BootTime now, milliseconds likely,
                                 milliseconds latest) {
@@ -44,11 +46,26 @@
   constexpr milliseconds kCheckInterval{1000};
   for (const milliseconds since : {milliseconds(0), milliseconds(700)}) {
     const BootTime now = kStart + since;
-    EXPECT_GT(now + stop.RetryAfter(false, now), kStart + 2 * kCheckInterval);
-    EXPECT_LE(stop.RetryAfter(true, now), milliseconds(100));
+    EXPECT_GT(now + stop.RetryAfter(false, kPatience, 0.0, now),
+              kStart + 2 * kCheckInterval);
+    EXPECT_LE(stop.RetryAfter(true, kPatience, 0.0, now), milliseconds(100));
   }
+}
+
+// Guards against clients that are refused for good, because the load balancer
+// sends their only retry to another of the gateways that are stopping.
+TEST(PlannedStopTimesTest, LateClientsReturnOnceGatewaysHaveRestarted) {
+  const PlannedStop stop(kStart, kGrace);
   const BootTime late = kStart + milliseconds(5000);
-  EXPECT_LE(stop.RetryAfter(false, late), milliseconds(100));
+  for (const bool reaches_another : {false, true}) {
+    EXPECT_GT(late + stop.RetryAfter(reaches_another, kPatience, 0.0, late),
+              kStart + kGrace);
+    EXPECT_GT(stop.RetryAfter(reaches_another, kPatience, 1.0, late),
+              stop.RetryAfter(reaches_another, kPatience, 0.0, late));
+    // A client that cannot wait so long tries at once.
+    EXPECT_LE(stop.RetryAfter(reaches_another, milliseconds(2000), 0.0, late),
+              milliseconds(100));
+  }
 }
 
 TEST(PlannedStopTimesTest, AnswersBeforeTheProcessIsTerminated) {
