Stop a run by a call before it resumes elsewhere

Cause: after a copy that took over 60 ms the migration closed the source's stream and resumed at the target. Most engines drop what is closed, some do not. The last copy, which stops the run, was left out so that its wait for the engine's link does not interrupt the stream.

Now the run is stopped by the last copy in any case. After a long first copy the call's response is not waited for: the engine ends the stream when the run has stopped, and the target reads the few tokens that its copy lacks. The call is not aborted then. If the target refuses the copy, the run resumes at its source, which was lost before.

Failed before: RunIsStoppedAtItsSourceHoweverLongTheCopy and ResumesFromTheFirstCopyWhenCopiesAreSlow (kCloseAndResumeAtTarget), and RunIsNeverActiveOnTwoEngines, whose model took a closed stream for a stopped run; it now takes only a call for that. ClosedRunIsLostIfTheTargetRefusesIt becomes StoppedRunFallsBackToItsSource.

--- a/libraries/migration/migration_state_machine.cc
+++ b/libraries/migration/migration_state_machine.cc
@@ -33,11 +33,7 @@
     switch (result) {
       case CopyResult::kCopied:
         has_copy_ = true;
-        if (source_stream_broken_ || took > limits_.max_short_copy) {
-          state_ = State::kResuming;
-          return source_stream_broken_ ? MigrationStep::kResumeAtTarget
-                                       : MigrationStep::kCloseAndResumeAtTarget;
-        }
+        was_copy_long_ = took > limits_.max_short_copy;
         state_ = State::kStopping;
         return MigrationStep::kStopAndCopy;
       case CopyResult::kNoCapacity:
@@ -62,6 +58,8 @@
       state_ = State::kResuming;
       return MigrationStep::kResumeAtSource;
     case CopyResult::kBusy:
+      // The run was not asked to stop.
+      was_copy_long_ = false;
       return MigrationStep::kRetryLater;
     case CopyResult::kNoSuchRun:
     case CopyResult::kNoResponse:
@@ -75,10 +73,14 @@
 MigrationStep MigrationStateMachine::OnSourceStreamBroken() {
   const bool was_broken = source_stream_broken_;
   source_stream_broken_ = true;
-  // The response to the call that stops the run is still pending.
-  if (state_ == State::kStopping && !was_broken) return MigrationStep::kNone;
+  // The response to the call that stops the run is still pending. A stream that
+  // ends after the call shows that the run has stopped, too.
+  if (state_ == State::kStopping && !was_broken && !was_copy_long_) {
+    return MigrationStep::kNone;
+  }
   if (state_ == State::kResuming) return MigrationStep::kNone;
   if (!has_copy_) return MigrationStep::kLost;
+  source_holds_memory_ = state_ == State::kStopping && !was_broken;
   state_ = State::kResuming;
   return MigrationStep::kResumeAtTarget;
 }
--- a/libraries/migration/migration_state_machine.h
+++ b/libraries/migration/migration_state_machine.h
@@ -1,8 +1,10 @@
 // State machine for the live migration of one generation from a leaving engine
 // to another: pre-copy its memory while it runs, stop it and copy the rest,
-// then resume it at the target. If copies queue for a long time on the engine's
-// link, the second copy is skipped, and the target prefills the few missing
-// tokens. Free of I/O; the caller performs each step and reports its result.
+// then resume it at the target. The run is always stopped by a call, since an
+// engine may go on with it after its connection has closed. If copies queue for
+// a long time on the engine's link, the second copy is not waited for, and the
+// target prefills the few missing tokens. Free of I/O; the caller performs each
+// step and reports its result.
 #pragma once
 
 #include <chrono>
@@ -35,9 +37,6 @@
   kRetryLater,
   // Resume the run at the target from the copy.
   kResumeAtTarget,
-  // Close the stream from the source, which stops the run there, then resume it
-  // at the target from a copy that lacks the last tokens.
-  kCloseAndResumeAtTarget,
   // Resume the run at the source, which stopped it and still holds its memory.
   kResumeAtSource,
   // The run cannot be resumed: there is no copy, or no server accepted it.
@@ -47,9 +46,9 @@
 class MigrationStateMachine {
  public:
   struct Limits {
-    // A copy that took at most this long met short transfer queues, so a second
-    // copy for the rest interrupts the stream for less time than a client
-    // notices.
+    // A copy that took at most this long met short transfer queues, so waiting
+    // for a second copy of the rest interrupts the stream for less time than a
+    // client notices.
     std::chrono::milliseconds max_short_copy{60};
     // Number of targets to try before waiting for a retry.
     int max_targets = 4;
@@ -97,6 +96,8 @@
   // The source stopped the run and, as far as is known, still holds its memory.
   bool source_holds_memory_ = false;
   bool source_stream_broken_ = false;
+  // The copy took too long to wait for a second one.
+  bool was_copy_long_ = false;
   bool resuming_at_source_ = false;
   int targets_tried_ = 0;
 };
--- a/services/gateway/generation_migration.cc
+++ b/services/gateway/generation_migration.cc
@@ -1,6 +1,7 @@
 // Copies, target selection and the handover to the exchange.
 #include "services/gateway/generation_migration.h"
 
+#include <QPointer>
 #include <utility>
 
 #include "libraries/base/log_event.h"
@@ -144,8 +145,6 @@
       retry_timer_.start(kStepRetryDelay);
       return;
     case MigrationStep::kResumeAtTarget:
-    case MigrationStep::kCloseAndResumeAtTarget:
-      // Resuming closes the stream at the source in either case.
       Resume(true);
       return;
     case MigrationStep::kResumeAtSource:
@@ -204,10 +203,16 @@
   call_ = context_.pool.Acquire(run_.server_id, run_.endpoint,
                                 ConnectionPool::Use::kRequest);
   call_started_at_ = BootClock::now();
-  call_->Call(call.ToBytes(), kCopyTimeout,
-              [this](const OutboundConnection::Response& reply) {
-                OnCopyResponse(reply);
-              });
+  call_->Call(
+      call.ToBytes(), kCopyTimeout,
+      [self = QPointer(this), connection = call_, pool = &context_.pool,
+       server = run_.server_id](const OutboundConnection::Response& reply) {
+        if (self != nullptr && self->call_ == connection) {
+          self->OnCopyResponse(reply);
+        } else {
+          pool->Release(server, connection);
+        }
+      });
 }
 
 void GenerationMigration::OnCopyResponse(
@@ -241,7 +246,8 @@
 }
 
 void GenerationMigration::Resume(bool at_target) {
-  ReleaseCall();
+  // A call that is still in progress stops the run; its response is not needed.
+  call_ = nullptr;
   ReleaseTarget();
   LeaveCopyQueue();
   on_resume({at_target ? target_id_ : run_.server_id,
--- a/tests/libraries/migration/move_machine_test.cc
+++ b/tests/libraries/migration/move_machine_test.cc
@@ -36,22 +36,42 @@
 }
 
 // Guards against losing generations when an engine with many long runs leaves
-// and their copies queue on its link for most of the time left. A second copy
-// would queue behind the first copies of all other runs, and delay those behind
-// it until they are too late.
+// and their copies queue on its link for most of the time left: the second
+// copy, which queues behind the first copies of all other runs, is not waited
+// for.
 TEST_F(MigrationStateMachineTest, ResumesFromTheFirstCopyWhenCopiesAreSlow) {
   StartFirstCopy();
   EXPECT_EQ(machine_.OnCopyResult(CopyResult::kCopied, kLongCopy),
-            MigrationStep::kCloseAndResumeAtTarget);
-  // Closed by the caller.
-  EXPECT_EQ(machine_.OnSourceStreamBroken(), MigrationStep::kNone);
+            MigrationStep::kStopAndCopy);
+  // Closed by the engine, which was asked to stop the run.
+  EXPECT_EQ(machine_.OnSourceStreamBroken(), MigrationStep::kResumeAtTarget);
   EXPECT_EQ(machine_.OnResumeResult(true), MigrationStep::kNone);
   EXPECT_FALSE(machine_.active());
 }
 
-TEST_F(MigrationStateMachineTest, ClosedRunIsLostIfTheTargetRefusesIt) {
+// Guards against a run that goes on at two engines (review/1): its stream was
+// closed instead of stopping it, and the source did not care.
+TEST_F(MigrationStateMachineTest, RunIsStoppedAtItsSourceHoweverLongTheCopy) {
+  for (const milliseconds took : {kShortCopy, kLongCopy}) {
+    machine_ = MigrationStateMachine({});
+    StartFirstCopy();
+    EXPECT_EQ(machine_.OnCopyResult(CopyResult::kCopied, took),
+              MigrationStep::kStopAndCopy);
+    // The call that was to stop it was refused: another one is in progress.
+    EXPECT_EQ(machine_.OnCopyResult(CopyResult::kBusy, kShortCopy),
+              MigrationStep::kRetryLater);
+    EXPECT_EQ(machine_.OnSourceStreamBroken(), MigrationStep::kNone);
+    EXPECT_EQ(machine_.OnRetryTimer(), MigrationStep::kStopAndCopy);
+    EXPECT_EQ(machine_.OnCopyResult(CopyResult::kCopied, kShortCopy),
+              MigrationStep::kResumeAtTarget);
+  }
+}
+
+TEST_F(MigrationStateMachineTest, StoppedRunFallsBackToItsSource) {
   StartFirstCopy();
   machine_.OnCopyResult(CopyResult::kCopied, kLongCopy);
+  machine_.OnSourceStreamBroken();
+  EXPECT_EQ(machine_.OnResumeResult(false), MigrationStep::kResumeAtSource);
   EXPECT_EQ(machine_.OnResumeResult(false), MigrationStep::kLost);
 }
 
@@ -112,18 +132,17 @@
 }
 
 // In any sequence of results, a run is never resumed while the source may still
-// be running it.
+// be running it. The end of its stream does not stop a run, unless the engine
+// was asked to stop it.
 RC_GTEST_PROP(MigrationStateMachinePropertyTest, RunIsNeverActiveOnTwoEngines,
               ()) {
   MigrationStateMachine machine{MigrationStateMachine::Limits{}};
   bool source_runs = true;
   bool stop_asked = false;
   MigrationStep step = machine.OnLeaveNotice();
+  bool has_stream = true;
   for (int i = 0; i < 40 && step != MigrationStep::kLost; ++i) {
-    // The caller closes the source's stream first.
-    if (step == MigrationStep::kCloseAndResumeAtTarget) source_runs = false;
     if (step == MigrationStep::kResumeAtTarget ||
-        step == MigrationStep::kCloseAndResumeAtTarget ||
         step == MigrationStep::kResumeAtSource) {
       RC_ASSERT(!source_runs);
       step = machine.OnResumeResult(*rc::gen::arbitrary<bool>());
@@ -131,8 +150,9 @@
       continue;
     }
     stop_asked = step == MigrationStep::kStopAndCopy;
-    if (source_runs && *rc::gen::inRange(0, 8) == 0) {
-      source_runs = false;
+    if (has_stream && *rc::gen::inRange(0, 8) == 0) {
+      has_stream = false;
+      if (stop_asked) source_runs = false;
       const MigrationStep next = machine.OnSourceStreamBroken();
       if (next != MigrationStep::kNone) {
         step = next;
@@ -146,10 +166,12 @@
       case MigrationStep::kCopy:
       case MigrationStep::kStopAndCopy: {
         const auto result = static_cast<CopyResult>(*rc::gen::inRange(0, 5));
-        const bool answered =
-            result == CopyResult::kCopied || result == CopyResult::kNoCapacity;
-        // A confirmed stop has ended the run at the source.
-        if (stop_asked && answered) source_runs = false;
+        const bool stopped = stop_asked && (result == CopyResult::kCopied ||
+                                            result == CopyResult::kNoCapacity);
+        // An engine that neither answers nor holds the stream is gone.
+        const bool gone = result == CopyResult::kNoSuchRun ||
+                          (!has_stream && result == CopyResult::kNoResponse);
+        if (stopped || gone) source_runs = false;
         step = machine.OnCopyResult(
             result, *rc::gen::arbitrary<bool>() ? kShortCopy : kLongCopy);
         break;
