Keep what belongs to an engine's new incarnation when its restart is told

Cause: state that belongs to an incarnation is kept by id, and the news of a restart was taken for the restart. What still runs then runs on the new incarnation.

Requests now end with their connection; those at an address that the engine no longer has are ended. A backoff, a limit and a notice of leaving outlive the news if they are from after the start, by the age that the entry tells; a final notice near the start, and one on a connection from before the news, may be of either incarnation and expires unless repeated. Peers and reports say which incarnation is leaving. A migration uses and releases no handle of a source that has restarted, as the new incarnation gives them out anew. Loads stay with their requests.

The fixture's entries now say when an incarnation started in real time: an engine that started in 1970 is always older than what is known of it.

--- a/libraries/directory/backend_directory.cc
+++ b/libraries/directory/backend_directory.cc
@@ -47,8 +47,8 @@
                          entry.server.started_at != server.started_at;
   const ServerState previous_state = entry.state;
   if (restarted) {
-    entry.reported_leaving = false;
-    entry.leaving_is_final = false;
+    ForgetOldNotices(entry, now - server.age);
+    entry.known_since = now;
   }
   if (entry.reported_leaving) state = ServerState::kLeaving;
   entry.announced = true;
@@ -65,6 +65,14 @@
                       server.id};
 }
 
+void BackendDirectory::ForgetOldNotices(Entry& entry, BootTime began) {
+  const BootTime noticed = entry.noticed_leaving_at;
+  entry.reported_leaving &= noticed >= began;
+  // A final notice that may be of either incarnation holds like a report, until
+  // it was not repeated for a while.
+  entry.leaving_is_final &= noticed >= began + kMaxClockError;
+}
+
 std::optional<ServerChange> BackendDirectory::OnRestored(
     const BackendServer& server, BootTime now) {
   const auto found = entries_.find(server.id);
@@ -118,6 +126,7 @@
   if (found == entries_.end()) return std::nullopt;
   Entry& entry = found->second;
   entry.reported_leaving = true;
+  entry.noticed_leaving_at = now;
   if (notice == LeavingNotice::kFinal) entry.leaving_is_final = true;
   if (entry.state == ServerState::kLeaving) return std::nullopt;
   entry.state = ServerState::kLeaving;
@@ -179,6 +188,11 @@
   return found == entries_.end() ? nullptr : &found->second.server;
 }
 
+BootTime BackendDirectory::KnownSince(std::string_view id) const {
+  const auto found = entries_.find(id);
+  return found == entries_.end() ? BootTime{} : found->second.known_since;
+}
+
 std::optional<ServerState> BackendDirectory::StateOf(
     std::string_view id) const {
   const auto found = entries_.find(id);
--- a/libraries/directory/backend_directory.h
+++ b/libraries/directory/backend_directory.h
@@ -40,8 +40,11 @@
   std::chrono::milliseconds cold_left{0};
   // When it stops being slow; set by the directory.
   BootTime cold_until;
-  // When this incarnation started; unset if it was not announced.
+  // When this incarnation started, in Unix time; unset if it was not announced.
   std::optional<std::chrono::milliseconds> started_at;
+  // Time since then when its announcement was received, by this VM's clock,
+  // which may differ from the server's by seconds.
+  std::chrono::milliseconds age{0};
 };
 
 enum class ServerState {
@@ -84,6 +87,9 @@
   }
 };
 
+// How far the clocks of a backend server and of this VM may differ.
+inline constexpr std::chrono::milliseconds kMaxClockError{2000};
+
 class BackendDirectory {
  public:
   struct Limits {
@@ -100,7 +106,9 @@
 
   explicit BackendDirectory(Limits limits) : limits_(limits) {}
 
-  // Called when an announcement was written. Returns the resulting change.
+  // Called when an announcement was written. Returns the resulting change. That
+  // a server has restarted may become known long after its new incarnation is
+  // in use, so notices that the new one may have given remain valid.
   std::optional<ServerChange> OnAnnounced(const BackendServer& server,
                                           BootTime now);
   // Called when the store was restored from an older copy and holds this
@@ -131,6 +139,8 @@
 
   // Returns null if the server is unknown.
   const BackendServer* Find(std::string_view id) const;
+  // When the present incarnation became known; zero if the server is unknown.
+  BootTime KnownSince(std::string_view id) const;
   // Returns nothing if the server is unknown.
   std::optional<ServerState> StateOf(std::string_view id) const;
   // Calls `visit(server, state)` for each server of `service`.
@@ -156,6 +166,10 @@
     bool reported_leaving = false;
     // Implies `reported_leaving`, which then does not expire.
     bool leaving_is_final = false;
+    // When the incarnation became known.
+    BootTime known_since{};
+    // When the last such notice was received.
+    BootTime noticed_leaving_at{};
     // The store holds its announcement.
     bool announced = true;
     // Until then, a restored announcement does not make the server ready; zero
@@ -163,6 +177,8 @@
     BootTime doubted_until{};
   };
 
+  // Drops the notices of a former incarnation; the new one started at `began`.
+  static void ForgetOldNotices(Entry& entry, BootTime began);
   // Returns whether the restored announcement of a server that counts as
   // leaving has been renewed for long enough.
   static bool IsConfirmed(const Entry& entry, BootTime now);
--- a/libraries/dispatch/server_selector.cc
+++ b/libraries/dispatch/server_selector.cc
@@ -290,9 +290,18 @@
   if (result == AttemptResult::kFailed && record.is_engine) ++usage_version_;
 }
 
-void ServerSelector::OnBackoffRequested(const std::string& id, BootTime until) {
-  BootTime& backoff_until = records_[id].backoff_until;
-  backoff_until = std::max(backoff_until, until);
+void ServerSelector::OnBackoffRequested(const std::string& id, BootTime until,
+                                        BootTime now) {
+  Record& record = records_[id];
+  record.backoff_until = std::max(record.backoff_until, until);
+  record.backoff_requested_at = now;
+}
+
+void ServerSelector::OnRestarted(const std::string& id, BootTime began) {
+  const auto found = records_.find(id);
+  if (found == records_.end()) return;
+  Record& record = found->second;
+  if (record.backoff_requested_at < began) record.backoff_until = {};
 }
 
 void ServerSelector::OnPermitDenied(const std::string& id, BootTime until) {
--- a/libraries/dispatch/server_selector.h
+++ b/libraries/dispatch/server_selector.h
@@ -135,7 +135,11 @@
   void OnEnd(const std::string& id, const Demand& demand, bool had_first_event);
   void OnResult(const std::string& id, AttemptResult result, BootTime now);
   // The server asked this entry to send no requests before `until`.
-  void OnBackoffRequested(const std::string& id, BootTime until);
+  void OnBackoffRequested(const std::string& id, BootTime until, BootTime now);
+  // A new incarnation of the server started at `began`. A backoff that only the
+  // former one can have requested ends. All else remains: requests may run on
+  // the new one already, and outcomes fade by themselves.
+  void OnRestarted(const std::string& id, BootTime began);
   // The server names a limit, and there is no permit for another request before
   // `until`.
   void OnPermitDenied(const std::string& id, BootTime until);
@@ -148,7 +152,7 @@
   std::optional<BootTime> EarliestBackoffEnd(
       const directory::BackendDirectory& directory, const Demand& demand,
       BootTime now) const;
-  // Drops the state of a server that was removed or began a new incarnation.
+  // Drops the state of a server that was removed.
   void Forget(const std::string& id);
   // Drops the records of servers that have no requests from this entry, no
   // recent outcomes and no backoff, and reports that have expired. A request
@@ -180,8 +184,9 @@
     // The server has run generations.
     bool is_engine = false;
     BootTime cooldown_until;
-    // Requested by the server.
+    // Requested by the server, and when.
     BootTime backoff_until;
+    BootTime backoff_requested_at;
     // Until then there is no permit for the server.
     BootTime no_permit_until;
   };
--- a/libraries/gossip/digest.cc
+++ b/libraries/gossip/digest.cc
@@ -25,6 +25,8 @@
 constexpr int kPermitReplyFormat = 16;
 // Without the limits, which are left out if there are none.
 constexpr std::size_t kDigestElements = 11;
+// Limits, and the start times of leaving servers.
+constexpr std::size_t kOptionalDigestElements = 2;
 constexpr std::size_t kLoadMessageElements = 3;
 constexpr std::size_t kPermitReplyElements = 5;
 
@@ -112,6 +114,31 @@
   return list;
 }
 
+json LeavingIds(const std::vector<LeavingServer>& servers) {
+  json list = json::array();
+  for (const LeavingServer& server : servers) list.push_back(server.id);
+  return list;
+}
+
+// Null for an incarnation whose start is not known.
+json StartTimes(const std::vector<LeavingServer>& servers) {
+  json list = json::array();
+  for (const LeavingServer& server : servers) {
+    list.push_back(server.started_at.has_value()
+                       ? json(server.started_at->count())
+                       : json());
+  }
+  return list;
+}
+
+void ReadStartTimes(const json& list, std::vector<LeavingServer>& servers) {
+  for (std::size_t i = 0; i < std::min(list.size(), servers.size()); ++i) {
+    if (list[i].is_null()) continue;
+    servers[i].started_at =
+        std::chrono::milliseconds(list[i].get<std::int64_t>());
+  }
+}
+
 Digest ReadDigest(const json& message) {
   Digest digest;
   digest.sequence = message[1].get<std::uint64_t>();
@@ -120,7 +147,9 @@
   digest.reaches_store = message[4].get<bool>();
   digest.peer_updates = ReadPeerUpdates(message[5]);
   digest.evidence = quarantine::ReadEvidence(message[6]);
-  digest.leaving_servers = message[7].get<std::vector<std::string>>();
+  for (const json& id : message[7]) {
+    digest.leaving_servers.push_back({id.get<std::string>(), std::nullopt});
+  }
   digest.state_version = message[8].get<std::uint32_t>();
   digest.reply_requested = message[9].get<bool>();
   digest.membership_hash = message[10].get<std::uint32_t>();
@@ -128,6 +157,9 @@
     std::ranges::transform(message[kDigestElements],
                            std::back_inserter(digest.limits), ReadStatement);
   }
+  if (message.size() > kDigestElements + 1) {
+    ReadStartTimes(message[kDigestElements + 1], digest.leaving_servers);
+  }
   return digest;
 }
 
@@ -168,12 +200,17 @@
                   digest.reaches_store,
                   ToJson(digest.peer_updates),
                   quarantine::ToJson(digest.evidence),
-                  digest.leaving_servers,
+                  LeavingIds(digest.leaving_servers),
                   digest.state_version,
                   digest.reply_requested,
                   digest.membership_hash};
-  // Few servers ever name a limit.
-  if (!digest.limits.empty()) message.push_back(ToJson(digest.limits));
+  // Few servers ever name a limit or are leaving.
+  if (!digest.limits.empty() || !digest.leaving_servers.empty()) {
+    message.push_back(ToJson(digest.limits));
+  }
+  if (!digest.leaving_servers.empty()) {
+    message.push_back(StartTimes(digest.leaving_servers));
+  }
   return ToCbor(message);
 }
 
@@ -205,8 +242,9 @@
 Result<Message> Decode(std::string_view bytes) {
   const json message = decoding::ParseCbor(bytes);
   try {
-    const bool is_digest_size = message.size() == kDigestElements ||
-                                message.size() == kDigestElements + 1;
+    const bool is_digest_size =
+        message.size() >= kDigestElements &&
+        message.size() <= kDigestElements + kOptionalDigestElements;
     if (message.is_array() && is_digest_size && message[0] == kDigestFormat) {
       return Message(ReadDigest(message));
     }
--- a/libraries/gossip/digest.h
+++ b/libraries/gossip/digest.h
@@ -35,6 +35,15 @@
   bool reaches_store = false;
 };
 
+// A backend server that is leaving. A later incarnation under its id is not.
+struct LeavingServer {
+  std::string id;
+  // When the incarnation started, in Unix time; unset if it is not known.
+  std::optional<std::chrono::milliseconds> started_at;
+
+  bool operator==(const LeavingServer&) const = default;
+};
+
 // The sender is identified by the source address of the datagram.
 struct Digest {
   // Increases with each digest of one process.
@@ -54,8 +63,8 @@
   bool reply_requested = false;
   // State of other entries.
   std::vector<PeerUpdate> peer_updates;
-  // Backend servers that replied to a poll that they are leaving.
-  std::vector<std::string> leaving_servers;
+  // Backend servers that said that they are leaving.
+  std::vector<LeavingServer> leaving_servers;
   // Which requests crash servers.
   quarantine::Evidence evidence;
   // What servers stated about their limits.
--- a/libraries/limits/limit_table.cc
+++ b/libraries/limits/limit_table.cc
@@ -33,6 +33,10 @@
   return Update(server, {requests_per_second, now});
 }
 
+void LimitTable::OnRestarted(std::uint32_t server, BootTime began) {
+  if (records_.contains(server)) Update(server, {std::nullopt, began});
+}
+
 bool LimitTable::OnStatement(const Statement& statement, BootTime now) {
   const Record record{statement.requests_per_second,
                       now - std::max(statement.age, milliseconds(0))};
--- a/libraries/limits/limit_table.h
+++ b/libraries/limits/limit_table.h
@@ -43,8 +43,11 @@
                   std::optional<double> requests_per_second, BootTime now);
   // A peer passed a statement on. Returns whether the limit changed.
   bool OnStatement(const Statement& statement, BootTime now);
-  // The server is gone, or is a new incarnation that has named no limit.
+  // The server is gone.
   void Forget(std::uint32_t server) { records_.erase(server); }
+  // A new incarnation of the server started at `began`: ends a limit that only
+  // the former one can have stated. Peers may pass it on for a while.
+  void OnRestarted(std::uint32_t server, BootTime began);
   void RemoveExpired(BootTime now);
 
   std::optional<double> LimitOf(std::uint32_t server) const;
--- a/services/gateway/connection_pool.cc
+++ b/services/gateway/connection_pool.cc
@@ -67,9 +67,9 @@
   }
   auto* connection = new OutboundConnection(endpoint, limits_.timeouts, this);
   connection->names_request = names_request;
-  connection->on_response_head = [this,
-                                  server_id](const http1::ResponseHead& head) {
-    if (on_response_head) on_response_head(server_id, head);
+  connection->on_response_head = [this, server_id,
+                                  now](const http1::ResponseHead& head) {
+    if (on_response_head) on_response_head(server_id, now, head);
   };
   return connection;
 }
--- a/services/gateway/connection_pool.h
+++ b/services/gateway/connection_pool.h
@@ -63,8 +63,9 @@
   // Whether a response names the request that it belongs to. None does if this
   // is unset.
   std::function<bool(const http1::ResponseHead& head)> names_request;
-  // Called with the head of any response of a server.
-  std::function<void(const std::string& server_id,
+  // Called with the head of any response of a server. `connected_at`: when the
+  // connection was created.
+  std::function<void(const std::string& server_id, BootTime connected_at,
                      const http1::ResponseHead& head)>
       on_response_head;
 
--- a/services/gateway/dialect.h
+++ b/services/gateway/dialect.h
@@ -110,6 +110,8 @@
 
 // An engine's report about itself.
 struct EngineReport {
+  // When the incarnation that reports started, in Unix time, if it says so.
+  std::optional<std::chrono::milliseconds> started_at;
   bool leaving = false;
   // How long until it is gone; unset if it does not know.
   std::optional<std::chrono::milliseconds> leaves_in;
--- a/services/gateway/exchange.h
+++ b/services/gateway/exchange.h
@@ -45,9 +45,9 @@
   void OnStopDeadline();
   // The server is leaving: migrates the run if it can be migrated.
   void OnServerLeaving(const std::string& server_id);
-  // The server has restarted as a new incarnation that has no state of this
-  // request.
-  void OnServerRestarted(const std::string& server_id);
+  // It has become known that the server has restarted. `server` is the new
+  // incarnation, which may run this request.
+  void OnServerRestarted(const directory::BackendServer& server);
   // Something was quarantined: rejects the request if it is affected and does
   // not run yet.
   void OnQuarantine();
--- a/services/gateway/exchange_relay.cc
+++ b/services/gateway/exchange_relay.cc
@@ -273,7 +273,8 @@
                                server_id,
                                attempt_->endpoint,
                                request_.demand,
-                               {request_.route->MayRepeat(), tokens()}});
+                               {request_.route->MayRepeat(), tokens()},
+                               attempt_->started});
   migration_->on_resume =
       [this](const GenerationMigration::ResumePoint& resume_point) {
         Resume(resume_point);
@@ -298,11 +299,15 @@
   }
 }
 
-void Exchange::OnServerRestarted(const std::string& server_id) {
-  if (finished_ || !attempt_.has_value() || attempt_->server_id != server_id ||
-      attempt_->connection == nullptr) {
-    return;
-  }
+void Exchange::OnServerRestarted(const directory::BackendServer& server) {
+  if (migration_ != nullptr) migration_->OnServerRestarted(server);
+  const bool runs_elsewhere = finished_ || !attempt_.has_value() ||
+                              attempt_->server_id != server.id ||
+                              attempt_->connection == nullptr;
+  // At the same address, the connection tells the incarnations apart: one to
+  // the former has been reset, or is within seconds of silence
+  // (net::TcpStream). What it still serves runs on the new one.
+  if (runs_elsewhere || attempt_->endpoint == server.endpoint) return;
   attempt_->connection->Abort();
   OnEnd(OutboundConnection::EndReason::kBroken);
 }
--- a/services/gateway/gateway_context.h
+++ b/services/gateway/gateway_context.h
@@ -18,6 +18,7 @@
 #include "libraries/dispatch/server_selector.h"
 #include "libraries/dispatch/wait_estimator.h"
 #include "libraries/dispatch/wait_queue.h"
+#include "libraries/gossip/digest.h"
 #include "libraries/limits/limit_table.h"
 #include "libraries/migration/copy_queue.h"
 #include "libraries/quarantine/crash_ledger.h"
@@ -79,6 +80,12 @@
     return routes == nullptr ? routing::ClientLimits{} : routes->limits();
   }
 
+  // The server's incarnation as far as it is known, to say that it is leaving.
+  gossip::LeavingServer LeavingNow(const std::string& server_id) const {
+    const directory::BackendServer* server = directory.Find(server_id);
+    return {server_id, server == nullptr ? std::nullopt : server->started_at};
+  }
+
   const Dialect& dialect;
   telemetry::RequestMetrics metrics{"gateway", kMaxMetricLabels};
   // Null until a configuration is known.
--- a/services/gateway/gateway_node.cc
+++ b/services/gateway/gateway_node.cc
@@ -55,14 +55,15 @@
     if (!dispatch_timer_.isActive()) dispatch_timer_.start(0);
   };
   context_.pool.on_response_head = [this](const std::string& server_id,
+                                          BootTime connected_at,
                                           const http1::ResponseHead& head) {
-    OnResponseHead(server_id, head);
+    OnResponseHead(server_id, connected_at, head);
   };
-  report_poller_.on_leaving = [this](const std::string& server_id) {
-    OnReportedLeaving(server_id, false);
+  report_poller_.on_leaving = [this](const gossip::LeavingServer& server) {
+    OnReportedLeaving(server, false);
   };
-  peers_.on_leaving = [this](const std::string& server_id) {
-    OnReportedLeaving(server_id, true);
+  peers_.on_leaving = [this](const gossip::LeavingServer& server) {
+    OnReportedLeaving(server, true);
   };
   peers_.on_changes = [this](const auto& changes, std::uint64_t revision) {
     OnStoreChanges(changes, revision);
@@ -198,22 +199,31 @@
       }
       return;
     case Kind::kRestarted:
-      context_.pool.CloseIdleConnections(change.id);
-      for (Exchange* exchange : Exchanges()) {
-        exchange->OnServerRestarted(change.id);
-      }
-      ForgetState(change.id);
+      OnServerRestarted(*context_.directory.Find(change.id));
       return;
     case Kind::kGone:
       context_.pool.CloseIdleConnections(change.id);
-      ForgetState(change.id);
+      context_.selector.Forget(change.id);
+      context_.limits.Forget(dispatch::ServerKey(change.id));
       return;
   }
 }
 
-void GatewayNode::ForgetState(const std::string& server_id) {
-  context_.selector.Forget(server_id);
-  context_.limits.Forget(dispatch::ServerKey(server_id));
+void GatewayNode::OnServerRestarted(const directory::BackendServer& server) {
+  const BootTime now = BootClock::now();
+  // The new incarnation may have been in use since then.
+  const BootTime began = now - server.age;
+  context_.pool.CloseIdleConnections(server.id);
+  for (Exchange* exchange : Exchanges()) exchange->OnServerRestarted(server);
+  context_.selector.OnRestarted(server.id, began);
+  context_.limits.OnRestarted(dispatch::ServerKey(server.id), began);
+  // What remains of a notice expires unless it is repeated.
+  if (context_.directory.IsLeavingByReportOnly(server.id)) {
+    reported_leaving_.insert_or_assign(server.id, now);
+  } else {
+    reported_leaving_.erase(server.id);
+  }
+  if (context_.on_capacity_freed) context_.on_capacity_freed();
 }
 
 std::vector<Exchange*> GatewayNode::Exchanges() const {
@@ -221,10 +231,11 @@
 }
 
 void GatewayNode::OnResponseHead(const std::string& server_id,
+                                 BootTime connected_at,
                                  const http1::ResponseHead& head) {
   const ServerNotice notice = context_.dialect.ParseNotice(head);
   if (notice.leaving || notice.is_other_server) {
-    OnLeavingForGood(server_id, notice);
+    OnSaidLeaving(server_id, connected_at, notice);
   }
   OnLimitStated(server_id, notice.requests_per_second, head);
   if (!notice.retry_after.has_value()) return;
@@ -232,8 +243,9 @@
       .With("server", server_id)
       .With("status", head.status)
       .With("rest", *notice.retry_after);
-  context_.selector.OnBackoffRequested(server_id,
-                                       BootClock::now() + *notice.retry_after);
+  const BootTime now = BootClock::now();
+  context_.selector.OnBackoffRequested(server_id, now + *notice.retry_after,
+                                       now);
 }
 
 void GatewayNode::OnLimitStated(const std::string& server_id,
@@ -254,30 +266,46 @@
       .With("per_second", std::to_string(requests_per_second.value_or(0.0)));
 }
 
-void GatewayNode::OnLeavingForGood(const std::string& server_id,
-                                   const ServerNotice& notice) {
+void GatewayNode::OnSaidLeaving(const std::string& server_id,
+                                BootTime connected_at,
+                                const ServerNotice& notice) {
+  const BootTime now = BootClock::now();
+  // A connection from before a restart was known may be to either incarnation.
+  const bool may_be_former =
+      connected_at < context_.directory.KnownSince(server_id);
+  if (may_be_former) reported_leaving_.insert_or_assign(server_id, now);
   const auto change = context_.directory.OnReportedLeaving(
-      server_id, directory::LeavingNotice::kFinal, BootClock::now());
+      server_id,
+      may_be_former ? directory::LeavingNotice::kReported
+                    : directory::LeavingNotice::kFinal,
+      now);
   // Every response repeats it, and only the first is an event. If the store or
   // a report said so before, it only becomes final and is not logged again.
   if (!change.has_value()) return;
   LogEvent(notice.is_other_server ? "address_taken" : "answer_said_leaving")
       .With("server", server_id);
   OnServerChange(*change);
-  peers_.AnnounceLeaving(server_id);
+  peers_.AnnounceLeaving(context_.LeavingNow(server_id));
 }
 
-void GatewayNode::OnReportedLeaving(const std::string& server_id,
+void GatewayNode::OnReportedLeaving(const gossip::LeavingServer& server,
                                     bool by_peer) {
+  const directory::BackendServer* known = context_.directory.Find(server.id);
+  const bool is_former = known != nullptr && server.started_at.has_value() &&
+                         server.started_at < known->started_at;
+  if (is_former) {
+    LogEvent("former_incarnation_leaving").With("server", server.id);
+    return;
+  }
   const BootTime now = BootClock::now();
-  reported_leaving_.insert_or_assign(server_id, now);
+  reported_leaving_.insert_or_assign(server.id, now);
   const auto change = context_.directory.OnReportedLeaving(
-      server_id, directory::LeavingNotice::kReported, now);
+      server.id, directory::LeavingNotice::kReported, now);
   if (change.has_value()) {
     store_lagging_until_ = now + kStoreLagTime;
     OnServerChange(*change);
   }
-  if (!by_peer) peers_.AnnounceLeaving(server_id);
+  if (!by_peer) peers_.AnnounceLeaving(server);
 }
 
 void GatewayNode::OnCrashEvidence(const quarantine::Change& change) {
--- a/services/gateway/gateway_node.h
+++ b/services/gateway/gateway_node.h
@@ -71,8 +71,9 @@
   void OnServerEntry(const std::string& id,
                      const std::optional<std::string>& text, bool is_restored);
   void OnServerChange(const directory::ServerChange& change);
-  // Drops what is known of a server's incarnation that has ended.
-  void ForgetState(const std::string& server_id);
+  // Drops what is known of a server's former incarnation. `server` is the new
+  // one, which may have been in use for a while under the same id.
+  void OnServerRestarted(const directory::BackendServer& server);
   // Returns a copy, since the set changes while its members are called.
   std::vector<Exchange*> Exchanges() const;
   // Returns the entries, with an empty text where it is of no use here: of
@@ -88,19 +89,19 @@
   bool MayHaveLapsed() const;
 
   // Handles what any response of a server says about the server itself.
-  void OnResponseHead(const std::string& server_id,
+  void OnResponseHead(const std::string& server_id, BootTime connected_at,
                       const http1::ResponseHead& head);
   // A response names a limit or none.
   void OnLimitStated(const std::string& server_id,
                      std::optional<double> requests_per_second,
                      const http1::ResponseHead& head);
-  // A response says that the engine is leaving, or that it is gone and another
-  // one has its address.
-  void OnLeavingForGood(const std::string& server_id,
-                        const ServerNotice& notice);
+  // A response says that the server is leaving, or that it is gone and another
+  // one has its address. `connected_at`: when its connection was requested.
+  void OnSaidLeaving(const std::string& server_id, BootTime connected_at,
+                     const ServerNotice& notice);
   // An engine's report or health response says that it is leaving. With
   // `by_peer`, another gateway received it.
-  void OnReportedLeaving(const std::string& server_id, bool by_peer);
+  void OnReportedLeaving(const gossip::LeavingServer& server, bool by_peer);
   void PollReports();
 
   // Evidence of crashes that was not known before, seen here or by a peer.
--- a/services/gateway/gateway_node_store.cc
+++ b/services/gateway/gateway_node_store.cc
@@ -13,6 +13,8 @@
 using revisions::RevisionedEntry;
 using std::chrono::milliseconds;
 
+// Longer ages of servers make no difference, and might overflow.
+constexpr std::chrono::hours kMaxAge{24};
 // Entries that expired around an outage of the store may be missing for this
 // long after its recovery.
 constexpr milliseconds kStoreRecoveryTime{3000};
@@ -30,6 +32,15 @@
 // peers would be sent it each time that they lack a change.
 constexpr std::size_t kMaxServerEntryBytes = 64 << 10;
 
+// Time since the server started, by this VM's clock.
+milliseconds AgeOf(const directory::BackendServer& server) {
+  if (!server.started_at.has_value()) return milliseconds(0);
+  const auto now = std::chrono::floor<milliseconds>(
+      std::chrono::system_clock::now().time_since_epoch());
+  return std::clamp<milliseconds>(now - *server.started_at, milliseconds(0),
+                                  kMaxAge);
+}
+
 }  // namespace
 
 std::vector<RevisionedEntry> GatewayNode::WithoutUnusableTexts(
@@ -162,6 +173,7 @@
     change = TryOr(
         [&]() -> Result<std::optional<directory::ServerChange>> {
           BOOST_LEAF_AUTO(server, context_.dialect.ParseServer(id, *text));
+          server.age = AgeOf(server);
           return is_restored ? context_.directory.OnRestored(server, now)
                              : context_.directory.OnAnnounced(server, now);
         },
--- a/services/gateway/generation_migration.cc
+++ b/services/gateway/generation_migration.cc
@@ -99,6 +99,15 @@
   ExecuteStep(state_machine_.OnSourceStreamBroken());
 }
 
+void GenerationMigration::OnServerRestarted(
+    const directory::BackendServer& server) {
+  // Handles are given out anew by each incarnation.
+  if (server.id != run_.server_id) return;
+  const BootTime began =
+      BootClock::now() - server.age + directory::kMaxClockError;
+  source_restarted_ |= run_.began < began;
+}
+
 void GenerationMigration::OnResumeResult(bool accepted) {
   ExecuteStep(state_machine_.OnResumeResult(accepted));
   if (!accepted) return;
@@ -148,6 +157,10 @@
       Resume(true);
       return;
     case MigrationStep::kResumeAtSource:
+      if (source_restarted_) {
+        ExecuteStep(state_machine_.OnResumeResult(false));
+        return;
+      }
       Resume(false);
       return;
     case MigrationStep::kLost:
@@ -268,7 +281,7 @@
 }
 
 void GenerationMigration::ReleaseCopy() {
-  if (handle_.empty()) return;
+  if (handle_.empty() || source_restarted_) return;
   const BackendCall call = context_.dialect.MakeReleaseCall(handle_);
   OutboundConnection* connection = context_.pool.Acquire(
       run_.server_id, run_.endpoint, ConnectionPool::Use::kPoll);
--- a/services/gateway/generation_migration.h
+++ b/services/gateway/generation_migration.h
@@ -30,6 +30,8 @@
     directory::Endpoint endpoint;
     dispatch::Demand demand;
     migration::CopyPriority copy_priority;
+    // When the request was sent to the source.
+    BootTime began;
   };
 
   // Where the run resumes, and the memory it resumes from.
@@ -49,6 +51,9 @@
   void Start();
   // The source's stream ended before the run did.
   void OnSourceStreamBroken();
+  // It has become known that a server has restarted. If it is the source, the
+  // handle of the copy may name another run's there.
+  void OnServerRestarted(const directory::BackendServer& server);
   // Whether the server that was asked to resume the run accepted it.
   void OnResumeResult(bool accepted);
   // The migration is no longer needed: releases the copy, if any. No callback
@@ -101,6 +106,8 @@
   std::set<std::string> refused_targets_;
   // The lack of a target has been logged; it is logged only once.
   bool logged_no_target_ = false;
+  // The source has begun a new incarnation, which does not hold the run.
+  bool source_restarted_ = false;
   // Handle of the copy; empty until one is made.
   std::string handle_;
   // The copy call in progress; null if there is none.
--- a/services/gateway/peer_exchange.cc
+++ b/services/gateway/peer_exchange.cc
@@ -99,9 +99,12 @@
   peers_.SetSeeds(ips, BootClock::now());
 }
 
-void PeerExchange::AnnounceLeaving(const std::string& server_id) {
+void PeerExchange::AnnounceLeaving(const gossip::LeavingServer& server) {
   const bool is_new =
-      announced_leaving_.insert_or_assign(server_id, BootClock::now()).second;
+      announced_leaving_
+          .insert_or_assign(server.id,
+                            LeavingAnnouncement{server, BootClock::now()})
+          .second;
   // Every tenth of a second counts for the generations that run there.
   if (is_new) SendDigest(peers_.AlivePeers(), false);
 }
@@ -140,7 +143,7 @@
 void PeerExchange::OnGossipRound() {
   const BootTime now = BootClock::now();
   std::erase_if(announced_leaving_, [now](const auto& item) {
-    return now - item.second > kLeavingAnnounceTime;
+    return now - item.second.said_at > kLeavingAnnounceTime;
   });
   peers_.SetReachesStore(reaches_store());
   for (const std::string& ip : peers_.TakeLostPeers(now)) {
@@ -173,8 +176,8 @@
   digest.state_version = peers_.own_version();
   digest.membership_hash = peers_.MembershipHash();
   digest.peer_updates = peers_.TakeUpdates(recipients);
-  for (const auto& [server_id, reported_at] : announced_leaving_) {
-    digest.leaving_servers.push_back(server_id);
+  for (const auto& [server_id, announcement] : announced_leaving_) {
+    digest.leaving_servers.push_back(announcement.server);
   }
   digest.limits =
       context_.limits.TakeStatements(kMaxStatements, BootClock::now());
@@ -223,8 +226,8 @@
   // What the peer ran before its restart is not known to run any more, and it
   // has lost what it was sent.
   if (event == gossip::PeerTable::PeerEvent::kRestarted) loads_.ForgetPeer(ip);
-  for (const std::string& server_id : digest.leaving_servers) {
-    on_leaving(server_id);
+  for (const gossip::LeavingServer& server : digest.leaving_servers) {
+    on_leaving(server);
   }
   for (const limits::Statement& statement : digest.limits) {
     permits_.OnStatement(statement, ip);
--- a/services/gateway/peer_exchange.h
+++ b/services/gateway/peer_exchange.h
@@ -46,8 +46,8 @@
   Result<void> Start();
   void SetSeeds(const std::vector<std::string>& ips);
   // Announces to the other gateways, immediately and for a while after, that a
-  // server reported that it is leaving.
-  void AnnounceLeaving(const std::string& server_id);
+  // server said that it is leaving.
+  void AnnounceLeaving(const gossip::LeavingServer& server);
 
   // Addresses of the gateways that are alive, without this one.
   std::vector<std::string> AlivePeers() const { return peers_.AlivePeers(); }
@@ -70,7 +70,7 @@
   std::uint64_t incarnation() const { return incarnation_; }
 
   // Another gateway learned that a server is leaving.
-  std::function<void(const std::string& server_id)> on_leaving;
+  std::function<void(const gossip::LeavingServer& server)> on_leaving;
   // A peer sent crash evidence that was not known.
   std::function<void(const quarantine::Change& change, const std::string& ip)>
       on_evidence;
@@ -128,6 +128,11 @@
   void OnChanges(const std::string& ip, const gossip::ChangeSet& set);
   HttpResponse ServeFetch(const http1::RequestHead& head) const;
 
+  struct LeavingAnnouncement {
+    gossip::LeavingServer server;
+    BootTime said_at;
+  };
+
   Identity identity_;
   GatewayContext& context_;
   const revisions::RevisionedMap& replica_;
@@ -145,7 +150,7 @@
   // Servers that reported to this gateway that they are leaving, and when they
   // last did. Reports received from peers are not passed on, or they would
   // circulate forever.
-  std::map<std::string, BootTime> announced_leaving_;
+  std::map<std::string, LeavingAnnouncement> announced_leaving_;
   // The fetches in progress; null if there are none.
   OutboundConnection* changes_fetch_ = nullptr;
   OutboundConnection* peer_list_fetch_ = nullptr;
--- a/services/gateway/report_poller.cc
+++ b/services/gateway/report_poller.cc
@@ -79,14 +79,14 @@
     // Otherwise it would be considered ready again if the store is unavailable
     // and does not remove it.
     if (context_.directory.IsLeavingByReportOnly(server_id) && on_leaving) {
-      on_leaving(server_id);
+      on_leaving(context_.LeavingNow(server_id));
     }
     return;
   }
   if (is_health) {
     if (!context_.dialect.IsUnhealthy(response.head)) return;
     LogEvent("health_unwell").With("server", server_id);
-    if (on_leaving) on_leaving(server_id);
+    if (on_leaving) on_leaving(context_.LeavingNow(server_id));
     return;
   }
   const EngineReport report = TryOr(
@@ -105,7 +105,9 @@
       .With("server", server_id)
       .With("leaves_in",
             report.leaves_in.value_or(std::chrono::milliseconds(0)));
-  if (on_leaving) on_leaving(server_id);
+  gossip::LeavingServer server = context_.LeavingNow(server_id);
+  if (report.started_at.has_value()) server.started_at = report.started_at;
+  if (on_leaving) on_leaving(server);
 }
 
 }  // namespace balsam::gateway
--- a/services/gateway/report_poller.h
+++ b/services/gateway/report_poller.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "libraries/base/boot_clock.h"
+#include "libraries/gossip/digest.h"
 #include "services/gateway/gateway_context.h"
 
 namespace balsam::gateway {
@@ -42,7 +43,7 @@
   // Called if an engine's report says that it is leaving, if its health
   // response says that it is leaving or failing, or if a poll fails after it
   // was reported to be leaving.
-  std::function<void(const std::string& server_id)> on_leaving;
+  std::function<void(const gossip::LeavingServer& server)> on_leaving;
 
  private:
   struct Engine {
--- a/tests/libraries/directory/backend_directory_test.cc
+++ b/tests/libraries/directory/backend_directory_test.cc
@@ -176,6 +176,36 @@
   EXPECT_EQ(directory_.StateOf("i-1"), ServerState::kReady);
 }
 
+// Guards against forgetting what a new incarnation has said before its
+// announcement is known.
+TEST_F(BackendDirectoryTest, NoticeOfNewIncarnationOutlivesNewsOfItsStart) {
+  for (const LeavingNotice notice :
+       {LeavingNotice::kReported, LeavingNotice::kFinal}) {
+    directory_ = BackendDirectory({});
+    directory_.OnAnnounced(MakeServer(), TimeAfter(0));
+    directory_.OnReportedLeaving("i-1", notice, TimeAfter(9000));
+    BackendServer restarted = MakeServer(false, 2);
+    restarted.age = milliseconds(6000);
+    EXPECT_EQ(directory_.OnAnnounced(restarted, TimeAfter(10000))->kind,
+              Kind::kRestarted);
+    EXPECT_EQ(directory_.StateOf("i-1"), ServerState::kLeaving);
+    EXPECT_EQ(directory_.IsLeavingByReportOnly("i-1"),
+              notice == LeavingNotice::kReported);
+  }
+}
+
+// The clocks of a server and of this VM differ: which incarnation gave a notice
+// near the start of the new one is not known, so it expires.
+TEST_F(BackendDirectoryTest, DoubtfulFinalNoticeExpiresAfterRestart) {
+  directory_.OnAnnounced(MakeServer(), TimeAfter(0));
+  directory_.OnReportedLeaving("i-1", LeavingNotice::kFinal, TimeAfter(9000));
+  BackendServer restarted = MakeServer(false, 2);
+  restarted.age = milliseconds(1500);
+  directory_.OnAnnounced(restarted, TimeAfter(10000));
+  EXPECT_EQ(directory_.StateOf("i-1"), ServerState::kLeaving);
+  EXPECT_TRUE(directory_.IsLeavingByReportOnly("i-1"));
+}
+
 TEST(EndpointTest, ParsesOnlyIpAddresses) {
   EXPECT_EQ(Endpoint::Parse("10.1.2.3:80"), (Endpoint{"10.1.2.3", 80}));
   for (const char* text :
--- a/tests/libraries/dispatch/server_selector_test.cc
+++ b/tests/libraries/dispatch/server_selector_test.cc
@@ -304,9 +304,9 @@
 // refuse for seconds, because the cooldown after a refusal is only 0.1 s.
 TEST_F(ServerSelectorTest, ServerInBackoffGetsNoRequests) {
   const Demand demand = Generation(100, 100);
-  selector_.OnBackoffRequested("a", now_ + milliseconds(2000));
+  selector_.OnBackoffRequested("a", now_ + milliseconds(2000), now_);
   // An earlier end does not shorten the backoff.
-  selector_.OnBackoffRequested("a", now_ + milliseconds(500));
+  selector_.OnBackoffRequested("a", now_ + milliseconds(500), now_);
   now_ += milliseconds(1999);
   EXPECT_FALSE(CountSelections(demand).contains("a"));
   EXPECT_EQ(selector_.skip_counts().in_backoff, 1);
@@ -319,9 +319,9 @@
 TEST_F(ServerSelectorTest,
        EarliestBackoffEndIsReturnedIfAllServersAreInBackoff) {
   const BootTime first = now_ + milliseconds(700);
-  selector_.OnBackoffRequested("a", now_ + milliseconds(2000));
-  selector_.OnBackoffRequested("b", first);
-  selector_.OnBackoffRequested("c", now_ + milliseconds(1000));
+  selector_.OnBackoffRequested("a", now_ + milliseconds(2000), now_);
+  selector_.OnBackoffRequested("b", first, now_);
+  selector_.OnBackoffRequested("c", now_ + milliseconds(1000), now_);
   Demand demand = Generation(100, 100);
   EXPECT_EQ(selector_.EarliestBackoffEnd(directory_, demand, now_), first);
   // Excluded servers are ignored.
@@ -330,8 +330,23 @@
             now_ + milliseconds(1000));
 }
 
+// Guards against requests to a server that asked for none after it had
+// restarted, and against loads that no longer count what it runs, when its
+// restart becomes known.
+TEST_F(ServerSelectorTest, NewsOfRestartChangesNothingOfNewIncarnation) {
+  const Demand demand = Generation(100, 100);
+  selector_.OnStart("a", demand);
+  selector_.OnBackoffRequested("a", now_ + milliseconds(9000), now_);
+  selector_.OnRestarted("a", now_ - milliseconds(1000));
+  EXPECT_TRUE(selector_.IsBackingOff("a", now_));
+  EXPECT_EQ(selector_.UsageOf("a", now_).requests, 1);
+  selector_.OnRestarted("a", now_ + milliseconds(1000));
+  EXPECT_FALSE(selector_.IsBackingOff("a", now_));
+  EXPECT_EQ(selector_.UsageOf("a", now_).requests, 1);
+}
+
 TEST_F(ServerSelectorTest, BackoffOutlastsTheDecayOfOutcomes) {
-  selector_.OnBackoffRequested("a", now_ + std::chrono::minutes(5));
+  selector_.OnBackoffRequested("a", now_ + std::chrono::minutes(5), now_);
   now_ += std::chrono::minutes(4);
   selector_.RemoveIdleServers(now_);
   EXPECT_TRUE(selector_.IsBackingOff("a", now_));
--- a/tests/libraries/gossip/gossip_test.cc
+++ b/tests/libraries/gossip/gossip_test.cc
@@ -92,7 +92,7 @@
   digest.peer_updates = {
       {"10.0.0.2", 70000, PeerUpdate::State::kSuspected, true},
       {"10.0.0.3", 1, PeerUpdate::State::kLost, false}};
-  digest.leaving_servers = {"i-9"};
+  digest.leaving_servers = {{"i-8", std::nullopt}, {"i-9", milliseconds(1700)}};
   digest.evidence.crashes = {{7,
                               std::chrono::milliseconds(250),
                               std::chrono::milliseconds(900),
--- a/tests/libraries/limits/limit_table_test.cc
+++ b/tests/libraries/limits/limit_table_test.cc
@@ -25,6 +25,22 @@
   EXPECT_FALSE(table.LimitOf(kServer).has_value());
 }
 
+// Guards against forgetting the limit that a new incarnation named before its
+// start is known, and against one of the former that a peer passes on later.
+TEST(LimitTableTest, RestartEndsOnlyEarlierLimits) {
+  LimitTable table;
+  table.OnResponse(kServer, 4.5, kStart);
+  table.OnRestarted(kServer, kStart - milliseconds(1000));
+  EXPECT_EQ(table.LimitOf(kServer), 4.5);
+  table.OnRestarted(kServer, kStart + milliseconds(1000));
+  EXPECT_FALSE(table.LimitOf(kServer).has_value());
+  EXPECT_FALSE(table.OnStatement({kServer, 4.5, milliseconds(1500)},
+                                 kStart + milliseconds(2000)));
+  EXPECT_FALSE(table.LimitOf(kServer).has_value());
+  table.OnRestarted(kServer + 1, kStart);
+  EXPECT_EQ(table.size(), 1U);
+}
+
 // Peers pass on what they know, which may be older than what is known here.
 TEST(LimitTableTest, NewestStatementCounts) {
   LimitTable table;
--- a/tests/services/gateway/gateway_node_fixture.h
+++ b/tests/services/gateway/gateway_node_fixture.h
@@ -39,6 +39,7 @@
     settings.stop_grace = stop_grace_;
     client_port_ = settings.clients.port;
     peer_port_ = settings.peers.port;
+    gossip_port_ = settings.gossip_port;
     node_ = std::make_unique<GatewayNode>(settings, dialect_);
     const bool started = TryOr(
         [&]() -> Result<bool> {
@@ -82,19 +83,35 @@
     return {"op/config", ++revision_, configuration.dump()};
   }
 
-  // `born`: when the incarnation started.
+  // The entry of an incarnation. The first one started before the test, each
+  // further one starts now.
   revisions::RevisionedEntry EntryOf(std::size_t number,
-                                     const ScriptedEngine& engine, int born) {
+                                     const ScriptedEngine& engine,
+                                     int incarnation) {
+    return EntryOf(number, engine,
+                   incarnation == 1
+                       ? started_at_
+                       : UnixTime() + std::chrono::milliseconds(1));
+  }
+  // `born`: when the incarnation started, in Unix time.
+  revisions::RevisionedEntry EntryOf(std::size_t number,
+                                     const ScriptedEngine& engine,
+                                     std::chrono::milliseconds born) {
     const nlohmann::json entry = {
         {"service", "s"},
         {"addr", "127.0.0.1:" + std::to_string(engine.port())},
         {"zone", "z"},
         {"slots", 8},
         {"state", "ready"},
-        {"born", born}};
+        {"born", born.count()}};
     return {"servers/i-" + std::to_string(number), ++revision_, entry.dump()};
   }
 
+  static std::chrono::milliseconds UnixTime() {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+        std::chrono::system_clock::now().time_since_epoch());
+  }
+
   static void Reply(const ScriptedEngine::Request& request,
                     const std::string& fields,
                     const std::string& status = "200 OK") {
@@ -134,6 +151,8 @@
   int attempts_ = 1;
   std::chrono::milliseconds timeout_{15000};
   std::chrono::milliseconds objective_{10000};
+  // When the first incarnations of the engines started, in Unix time.
+  std::chrono::milliseconds started_at_{UnixTime() - std::chrono::hours(1)};
   platform::WireDialect dialect_;
   ScriptedEngine first_;
   ScriptedEngine second_;
@@ -141,6 +160,8 @@
   std::uint16_t client_port_ = 0;
   // Where other gateways fetch changes.
   std::uint16_t peer_port_ = 0;
+  // Where other gateways send datagrams.
+  std::uint16_t gossip_port_ = 0;
   std::uint64_t revision_ = 0;
 };
 
--- a/tests/services/gateway/peer_exchange_test.cc
+++ b/tests/services/gateway/peer_exchange_test.cc
@@ -29,8 +29,8 @@
                                   const std::string&) {
       if (change.is_news) exchange.AnnounceEvidence();
     };
-    exchange.on_leaving = [this](const std::string& server_id) {
-      leaving = server_id;
+    exchange.on_leaving = [this](const gossip::LeavingServer& server) {
+      leaving = server;
     };
     exchange.on_changes = [this](const auto& changes, std::uint64_t revision) {
       for (const RevisionedEntry& entry : changes) replica.Apply(entry);
@@ -46,7 +46,7 @@
   revisions::RevisionedMap replica;
   PeerExchange exchange;
   bool reaches_store = false;
-  std::string leaving;
+  gossip::LeavingServer leaving;
 };
 
 class PeerExchangeTest : public testing::Test {
@@ -240,8 +240,9 @@
 }
 
 TEST_F(PeerExchangeTest, LeavingServerIsAnnounced) {
-  first_->exchange.AnnounceLeaving("i-1");
-  EXPECT_TRUE(RunUntil([this] { return second_->leaving == "i-1"; }));
+  const gossip::LeavingServer server{"i-1", milliseconds(1700)};
+  first_->exchange.AnnounceLeaving(server);
+  EXPECT_TRUE(RunUntil([&] { return second_->leaving == server; }));
 }
 
 }  // namespace
--- a/tests/services/gateway/report_poller_test.cc
+++ b/tests/services/gateway/report_poller_test.cc
@@ -29,8 +29,8 @@
     service.engine = routing::EngineTraits{8, 100000, true, true};
     configuration.services = {service};
     context_.routes = BuildRoutes(std::move(configuration));
-    poller_.on_leaving = [this](const std::string& id) {
-      leaving_.push_back(id);
+    poller_.on_leaving = [this](const gossip::LeavingServer& server) {
+      leaving_.push_back(server.id);
     };
   }
 
