Find the deadly part of prompts when no byte of the answer is out

Cause: without a head, only the request as a whole was suspected, to spare those that wait beside the deadly one. No two are alike, so that no trait ever had a second crash.

Now all traits are suspected, and told apart by evidence: who had begun to answer; who survived with which trait, also before the crash, which gateways remember and tell each other; and which trait explains more of the crashes. Equal explanations wait until the fifth crash.

The engines of DeadlyPartTest leave out the calls that stop runs.

--- a/libraries/quarantine/crash_ledger.cc
+++ b/libraries/quarantine/crash_ledger.cc
@@ -89,21 +89,60 @@
   const bool is_known =
       std::ranges::find(crash->suspects, report.traits, &Suspect::traits) !=
       crash->suspects.end();
-  if (is_known || crash->suspects.size() >= limits_.max_suspects_per_crash) {
-    return change;
-  }
+  const Suspect suspect{began, report.traits, report.is_answering};
+  const std::size_t max_suspects = report.is_answering || IsUnproven(suspect)
+                                       ? limits_.max_suspects_per_crash
+                                       : limits_.max_proven_suspects_per_crash;
+  if (is_known || crash->suspects.size() >= max_suspects) return change;
   change.is_news = true;
   crash->learned_at = now;
-  crash->suspects.push_back({began, report.traits});
+  crash->suspects.push_back(suspect);
   std::ranges::for_each(report.traits, [&](Trait trait) {
-    TraitState& state = traits_[trait];
+    TraitState& state = Track(trait, now);
     state.last_crash = std::max(state.last_crash, crash->time);
   });
-  RenewQuarantines(crash->suspects.back(), crash->time, change);
-  Judge(change);
+  RenewQuarantines(suspect, crash->time, now, change);
+  const bool may_be_guilty =
+      std::ranges::any_of(suspect.traits, [&](Trait trait) {
+        return CrashesOf(trait) >= limits_.crashes_to_quarantine;
+      });
+  if (may_be_guilty) Judge(now, change);
   return change;
 }
 
+CrashLedger::TraitState& CrashLedger::Track(Trait trait, BootTime now) {
+  const auto [found, is_new] = traits_.try_emplace(trait);
+  TraitState& state = found->second;
+  if (!is_new) return state;
+  for (auto* generation : {&former_survivors_, &survivors_}) {
+    const auto survivor = generation->find(trait);
+    if (survivor == generation->end()) continue;
+    state.last_survival = std::max(state.last_survival, survivor->second);
+    // Others need to know it now.
+    state.survival_learned_at = now;
+  }
+  return state;
+}
+
+void CrashLedger::RememberSurvivor(Trait trait, BootTime time) {
+  if (survivors_.size() >= limits_.max_survivors) {
+    former_survivors_ = std::exchange(survivors_, {});
+  }
+  BootTime& known = survivors_[trait];
+  known = std::max(known, time);
+}
+
+bool CrashLedger::IsUnproven(const Suspect& suspect) const {
+  return std::any_of(suspect.traits.begin(), std::prev(suspect.traits.end()),
+                     [&](Trait trait) {
+                       const auto state = traits_.find(trait);
+                       return state == traits_.end()
+                                  ? !survivors_.contains(trait) &&
+                                        !former_survivors_.contains(trait)
+                                  : state->second.last_survival == BootTime{};
+                     });
+}
+
 Change CrashLedger::OnSurvived(std::span<const Trait> traits, BootTime now) {
   Change change;
   std::ranges::for_each(
@@ -114,7 +153,11 @@
 void CrashLedger::OnTraitSurvived(Trait trait, BootTime time, BootTime now,
                                   Change& change) {
   const auto found = traits_.find(trait);
-  if (found == traits_.end() || time <= found->second.last_survival) return;
+  if (found == traits_.end()) {
+    RememberSurvivor(trait, time);
+    return;
+  }
+  if (time <= found->second.last_survival) return;
   TraitState& state = found->second;
   // Most survivals are no news: nothing has crashed since the last one.
   const bool clears =
@@ -123,10 +166,10 @@
   if (!clears) return;
   state.survival_learned_at = now;
   change.is_news = true;
-  ClearTrait(trait, time, change);
+  ClearTrait(trait, time, now, change);
 }
 
-void CrashLedger::ClearTrait(Trait trait, BootTime survived_at,
+void CrashLedger::ClearTrait(Trait trait, BootTime survived_at, BootTime now,
                              Change& change) {
   std::vector<std::pair<Signature, Quarantine>> cleared;
   std::erase_if(quarantines_, [&](const auto& item) {
@@ -139,7 +182,7 @@
     Signature rest = signature;
     std::erase(rest, trait);
     if (!rest.empty()) {
-      StartQuarantine(rest, quarantine, change);
+      StartQuarantine(rest, quarantine, now, change);
     } else if (quarantine.is_active) {
       change.released.push_back(signature);
     }
@@ -185,11 +228,12 @@
     return true;
   });
   if (signature.empty()) return;
-  StartQuarantine(signature, {last_crash, true, report.count}, change);
+  StartQuarantine(signature, {last_crash, true, report.count}, now, change);
 }
 
 void CrashLedger::StartQuarantine(const Signature& signature,
-                                  Quarantine quarantine, Change& change) {
+                                  Quarantine quarantine, BootTime now,
+                                  Change& change) {
   const auto is_covered_by = [&](const auto& item) {
     return item.second.is_active && item.first != signature &&
            HasSignature(signature, item.first);
@@ -201,7 +245,7 @@
     });
   }
   std::ranges::for_each(signature, [&](Trait trait) {
-    TraitState& state = traits_[trait];
+    TraitState& state = Track(trait, now);
     // Reports that are passed on again and again do not prolong it.
     if (quarantine.last_crash > state.last_crash + kMaxReportDelay) {
       state.last_crash = quarantine.last_crash;
@@ -216,12 +260,13 @@
   known.count = std::max(known.count, quarantine.count);
   known.is_active |= quarantine.is_active;
   if (was_active || !known.is_active) return;
+  known.started_at = now;
   change.is_news = true;
   change.quarantined.push_back(signature);
 }
 
 void CrashLedger::RenewQuarantines(const Suspect& suspect, BootTime crash_time,
-                                   Change& change) {
+                                   BootTime now, Change& change) {
   std::vector<Signature> renewed;
   for (auto& [signature, quarantine] : quarantines_) {
     if (!HasSignature(suspect.traits, signature) ||
@@ -235,7 +280,7 @@
     const auto found = quarantines_.find(signature);
     if (found == quarantines_.end()) continue;
     const int count = found->second.count + 1;
-    StartQuarantine(signature, {crash_time, true, count}, change);
+    StartQuarantine(signature, {crash_time, true, count}, now, change);
   }
 }
 
@@ -281,15 +326,40 @@
   return std::ranges::none_of(quarantines_, explains_without_it);
 }
 
-std::map<Trait, CrashLedger::Tally> CrashLedger::CountCrashes() const {
-  std::map<Trait, Tally> tallies;
+bool CrashLedger::MayStandBeside(Trait trait, BootTime run_began) const {
+  return std::ranges::any_of(quarantines_, [&](const auto& item) {
+    return item.second.is_active &&
+           run_began <= item.second.started_at + kMaxReportDelay &&
+           std::ranges::binary_search(item.first, trait);
+  });
+}
+
+std::vector<const CrashLedger::Suspect*> CrashLedger::AttributedTo(
+    const Crash& crash) {
+  const bool is_any_answering =
+      std::ranges::any_of(crash.suspects, &Suspect::is_answering);
+  std::vector<const Suspect*> suspects;
+  for (const Suspect& suspect : crash.suspects) {
+    if (suspect.is_answering || !is_any_answering) suspects.push_back(&suspect);
+  }
+  return suspects;
+}
+
+CrashLedger::Tallies CrashLedger::CountCrashes() const {
+  Tallies tallies;
   for (const Crash& crash : crashes_) {
     const bool is_explained = IsExplained(crash);
-    for (const Suspect& suspect : crash.suspects) {
+    for (const Suspect* attributed : AttributedTo(crash)) {
+      const Suspect& suspect = *attributed;
       for (std::size_t i = 0; i < suspect.traits.size(); ++i) {
         const Trait trait = suspect.traits[i];
         if (!CountsFor(trait, crash)) continue;
+        if (!suspect.is_answering && MayStandBeside(trait, suspect.began)) {
+          continue;
+        }
         Tally& tally = tallies[trait];
+        tally.was_answering |= suspect.is_answering;
+        tally.has_survived = traits_.at(trait).last_survival != BootTime{};
         tally.position = std::max(tally.position, i);
         tally.has_unexplained |= !is_explained;
         if (tally.crashes > 0 && suspect.began <= tally.last_crash) continue;
@@ -305,7 +375,8 @@
   std::optional<Signature> common;
   for (const Crash& crash : crashes_) {
     if (!CountsFor(trait, crash)) continue;
-    for (const Suspect& suspect : crash.suspects) {
+    for (const Suspect* attributed : AttributedTo(crash)) {
+      const Suspect& suspect = *attributed;
       if (!HasSignature(suspect.traits, {trait})) continue;
       Signature traits;
       std::ranges::copy_if(
@@ -326,23 +397,74 @@
   return common.value_or(Signature{trait});
 }
 
-void CrashLedger::Judge(Change& change) {
+int CrashLedger::CrashesNeeded(const Tally& tally) const {
+  const bool is_doubtful = tally.has_survived && !tally.was_answering;
+  return is_doubtful ? limits_.crashes_to_doubt_survivors
+                     : limits_.crashes_to_quarantine;
+}
+
+CrashLedger::Tallies CrashLedger::EqualExplanations(const Tallies& tallies,
+                                                    const Tally& worst) {
+  Tallies equal;
+  std::ranges::copy_if(
+      tallies, std::inserter(equal, equal.end()), [&](const auto& item) {
+        const Tally& other = item.second;
+        return other.has_unexplained && other.crashes + 1 >= worst.crashes &&
+               other.has_survived == worst.has_survived;
+      });
+  return equal;
+}
+
+std::optional<Trait> CrashLedger::FindGuilty(const Tallies& tallies) const {
+  const auto severity = [&](const auto& item) {
+    const Tally& tally = item.second;
+    const bool is_candidate =
+        tally.has_unexplained && tally.crashes >= CrashesNeeded(tally);
+    return std::tuple(is_candidate, tally.was_answering, !tally.has_survived,
+                      tally.crashes, tally.position);
+  };
+  const auto worst = std::ranges::max_element(tallies, {}, severity);
+  if (worst == tallies.end() || !std::get<0>(severity(*worst))) {
+    return std::nullopt;
+  }
+  const auto& [trait, tally] = *worst;
+  if (tally.was_answering) return trait;
+  const Tallies equal = EqualExplanations(tallies, tally);
+  const Signature signature = SignatureOf(trait);
+  const bool has_rival = std::ranges::any_of(equal, [&](const auto& item) {
+    return !std::ranges::binary_search(signature, item.first);
+  });
+  if (!has_rival) return trait;
+  if (tally.crashes < limits_.crashes_to_decide) return std::nullopt;
+  // What many requests have is in most crashes, whatever causes them.
+  return std::ranges::max_element(equal, {},
+                                  [](const auto& item) {
+                                    return std::tuple(item.second.position,
+                                                      item.second.crashes);
+                                  })
+      ->first;
+}
+
+void CrashLedger::Judge(BootTime now, Change& change) {
   while (true) {
-    auto tallies = CountCrashes();
-    std::erase_if(tallies, [&](const auto& item) {
-      return !item.second.has_unexplained ||
-             item.second.crashes < limits_.crashes_to_quarantine;
-    });
-    const auto worst = std::ranges::max_element(
-        tallies, {}, [](const std::pair<const Trait, Tally>& item) {
-          return std::tuple(item.second.crashes, item.second.position);
-        });
-    if (worst == tallies.end()) return;
-    const auto& [trait, tally] = *worst;
-    StartQuarantine(SignatureOf(trait), {tally.last_crash, true, 1}, change);
+    const Tallies tallies = CountCrashes();
+    const auto guilty = FindGuilty(tallies);
+    if (!guilty.has_value()) return;
+    StartQuarantine(SignatureOf(*guilty),
+                    {tallies.at(*guilty).last_crash, true, 1}, now, change);
   }
 }
 
+bool CrashLedger::IsSuspected(std::span<const Trait> traits) const {
+  constexpr int kSeveralCrashes = 2;
+  return std::ranges::any_of(traits.first(traits.size() - 1), [&](Trait trait) {
+    const auto state = traits_.find(trait);
+    return state != traits_.end() &&
+           state->second.last_survival == BootTime{} &&
+           CrashesOf(trait) >= kSeveralCrashes;
+  });
+}
+
 Change CrashLedger::DropExpired(BootTime now) {
   Change change;
   while (!crashes_.empty() &&
@@ -394,13 +516,18 @@
   };
   using Learned = std::pair<BootTime, CrashReport>;
   std::vector<Learned> crashes;
+  // Those that may hold the guilty trait go first.
+  std::size_t unproven = 0;
   for (const Crash& crash : crashes_) {
     if (!is_shared(crash.learned_at)) continue;
     for (const Suspect& suspect : crash.suspects) {
-      crashes.emplace_back(
-          crash.learned_at,
-          CrashReport{crash.server, AgeOf(crash.time, now),
-                      AgeOf(suspect.began, now), suspect.traits});
+      crashes.emplace_back(crash.learned_at,
+                           CrashReport{crash.server, AgeOf(crash.time, now),
+                                       AgeOf(suspect.began, now),
+                                       suspect.traits, suspect.is_answering});
+      if (IsUnproven(suspect)) {
+        std::swap(crashes.back(), crashes[unproven++]);
+      }
     }
   }
   Evidence evidence;
--- a/libraries/quarantine/crash_ledger.h
+++ b/libraries/quarantine/crash_ledger.h
@@ -11,6 +11,13 @@
 // it has, or crashes its server, which leaves what both have in common. Thus a
 // signature shrinks to the trait that matters, while sound requests are served.
 //
+// Some servers crash before any byte of the answer is out, so that all runs
+// that wait there are suspected alike. They count only if no suspect of the
+// crash had begun to answer. What tells the guilty trait from those that crash
+// beside it is who survived with which trait, also before the crash: a trait
+// that has survived needs more such crashes, and as long as several traits
+// explain the crashes equally well, more crashes are waited for.
+//
 // Crashes that a signature explains do not count for traits outside of it.
 // Servers that fail together, for example without power, cannot quarantine
 // anything: a crash counts only if the suspected run began after the one that
@@ -52,6 +59,9 @@
   std::chrono::milliseconds run_age{0};
   // From what most requests share to what is most specific.
   std::vector<Trait> traits;
+  // The server had begun to answer. Otherwise the run may only have waited
+  // there.
+  bool is_answering = true;
 
   bool operator==(const CrashReport&) const = default;
 };
@@ -107,6 +117,12 @@
     // Crashes that make a trait guilty. One is enough for a signature that was
     // quarantined before.
     int crashes_to_quarantine = 3;
+    // The same if no run with the trait had begun to answer in them, and one
+    // survived before.
+    int crashes_to_doubt_survivors = 6;
+    // Crashes after which one of several equal explanations is taken, if no run
+    // had begun to answer. The platform's rules count from the fifth.
+    int crashes_to_decide = 5;
     // How long the first quarantine lasts after the last crash.
     std::chrono::milliseconds first_quarantine{std::chrono::minutes(2)};
     std::chrono::milliseconds longest_quarantine{std::chrono::hours(1)};
@@ -119,7 +135,13 @@
     std::chrono::milliseconds sharing_time{3000};
     // Older crashes are forgotten.
     std::size_t max_crashes = 64;
-    std::size_t max_suspects_per_crash = 8;
+    std::size_t max_suspects_per_crash = 32;
+    // The same for runs that had not begun to answer, if all that they have in
+    // common with others has survived.
+    std::size_t max_proven_suspects_per_crash = 8;
+    // Traits that have survived lately are remembered in two generations of
+    // this size.
+    std::size_t max_survivors = 1024;
     // Maximum number of items of each kind sent at once; the others follow in
     // turn.
     std::size_t max_items_sent = 4;
@@ -144,6 +166,9 @@
   // Number of crashes that count against the trait, since a run with it last
   // survived.
   int CrashesOf(Trait trait) const;
+  // Whether a request has something in common with others, all its traits but
+  // the last, that was suspected in several crashes and never survived.
+  bool IsSuspected(std::span<const Trait> traits) const;
   // Number of signatures that are quarantined.
   std::size_t quarantined_count() const;
   // Traits of which anything is remembered.
@@ -153,6 +178,7 @@
   struct Suspect {
     BootTime began;
     std::vector<Trait> traits;
+    bool is_answering = true;
   };
   struct Crash {
     std::uint32_t server = 0;
@@ -163,7 +189,7 @@
   };
   struct TraitState {
     BootTime last_crash;
-    // Zero if no run with it has survived since it was first suspected.
+    // Zero if no run with it has survived, as far as is remembered.
     BootTime last_survival;
     BootTime survival_learned_at;
   };
@@ -173,6 +199,8 @@
     bool is_active = true;
     // Number of quarantines until a run survived that cleared the signature.
     int count = 1;
+    // When it began here.
+    BootTime started_at{};
   };
   // The crashes that count against a trait.
   struct Tally {
@@ -181,7 +209,11 @@
     BootTime last_crash;
     // The most specific position of the trait among those of its runs.
     std::size_t position = 0;
+    // A run with the trait had begun to answer.
+    bool was_answering = false;
+    bool has_survived = false;
   };
+  using Tallies = std::map<Trait, Tally>;
 
   // `time_error`: how much later the report's times may appear than they were.
   Change AddReport(const CrashReport& report,
@@ -193,29 +225,52 @@
   // signature that contains the trait.
   bool CountsFor(Trait trait, const Crash& crash) const;
   bool IsExplained(const Crash& crash) const;
-  std::map<Trait, Tally> CountCrashes() const;
+  // Whether a run that began at `run_began` and had not begun to answer may
+  // have been lost beside one of a quarantined signature that has the trait, of
+  // which no report has come.
+  bool MayStandBeside(Trait trait, BootTime run_began) const;
+  // The suspects to which the crash is attributed.
+  static std::vector<const Suspect*> AttributedTo(const Crash& crash);
+  Tallies CountCrashes() const;
+  int CrashesNeeded(const Tally& tally) const;
+  // The traits that explain the crashes as well as the one with the tally
+  // `worst`, or nearly: the reports of a crash come one by one.
+  static Tallies EqualExplanations(const Tallies& tallies, const Tally& worst);
+  // Returns nothing if no trait is guilty, or if it is not known yet which one.
+  std::optional<Trait> FindGuilty(const Tallies& tallies) const;
   // Quarantines signatures as long as crashes of guilty traits are unexplained.
-  void Judge(Change& change);
+  void Judge(BootTime now, Change& change);
   // The traits that all suspects have which have this one.
   Signature SignatureOf(Trait trait) const;
   // Quarantines of signatures that contain this one end, since it covers them.
   void StartQuarantine(const Signature& signature, Quarantine quarantine,
-                       Change& change);
+                       BootTime now, Change& change);
   // Quarantines anew what was quarantined before, if the run has it.
   void RenewQuarantines(const Suspect& suspect, BootTime crash_time,
-                        Change& change);
+                        BootTime now, Change& change);
   void MergeQuarantine(const QuarantineReport& report, BootTime now,
                        Change& change);
   std::chrono::milliseconds QuarantineTime(int count) const;
   void OnTraitSurvived(Trait trait, BootTime time, BootTime now,
                        Change& change);
   void ForgetUnusedTraits();
+  // State of a trait that is now suspected or quarantined.
+  TraitState& Track(Trait trait, BootTime now);
+  // Remembers that a run with a trait that nothing is known against survived.
+  void RememberSurvivor(Trait trait, BootTime time);
+  // Whether the run has something in common with others that never survived.
+  bool IsUnproven(const Suspect& suspect) const;
   // The trait is harmless: takes it out of all signatures.
-  void ClearTrait(Trait trait, BootTime survived_at, Change& change);
+  void ClearTrait(Trait trait, BootTime survived_at, BootTime now,
+                  Change& change);
 
   Limits limits_;
   // By time.
   std::deque<Crash> crashes_;
+  // When runs with traits that nothing is known against last survived: the
+  // latest of them, and the generation before.
+  std::map<Trait, BootTime> survivors_;
+  std::map<Trait, BootTime> former_survivors_;
   // All traits of `crashes_` and `quarantines_`.
   std::map<Trait, TraitState> traits_;
   // No active signature contains another one.
--- a/libraries/quarantine/evidence_codec.cc
+++ b/libraries/quarantine/evidence_codec.cc
@@ -51,8 +51,10 @@
   if (evidence.empty()) return json::array();
   json crashes = json::array();
   for (const CrashReport& report : evidence.crashes) {
-    crashes.push_back({report.server, report.crash_age.count(),
-                       report.run_age.count(), report.traits});
+    json item = {report.server, report.crash_age.count(),
+                 report.run_age.count(), report.traits};
+    if (!report.is_answering) item.push_back(false);
+    crashes.push_back(std::move(item));
   }
   json quarantined = json::array();
   for (const QuarantineReport& report : evidence.quarantined) {
@@ -67,9 +69,10 @@
   Evidence evidence;
   if (message.empty()) return evidence;
   for (const json& report : message.at(0)) {
-    evidence.crashes.push_back({report.at(0).get<std::uint32_t>(),
-                                ReadAge(report.at(1)), ReadAge(report.at(2)),
-                                report.at(3).get<std::vector<Trait>>()});
+    evidence.crashes.push_back(
+        {report.at(0).get<std::uint32_t>(), ReadAge(report.at(1)),
+         ReadAge(report.at(2)), report.at(3).get<std::vector<Trait>>(),
+         report.size() <= 4 || report.at(4).get<bool>()});
   }
   evidence.survived = ReadTraitAges(message.at(1));
   for (const json& report : message.at(2)) {
--- a/services/gateway/exchange.cc
+++ b/services/gateway/exchange.cc
@@ -220,18 +220,16 @@
   const std::string& id = attempt_->server_id;
   if (context_.directory.StateOf(id) != directory::ServerState::kReady) return;
   const BootTime now = BootClock::now();
-  // An engine sends the head of a stream when it begins to answer. Before that
-  // the prompt's parts are not suspected, only the request as a whole.
+  // An engine sends the head of a stream when it begins to answer, or with its
+  // first event. Without the head the request may only have waited there.
   const bool is_answering = attempt_->head.status != 0 ||
                             request_.route->kind != RequestKind::kStream;
   crashed_on_answer_ |= attempt_->streaming && !attempt_->has_output;
-  std::vector<quarantine::Trait> traits = request_.traits;
-  if (!is_answering) traits.erase(traits.begin(), std::prev(traits.end()));
   const quarantine::Change change = context_.crash_ledger.OnCrash(
       {dispatch::ServerKey(id), milliseconds(0),
        std::chrono::duration_cast<milliseconds>(
            now - std::max(attempt_->started, attempt_->answered)),
-       std::move(traits)},
+       request_.traits, is_answering},
       now);
   LogEvent("request_suspected", LogEvent::Level::kWarning)
       .With("id", metadata_.id)
@@ -263,6 +261,7 @@
 bool Exchange::MayRetryAfterCrash() const {
   return request_.route->MayRepeat() && !crashed_on_answer_ &&
          !IsQuarantined() &&
+         !context_.crash_ledger.IsSuspected(request_.traits) &&
          context_.crash_ledger.CrashesOf(request_.traits.back()) <
              kMaxCrashesPerRequest;
 }
--- a/tests/libraries/quarantine/crash_ledger_test.cc
+++ b/tests/libraries/quarantine/crash_ledger_test.cc
@@ -65,6 +65,85 @@
   EXPECT_TRUE(IsQuarantined(kDeadlyPart));
 }
 
+// Guards against parts that crash servers without end because no byte of the
+// answer is out before (review/4), and against taking requests that wait beside
+// them for the cause.
+class HeadlessCrashTest : public CrashLedgerTest {
+ protected:
+  // The server crashes while requests with these parts wait there.
+  Change CrashOf(const std::vector<std::vector<Trait>>& waiting) {
+    Pass(milliseconds(500));
+    ++last_server_;
+    Change change;
+    for (std::vector<Trait> traits : waiting) {
+      traits.push_back(++last_request_);
+      const Change next = ledger_.OnCrash(
+          {last_server_, milliseconds(0), milliseconds(100), traits,
+           /*is_answering=*/false},
+          now_);
+      change.quarantined.insert(change.quarantined.end(),
+                                next.quarantined.begin(),
+                                next.quarantined.end());
+    }
+    return change;
+  }
+};
+
+TEST_F(HeadlessCrashTest, PartIsQuarantinedThoughItsRunsDidNotBegin) {
+  for (int i = 0; i < 3; ++i) {
+    CrashOf({{kWorkspacePart, kDeadlyPart}});
+    Survive({kWorkspacePart, kSessionPart});
+  }
+  EXPECT_TRUE(IsQuarantined(kDeadlyPart));
+  EXPECT_FALSE(IsQuarantined(kWorkspacePart));
+}
+
+TEST_F(HeadlessCrashTest, PartThatSurvivedBeforeIsSpared) {
+  Survive({kWorkspacePart, kSessionPart});
+  Change change;
+  for (int i = 0; i < 3; ++i) {
+    change = CrashOf(
+        {{kWorkspacePart, kSessionPart}, {kWorkspacePart, kDeadlyPart}});
+  }
+  ASSERT_EQ(change.quarantined.size(), 1U);
+  EXPECT_THAT(change.quarantined[0], Contains(kDeadlyPart));
+  EXPECT_FALSE(IsQuarantined({kWorkspacePart, kSessionPart}));
+}
+
+TEST_F(HeadlessCrashTest, EqualExplanationsWaitForMoreCrashes) {
+  constexpr Trait kRarePart = 4;
+  for (int i = 0; i < 3; ++i) {
+    EXPECT_THAT(CrashOf({{kRarePart}, {kDeadlyPart}}).quarantined, IsEmpty());
+  }
+  for (int i = 0; i < 2; ++i) CrashOf({{kDeadlyPart}});
+  EXPECT_TRUE(IsQuarantined(kDeadlyPart));
+  EXPECT_FALSE(IsQuarantined(kRarePart));
+}
+
+TEST_F(HeadlessCrashTest, RunThatHadBegunToAnswerTakesTheBlame) {
+  for (int i = 0; i < 3; ++i) {
+    CrashOf({{kSessionPart}});
+    // The last crash.
+    ledger_.OnCrash({last_server_,
+                     milliseconds(0),
+                     milliseconds(50),
+                     {kDeadlyPart, ++last_request_}},
+                    now_);
+  }
+  EXPECT_TRUE(IsQuarantined(kDeadlyPart));
+  EXPECT_FALSE(IsQuarantined(kSessionPart));
+}
+
+// What survived at one process is known to others by the time that it is
+// suspected there.
+TEST_F(HeadlessCrashTest, EarlierSurvivalIsToldToOthers) {
+  Survive({kWorkspacePart, kSessionPart});
+  CrashOf({{kWorkspacePart, kSessionPart}});
+  const Evidence evidence = ledger_.Share(now_, now_);
+  EXPECT_THAT(evidence.survived,
+              Contains(testing::Field(&TraitAge::trait, kSessionPart)));
+}
+
 TEST_F(CrashLedgerTest, PartWithSurvivorsIsNotQuarantined) {
   for (int i = 0; i < 10; ++i) {
     Crash({kWorkspacePart, kDeadlyPart});
--- a/tests/libraries/quarantine/deadly_part_fleet_test.cc
+++ b/tests/libraries/quarantine/deadly_part_fleet_test.cc
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <cstddef>
 #include <functional>
+#include <list>
 #include <map>
 #include <ostream>
 #include <random>
@@ -24,6 +25,9 @@
 
 constexpr Trait kWorkspacePart = 1;
 constexpr Trait kDeadlyPart = 2;
+// Parts that a few requests each share, sound and deadly ones.
+constexpr Trait kFirstTopic = 10;
+constexpr std::size_t kTopics = 80;
 // Of the exchange between gateways (see PeerExchange).
 constexpr milliseconds kAnnounceDelay{5};
 constexpr std::size_t kAnnounceFanout = 4;
@@ -44,11 +48,15 @@
   // How often a client sends a request again that crashed its engine.
   int repeats;
   int seed;
+  // No byte of the answer is out before the crash, so that all requests that
+  // wait at the engine are suspected alike.
+  bool is_headless = false;
 };
 
 void PrintTo(const Load& load, std::ostream* out) {
   *out << load.gateways << " gateways, share " << load.deadly_share << ", "
-       << load.repeats << " repeats, seed " << load.seed;
+       << load.repeats << " repeats, seed " << load.seed
+       << (load.is_headless ? ", before the head" : "");
 }
 
 class DeadlyPartFleetTest : public testing::TestWithParam<Load> {
@@ -113,6 +121,9 @@
   void Arrive() {
     const bool is_deadly = Chance(GetParam().deadly_share);
     std::vector<Trait> traits = {kWorkspacePart};
+    if (GetParam().is_headless) {
+      traits.push_back(kFirstTopic + Random(kTopics));
+    }
     if (is_deadly) traits.push_back(kDeadlyPart);
     traits.push_back(100 + ++requests_);
     Submit(is_deadly, traits, GetParam().repeats);
@@ -137,10 +148,20 @@
     if (is_deadly) sent_deadly_.push_back(now_);
     if (!is_deadly) ++sent_sound_;
     const milliseconds prefill(300 + Random(400));
-    In(prefill, [this, gateway, engine, is_deadly, traits, repeats,
+    const auto waiting = waiting_[engine].insert(
+        waiting_[engine].end(), Waiting{gateway, traits, now_});
+    In(prefill, [this, gateway, engine, is_deadly, traits, repeats, waiting,
                  sent = now_] {
       // The engine crashed meanwhile, before it began to answer.
       if (last_crash_[engine] >= sent) return;
+      if (is_deadly && GetParam().is_headless) {
+        Crash(gateway, engine, traits, sent);
+        if (repeats == 0) return;
+        In(milliseconds(10),
+           [this, traits, repeats] { Submit(true, traits, repeats - 1); });
+        return;
+      }
+      waiting_[engine].erase(waiting);
       const BootTime began = now_;
       if (is_deadly) {
         In(milliseconds(50), [this, gateway, engine, traits, repeats, began] {
@@ -167,18 +188,28 @@
     last_crash_[engine] = now_;
     engine_down_until_[engine] = now_ + milliseconds(3300);
     crashes_.push_back(now_);
-    Report(gateway, engine, traits, began);
+    if (!GetParam().is_headless) {
+      Report(gateway, engine, traits, began);
+    } else {
+      for (const Waiting& run : waiting_[engine]) {
+        Report(run.gateway, engine, run.traits, run.sent,
+               /*is_answering=*/false);
+      }
+    }
+    waiting_[engine].clear();
   }
 
   void Report(std::size_t gateway, std::size_t engine,
-              const std::vector<Trait>& traits, BootTime began) {
+              const std::vector<Trait>& traits, BootTime began,
+              bool is_answering = true) {
     const auto age = [&](BootTime time) {
       return std::chrono::duration_cast<milliseconds>(now_ - time);
     };
-    OnChange(gateway, ledgers_[gateway].OnCrash(
-                          {static_cast<std::uint32_t>(engine),
-                           age(last_crash_[engine]), age(began), traits},
-                          now_));
+    OnChange(gateway,
+             ledgers_[gateway].OnCrash(
+                 {static_cast<std::uint32_t>(engine), age(last_crash_[engine]),
+                  age(began), traits, is_answering},
+                 now_));
   }
 
   // Deadly requests that were sent later than allowed.
@@ -189,6 +220,13 @@
         sent_deadly_, [&](BootTime sent) { return sent > from; }));
   }
 
+  // A request that waits at an engine.
+  struct Waiting {
+    std::size_t gateway;
+    std::vector<Trait> traits;
+    BootTime sent;
+  };
+
   BootTime now_{std::chrono::hours(1)};
   std::minstd_rand random_;
   std::multimap<BootTime, std::function<void()>> events_;
@@ -197,6 +235,8 @@
   std::set<std::size_t> announcing_;
   std::vector<BootTime> engine_down_until_;
   std::map<std::size_t, BootTime> last_crash_;
+  // By engine.
+  std::map<std::size_t, std::list<Waiting>> waiting_;
   std::vector<BootTime> crashes_;
   std::vector<BootTime> sent_deadly_;
   std::size_t requests_ = 0;
@@ -241,5 +281,16 @@
 INSTANTIATE_TEST_SUITE_P(Loads, DeadlyPartFleetTest,
                          testing::ValuesIn(Loads()));
 
+std::vector<Load> HeadlessLoads() {
+  std::vector<Load> loads = Loads();
+  // The largest fleet has the same number of crashes before the part is known.
+  std::erase_if(loads, [](const Load& load) { return load.gateways > 103; });
+  for (Load& load : loads) load.is_headless = true;
+  return loads;
+}
+
+INSTANTIATE_TEST_SUITE_P(HeadlessLoads, DeadlyPartFleetTest,
+                         testing::ValuesIn(HeadlessLoads()));
+
 }  // namespace
 }  // namespace balsam::quarantine
--- a/tests/services/gateway/deadly_part_test.cc
+++ b/tests/services/gateway/deadly_part_test.cc
@@ -27,6 +27,8 @@
   // Begins to answer each request, and then crashes on those with the deadly
   // part. It is back at once.
   void Run(const ScriptedEngine::Request& request) {
+    // Not the calls that stop runs.
+    if (!request.IsTo("/x")) return;
     const bool is_deadly = request.head.find("dead:") != std::string::npos;
     ++(is_deadly ? deadly_runs_ : sound_runs_);
     BeginStream(request.socket, 1, is_deadly ? 0 : 2);
@@ -100,6 +102,34 @@
   EXPECT_EQ(sound_runs_, 1U);
 }
 
+// Guards against a part that crashes engines without end because no byte of the
+// answer is out before (review/4): the parts of prompts were suspected only
+// once the response had begun.
+class HeadlessDeadlyPartTest : public DeadlyPartTest {
+ protected:
+  HeadlessDeadlyPartTest() {
+    for (ScriptedEngine* engine : {&first_, &second_}) {
+      engine->on_request = [this](const auto& request) {
+        if (request.head.find("dead:") == std::string::npos) {
+          Run(request);
+        } else if (request.IsTo("/x")) {
+          ++deadly_runs_;
+          request.socket->disconnectFromHost();
+        }
+      };
+    }
+  }
+};
+
+TEST_F(HeadlessDeadlyPartTest, RequestsThatShareItAreStopped) {
+  for (int i = 0; i < 20; ++i) {
+    SendWithParts(std::string(kWorkspacePart) + "," + kDeadlyPart);
+    SendWithParts(std::string(kWorkspacePart) + ",5e55:32");
+  }
+  EXPECT_LE(deadly_runs_, kToleratedRequests);
+  EXPECT_EQ(sound_runs_, 20U);
+}
+
 // The text that an engine has written of a stream without a length or chunks
 // when it crashes.
 class UnframedDeadlyPartTest : public DeadlyPartTest,
@@ -108,6 +138,7 @@
   UnframedDeadlyPartTest() {
     for (ScriptedEngine* engine : {&first_, &second_}) {
       engine->on_request = [this](const auto& request) {
+        if (!request.IsTo("/x")) return;
         ++deadly_runs_;
         const std::string text = std::string(
                                      "HTTP/1.1 200 OK\r\nRequest-Id: r-1\r\n"
@@ -141,6 +172,7 @@
   std::size_t runs = 0;
   for (ScriptedEngine* server : {&first_, &second_}) {
     server->on_request = [&runs](const auto& request) {
+      if (!request.IsTo("/x")) return;
       ++runs;
       request.socket->disconnectFromHost();
     };
@@ -157,6 +189,7 @@
   ScriptedEngine third;
   for (ScriptedEngine* engine : {&first_, &second_, &third}) {
     engine->on_request = [&runs](const auto& request) {
+      if (!request.IsTo("/x")) return;
       ++runs;
       request.socket->disconnectFromHost();
     };
@@ -180,7 +213,9 @@
 // begun to run, went on to crash one more engine each (issue 26).
 TEST_F(DeadlyPartTest, RequestThatWaitsAtAnEngineIsWithdrawn) {
   QTcpSocket* socket = nullptr;
-  first_.on_request = [&](const auto& request) { socket = request.socket; };
+  first_.on_request = [&](const auto& request) {
+    if (request.IsTo("/x")) socket = request.socket;
+  };
   StartWithParts(kDeadlyPart);
   ASSERT_TRUE(RunUntil([&] { return socket != nullptr; }));
   QuarantineDeadlyPart();
@@ -227,6 +262,7 @@
   std::size_t runs = 0;
   for (ScriptedEngine* engine : {&first_, &second_}) {
     engine->on_request = [&runs](const auto& request) {
+      if (!request.IsTo("/x")) return;
       const auto delay = ++runs == 1 ? std::chrono::milliseconds(0)
                                      : quarantine::kHarmlessAfter;
       const int event = static_cast<int>(runs);
@@ -254,6 +290,7 @@
   QTcpSocket* socket = nullptr;
   for (ScriptedEngine* engine : {&first_, &second_}) {
     engine->on_request = [&](const auto& request) {
+      if (!request.IsTo("/x")) return;
       socket = request.socket;
       BeginStream(socket, 1, 0);
     };
