Move the runs of an engine whose restart and leaving are told at once

Found by reading the diff of the restart's news: an entry of a new incarnation that is already draining was a restart only, and what ran there was not moved.

--- a/services/gateway/exchange.cc
+++ b/services/gateway/exchange.cc
@@ -190,9 +190,10 @@
   }
   attempt_->is_complete = end == OutboundConnection::EndReason::kComplete;
   RecordCrashIfBroken(end);
-  const bool may_run = !attempt_->is_complete &&
+  // A run that is being migrated is stopped by its migration.
+  const bool may_run = !attempt_->is_complete && !IsStopRequested() &&
                        end != OutboundConnection::EndReason::kNotConnected;
-  if (may_run && !IsStopRequested()) AbandonRun(/*may_be_queued=*/false);
+  if (may_run) AbandonRun(/*may_be_queued=*/false);
   if (attempt_->streaming) {
     OnStreamEnded(end);
     return;
--- a/services/gateway/gateway_node.cc
+++ b/services/gateway/gateway_node.cc
@@ -217,6 +217,12 @@
   for (Exchange* exchange : Exchanges()) exchange->OnServerRestarted(server);
   context_.selector.OnRestarted(server.id, began);
   context_.limits.OnRestarted(dispatch::ServerKey(server.id), began);
+  if (context_.directory.StateOf(server.id) ==
+      directory::ServerState::kLeaving) {
+    for (Exchange* exchange : Exchanges()) {
+      exchange->OnServerLeaving(server.id);
+    }
+  }
   // What remains of a notice expires unless it is repeated.
   if (context_.directory.IsLeavingByReportOnly(server.id)) {
     reported_leaving_.insert_or_assign(server.id, now);
