Remember survivors by what requests share

The trait of a request as a whole took a third of the places in the memory of survivors, and is hardly ever seen again unless the request has no parts.

--- a/libraries/quarantine/crash_ledger.cc
+++ b/libraries/quarantine/crash_ledger.cc
@@ -145,8 +145,15 @@
 
 Change CrashLedger::OnSurvived(std::span<const Trait> traits, BootTime now) {
   Change change;
-  std::ranges::for_each(
-      traits, [&](Trait trait) { OnTraitSurvived(trait, now, now, change); });
+  // The last one, the request itself, is hardly ever seen again, unless it has
+  // no others.
+  const bool has_parts = traits.size() > 1;
+  std::ranges::for_each(traits, [&](const Trait& trait) {
+    const bool is_worth_keeping = !has_parts || &trait != &traits.back();
+    if (is_worth_keeping || traits_.contains(trait)) {
+      OnTraitSurvived(trait, now, now, change);
+    }
+  });
   return change;
 }
 
