--- a/libraries/quarantine/crash_ledger.cc
+++ b/libraries/quarantine/crash_ledger.cc
@@ -333,44 +333,33 @@
   return std::ranges::none_of(quarantines_, explains_without_it);
 }
 
-bool CrashLedger::MayStandBeside(Trait trait, BootTime run_began) const {
+bool CrashLedger::MayStandBeside(Trait trait, const Crash& crash) const {
   return std::ranges::any_of(quarantines_, [&](const auto& item) {
+    const BootTime started_at = item.second.started_at;
     return item.second.is_active &&
-           run_began <= item.second.started_at + kMaxReportDelay &&
+           crash.time >= started_at - kMaxReportDelay &&
+           crash.time <= started_at + kMaxReportDelay &&
            std::ranges::binary_search(item.first, trait);
   });
 }
 
-std::vector<const CrashLedger::Suspect*> CrashLedger::AttributedTo(
-    const Crash& crash) {
-  const bool is_any_answering =
-      std::ranges::any_of(crash.suspects, &Suspect::is_answering);
-  std::vector<const Suspect*> suspects;
-  for (const Suspect& suspect : crash.suspects) {
-    if (suspect.is_answering || !is_any_answering) suspects.push_back(&suspect);
-  }
-  return suspects;
-}
-
 CrashLedger::Tallies CrashLedger::CountCrashes() const {
   Tallies tallies;
   for (const Crash& crash : crashes_) {
     const bool is_explained = IsExplained(crash);
-    for (const Suspect* attributed : AttributedTo(crash)) {
-      const Suspect& suspect = *attributed;
+    for (const Suspect& suspect : crash.suspects) {
       for (std::size_t i = 0; i < suspect.traits.size(); ++i) {
         const Trait trait = suspect.traits[i];
         if (!CountsFor(trait, crash)) continue;
-        if (!suspect.is_answering && MayStandBeside(trait, suspect.began)) {
-          continue;
-        }
+        if (!suspect.is_answering && MayStandBeside(trait, crash)) continue;
         Tally& tally = tallies[trait];
-        tally.was_answering |= suspect.is_answering;
+        tally.is_whole = i + 1 == suspect.traits.size();
         tally.has_survived = traits_.at(trait).last_survival != BootTime{};
         tally.position = std::max(tally.position, i);
         tally.has_unexplained |= !is_explained;
         if (tally.crashes > 0 && suspect.began <= tally.last_crash) continue;
         ++tally.crashes;
+        if (suspect.is_answering) ++tally.crashes_of_answers;
         tally.last_crash = crash.time;
       }
     }
@@ -382,8 +371,7 @@
   std::optional<Signature> common;
   for (const Crash& crash : crashes_) {
     if (!CountsFor(trait, crash)) continue;
-    for (const Suspect* attributed : AttributedTo(crash)) {
-      const Suspect& suspect = *attributed;
+    for (const Suspect& suspect : crash.suspects) {
       if (!HasSignature(suspect.traits, {trait})) continue;
       Signature traits;
       std::ranges::copy_if(
@@ -404,8 +392,12 @@
   return common.value_or(Signature{trait});
 }
 
+bool CrashLedger::WasAnswering(const Tally& tally) const {
+  return tally.crashes_of_answers >= limits_.crashes_to_quarantine;
+}
+
 int CrashLedger::CrashesNeeded(const Tally& tally) const {
-  const bool is_doubtful = tally.has_survived && !tally.was_answering;
+  const bool is_doubtful = tally.has_survived && !WasAnswering(tally);
   return is_doubtful ? limits_.crashes_to_doubt_survivors
                      : limits_.crashes_to_quarantine;
 }
@@ -427,7 +419,7 @@
     const Tally& tally = item.second;
     const bool is_candidate =
         tally.has_unexplained && tally.crashes >= CrashesNeeded(tally);
-    return std::tuple(is_candidate, tally.was_answering, !tally.has_survived,
+    return std::tuple(is_candidate, !tally.has_survived, WasAnswering(tally),
                       tally.crashes, tally.position);
   };
   const auto worst = std::ranges::max_element(tallies, {}, severity);
@@ -435,7 +427,7 @@
     return std::nullopt;
   }
   const auto& [trait, tally] = *worst;
-  if (tally.was_answering) return trait;
+  if (WasAnswering(tally)) return trait;
   const Tallies equal = EqualExplanations(tallies, tally);
   const Signature signature = SignatureOf(trait);
   const bool has_rival = std::ranges::any_of(equal, [&](const auto& item) {
@@ -443,10 +435,12 @@
   });
   if (!has_rival) return trait;
   if (tally.crashes < limits_.crashes_to_decide) return std::nullopt;
-  // What many requests have is in most crashes, whatever causes them.
+  // What many requests have is in most crashes, whatever causes them. A request
+  // that is repeated may stand for a part of it.
   return std::ranges::max_element(equal, {},
                                   [](const auto& item) {
-                                    return std::tuple(item.second.position,
+                                    return std::tuple(!item.second.is_whole,
+                                                      item.second.position,
                                                       item.second.crashes);
                                   })
       ->first;
--- a/libraries/quarantine/crash_ledger.h
+++ b/libraries/quarantine/crash_ledger.h
@@ -117,11 +117,11 @@
     // Crashes that make a trait guilty. One is enough for a signature that was
     // quarantined before.
     int crashes_to_quarantine = 3;
-    // The same if no run with the trait had begun to answer in them, and one
-    // survived before.
+    // The same if one survived before, unless runs with the trait had begun to
+    // answer in enough crashes.
     int crashes_to_doubt_survivors = 6;
-    // Crashes after which one of several equal explanations is taken, if no run
-    // had begun to answer. The platform's rules count from the fifth.
+    // Crashes after which one of several equal explanations is taken, unless
+    // its runs had begun to answer. The platform's rules count from the fifth.
     int crashes_to_decide = 5;
     // How long the first quarantine lasts after the last crash.
     std::chrono::milliseconds first_quarantine{std::chrono::minutes(2)};
@@ -209,9 +209,11 @@
     BootTime last_crash;
     // The most specific position of the trait among those of its runs.
     std::size_t position = 0;
-    // A run with the trait had begun to answer.
-    bool was_answering = false;
+    // Those in which a run with the trait had begun to answer.
+    int crashes_of_answers = 0;
     bool has_survived = false;
+    // It is a request as a whole.
+    bool is_whole = false;
   };
   using Tallies = std::map<Trait, Tally>;
 
@@ -225,13 +227,13 @@
   // signature that contains the trait.
   bool CountsFor(Trait trait, const Crash& crash) const;
   bool IsExplained(const Crash& crash) const;
-  // Whether a run that began at `run_began` and had not begun to answer may
-  // have been lost beside one of a quarantined signature that has the trait, of
-  // which no report has come.
-  bool MayStandBeside(Trait trait, BootTime run_began) const;
-  // The suspects to which the crash is attributed.
-  static std::vector<const Suspect*> AttributedTo(const Crash& crash);
+  // Whether a run that had not begun to answer may have been lost in the crash
+  // beside one of a signature with the trait that was just quarantined, whose
+  // report is missing.
+  bool MayStandBeside(Trait trait, const Crash& crash) const;
   Tallies CountCrashes() const;
+  // Whether runs with the trait had begun to answer in enough crashes.
+  bool WasAnswering(const Tally& tally) const;
   int CrashesNeeded(const Tally& tally) const;
   // The traits that explain the crashes as well as the one with the tally
   // `worst`, or nearly: the reports of a crash come one by one.
--- a/tests/libraries/quarantine/deadly_part_fleet_test.cc
+++ b/tests/libraries/quarantine/deadly_part_fleet_test.cc
@@ -285,6 +285,12 @@
   std::vector<Load> loads = Loads();
   // The largest fleet has the same number of crashes before the part is known.
   std::erase_if(loads, [](const Load& load) { return load.gateways > 103; });
+  // Crowded engines: at each crash, others have begun to answer there.
+  for (const double share : {0.02, 0.1, 0.3}) {
+    for (const int seed : {1, 2, 3}) {
+      loads.push_back({5, 12, 60.0, share, 0.05, 0, seed});
+    }
+  }
   for (Load& load : loads) load.is_headless = true;
   return loads;
 }
