Repeat a stop without a response before a run resumes elsewhere

The end of the stream proves the stop only while the call is in progress; after a call without a useful response the stop is repeated first. UnansweredStopIsRepeatedWhenTheStreamEnds failed before (kResumeAtTarget).

--- a/libraries/migration/migration_state_machine.cc
+++ b/libraries/migration/migration_state_machine.cc
@@ -33,7 +33,7 @@
     switch (result) {
       case CopyResult::kCopied:
         has_copy_ = true;
-        was_copy_long_ = took > limits_.max_short_copy;
+        stream_end_proves_stop_ = took > limits_.max_short_copy;
         state_ = State::kStopping;
         return MigrationStep::kStopAndCopy;
       case CopyResult::kNoCapacity:
@@ -58,11 +58,11 @@
       state_ = State::kResuming;
       return MigrationStep::kResumeAtSource;
     case CopyResult::kBusy:
-      // The run was not asked to stop.
-      was_copy_long_ = false;
+      stream_end_proves_stop_ = false;
       return MigrationStep::kRetryLater;
     case CopyResult::kNoSuchRun:
     case CopyResult::kNoResponse:
+      stream_end_proves_stop_ = false;
       // The stream shows whether the run continues, has ended or is lost.
       return source_stream_broken_ ? OnSourceStreamBroken()
                                    : MigrationStep::kRetryLater;
@@ -75,7 +75,7 @@
   source_stream_broken_ = true;
   // The response to the call that stops the run is still pending. A stream that
   // ends after the call shows that the run has stopped, too.
-  if (state_ == State::kStopping && !was_broken && !was_copy_long_) {
+  if (state_ == State::kStopping && !was_broken && !stream_end_proves_stop_) {
     return MigrationStep::kNone;
   }
   if (state_ == State::kResuming) return MigrationStep::kNone;
--- a/libraries/migration/migration_state_machine.h
+++ b/libraries/migration/migration_state_machine.h
@@ -96,8 +96,9 @@
   // The source stopped the run and, as far as is known, still holds its memory.
   bool source_holds_memory_ = false;
   bool source_stream_broken_ = false;
-  // The copy took too long to wait for a second one.
-  bool was_copy_long_ = false;
+  // The run was asked to stop after a long copy, so that the end of its stream
+  // is all that is waited for. False after a call without a useful response.
+  bool stream_end_proves_stop_ = false;
   bool resuming_at_source_ = false;
   int targets_tried_ = 0;
 };
--- a/tests/libraries/migration/move_machine_test.cc
+++ b/tests/libraries/migration/move_machine_test.cc
@@ -67,6 +67,19 @@
   }
 }
 
+// Guards against a run that goes on at two engines: the call that was to stop
+// it got no response, and its stream was reset for another reason.
+TEST_F(MigrationStateMachineTest, UnansweredStopIsRepeatedWhenTheStreamEnds) {
+  StartFirstCopy();
+  machine_.OnCopyResult(CopyResult::kCopied, kLongCopy);
+  EXPECT_EQ(machine_.OnCopyResult(CopyResult::kNoResponse, kShortCopy),
+            MigrationStep::kRetryLater);
+  EXPECT_EQ(machine_.OnSourceStreamBroken(), MigrationStep::kNone);
+  EXPECT_EQ(machine_.OnRetryTimer(), MigrationStep::kStopAndCopy);
+  EXPECT_EQ(machine_.OnCopyResult(CopyResult::kCopied, kShortCopy),
+            MigrationStep::kResumeAtTarget);
+}
+
 TEST_F(MigrationStateMachineTest, StoppedRunFallsBackToItsSource) {
   StartFirstCopy();
   machine_.OnCopyResult(CopyResult::kCopied, kLongCopy);
