Take a refused stop call for no stop

The refusal of the call that stops a run was taken for a stop whose copy found no room; the gateway closed the stream and resumed at the source, which refused again, so that the run was lost.

By the platform a 503 of a stop names the handle of what the engine keeps. One that names none has not stopped the run: the call is repeated. If a last copy is refused after a long one, the run resumes from the first copy.

RefusedLastCopyAfterALongOneUsesTheFirst failed before (kResumeAtSource). The refused call has no test of its own yet.

--- a/libraries/migration/migration_state_machine.cc
+++ b/libraries/migration/migration_state_machine.cc
@@ -54,8 +54,10 @@
       return MigrationStep::kResumeAtTarget;
     case CopyResult::kNoCapacity:
       source_holds_memory_ = true;
-      resuming_at_source_ = true;
       state_ = State::kResuming;
+      // The first copy was to serve in any case.
+      if (stream_end_proves_stop_) return MigrationStep::kResumeAtTarget;
+      resuming_at_source_ = true;
       return MigrationStep::kResumeAtSource;
     case CopyResult::kBusy:
       stream_end_proves_stop_ = false;
--- a/services/gateway/generation_migration.cc
+++ b/services/gateway/generation_migration.cc
@@ -238,6 +238,12 @@
     response =
         context_.dialect.ParseCopyResponse(reply.head.status, reply.body);
   }
+  // An engine that stopped a run names what it keeps of it. One that refused
+  // the call did not stop the run.
+  if (state_machine_.stopping() && response.handle.empty() &&
+      response.result == CopyResult::kNoCapacity) {
+    response.result = CopyResult::kBusy;
+  }
   if (!response.handle.empty()) handle_ = response.handle;
   if (response.result == CopyResult::kNoCapacity) {
     refused_targets_.insert(target_id_);
--- a/services/gateway/run_stopper.cc
+++ b/services/gateway/run_stopper.cc
@@ -77,6 +77,11 @@
   if (response.end == OutboundConnection::EndReason::kComplete) {
     parsed = dialect_.ParseCopyResponse(response.head.status, response.body);
   }
+  // An engine that stopped a run names what it keeps of it.
+  if (parsed.handle.empty() &&
+      parsed.result == migration::CopyResult::kNoCapacity) {
+    parsed.result = migration::CopyResult::kBusy;
+  }
   if (!parsed.handle.empty()) Release(run, parsed.handle);
   const StopResult result = ToStopResult(response.end, parsed.result);
   LogEvent("run_stop_asked")
--- a/tests/libraries/migration/move_machine_test.cc
+++ b/tests/libraries/migration/move_machine_test.cc
@@ -80,6 +80,17 @@
             MigrationStep::kResumeAtTarget);
 }
 
+// Guards against a run that is lost because its source, which stopped it,
+// refuses it for a moment: the last copy was refused, and the first not used.
+TEST_F(MigrationStateMachineTest, RefusedLastCopyAfterALongOneUsesTheFirst) {
+  StartFirstCopy();
+  machine_.OnCopyResult(CopyResult::kCopied, kLongCopy);
+  EXPECT_EQ(machine_.OnCopyResult(CopyResult::kNoCapacity, kShortCopy),
+            MigrationStep::kResumeAtTarget);
+  EXPECT_EQ(machine_.OnResumeResult(false), MigrationStep::kResumeAtSource);
+  EXPECT_EQ(machine_.OnResumeResult(false), MigrationStep::kLost);
+}
+
 TEST_F(MigrationStateMachineTest, StoppedRunFallsBackToItsSource) {
   StartFirstCopy();
   machine_.OnCopyResult(CopyResult::kCopied, kLongCopy);
