--- a/tests/services/gateway/generation_move_test.cc
+++ b/tests/services/gateway/generation_move_test.cc
@@ -25,7 +25,7 @@
     const directory::Endpoint source{"127.0.0.1", 1};
     migration_ = std::make_unique<GenerationMigration>(
         context_, engine_,
-        GenerationMigration::Run{"r-1", kSource, source, demand_, {}});
+        GenerationMigration::Run{"r-1", kSource, source, demand_, {}, {}});
     migration_->on_lost = [] {};
     migration_->Start();
   }
