Keep a slow run whose engine refuses to stop it

An engine that sheds load answers the call that stops a run with 503 and stops nothing. For a slow generation that was taken for an engine that does not respond: it began at another engine while the first went on. For a run whose resumption got no answer, one refusal lost the stream. A slow run at an engine that did not respond was not asked for again when the engine did.

Cause: RunStopper had one result for a refused call and for no response.

Fix: kRefused is a result of its own.

Ruled out: beginning elsewhere after some refusals. The run may go on, and it is the engine's word that it does.

--- a/services/gateway/exchange.cc
+++ b/services/gateway/exchange.cc
@@ -474,15 +474,24 @@
             self->attempt_->connection == nullptr) {
           return;
         }
-        if (result == StopResult::kNotRunning) {
-          self->attempt_->is_stop_asked = false;
-          if (!self->response_started_) self->StartSlowTimer();
-        } else if (!self->response_started_) {
-          self->LeaveSlowServer();
-        }
+        self->OnSlowEngineAsked(result);
       });
 }
 
+void Exchange::OnSlowEngineAsked(StopResult result) {
+  const bool may_begin_elsewhere =
+      result != StopResult::kNotRunning && result != StopResult::kRefused;
+  if (!may_begin_elsewhere) attempt_->is_stop_asked = false;
+  if (response_started_) return;
+  if (!may_begin_elsewhere) {
+    StartSlowTimer();
+    return;
+  }
+  // It may respond later, and go on with the run until then.
+  if (result == StopResult::kUnknown) AbandonRun(/*may_be_queued=*/true);
+  LeaveSlowServer();
+}
+
 void Exchange::LeaveSlowServer() {
   attempt_->connection->Abort();
   OnAttemptEnded(AttemptEnd::kUnknown);
--- a/services/gateway/exchange.h
+++ b/services/gateway/exchange.h
@@ -187,8 +187,10 @@
   // Whether the slow request may be sent to another server, which has capacity.
   bool MayLeaveSlowServer(BootTime now);
   // Stops the run of a slow attempt and sends the request to another engine.
-  // Nothing happens if it is still queued: it cannot be stopped then.
+  // The attempt is kept if it is still queued, as it cannot be stopped then, or
+  // if the engine refuses to stop it.
   void LeaveSlowEngine();
+  void OnSlowEngineAsked(StopResult result);
   void LeaveSlowServer();
   void OnDeadline();
 
--- a/services/gateway/generation_migration.cc
+++ b/services/gateway/generation_migration.cc
@@ -15,6 +15,8 @@
 
 // Delay before retrying a step that could not be carried out.
 constexpr milliseconds kStepRetryDelay{50};
+// The same if the engine refused the call that stops the run: it sheds load.
+constexpr milliseconds kRefusedStopDelay{250};
 // Time limit for a copy: the memory of a long generation between data centres,
 // queued behind a few others (platform: gigabytes over 24 Gbit/s).
 constexpr milliseconds kCopyTimeout{3000};
@@ -151,7 +153,7 @@
       return;
     case MigrationStep::kRetryLater:
       LeaveCopyQueue();
-      retry_timer_.start(kStepRetryDelay);
+      retry_timer_.start(stop_refused_ ? kRefusedStopDelay : kStepRetryDelay);
       return;
     case MigrationStep::kResumeAtTarget:
       Resume(true);
@@ -240,10 +242,9 @@
   }
   // An engine that stopped a run names what it keeps of it. One that refused
   // the call did not stop the run.
-  if (state_machine_.stopping() && response.handle.empty() &&
-      response.result == CopyResult::kNoCapacity) {
-    response.result = CopyResult::kBusy;
-  }
+  stop_refused_ = state_machine_.stopping() && response.handle.empty() &&
+                  response.result == CopyResult::kNoCapacity;
+  if (stop_refused_) response.result = CopyResult::kBusy;
   if (!response.handle.empty()) handle_ = response.handle;
   if (response.result == CopyResult::kNoCapacity) {
     refused_targets_.insert(target_id_);
--- a/services/gateway/generation_migration.h
+++ b/services/gateway/generation_migration.h
@@ -110,6 +110,8 @@
   bool source_restarted_ = false;
   // Handle of the copy; empty until one is made.
   std::string handle_;
+  // The source refused the last call that was to stop the run.
+  bool stop_refused_ = false;
   // The copy call in progress; null if there is none.
   OutboundConnection* call_ = nullptr;
   BootTime call_started_at_;
--- a/services/gateway/run_stopper.cc
+++ b/services/gateway/run_stopper.cc
@@ -28,6 +28,8 @@
       return "not_running";
     case StopResult::kEngineGone:
       return "engine_gone";
+    case StopResult::kRefused:
+      return "refused";
     case StopResult::kUnknown:
       return "unknown";
   }
@@ -35,21 +37,15 @@
 }
 
 StopResult ToStopResult(OutboundConnection::EndReason end,
-                        migration::CopyResult result) {
-  if (end == OutboundConnection::EndReason::kNotConnected) {
-    return StopResult::kEngineGone;
+                        const CopyResponse& response) {
+  using EndReason = OutboundConnection::EndReason;
+  if (end == EndReason::kNotConnected) return StopResult::kEngineGone;
+  if (end != EndReason::kComplete) return StopResult::kUnknown;
+  if (response.result == migration::CopyResult::kNoSuchRun) {
+    return StopResult::kNotRunning;
   }
-  switch (result) {
-    case migration::CopyResult::kCopied:
-    case migration::CopyResult::kNoCapacity:
-      return StopResult::kStopped;
-    case migration::CopyResult::kNoSuchRun:
-      return StopResult::kNotRunning;
-    case migration::CopyResult::kBusy:
-    case migration::CopyResult::kNoResponse:
-      return StopResult::kUnknown;
-  }
-  return StopResult::kUnknown;
+  // An engine that stopped a run names what it keeps of it.
+  return response.handle.empty() ? StopResult::kRefused : StopResult::kStopped;
 }
 
 }  // namespace
@@ -77,13 +73,8 @@
   if (response.end == OutboundConnection::EndReason::kComplete) {
     parsed = dialect_.ParseCopyResponse(response.head.status, response.body);
   }
-  // An engine that stopped a run names what it keeps of it.
-  if (parsed.handle.empty() &&
-      parsed.result == migration::CopyResult::kNoCapacity) {
-    parsed.result = migration::CopyResult::kBusy;
-  }
   if (!parsed.handle.empty()) Release(run, parsed.handle);
-  const StopResult result = ToStopResult(response.end, parsed.result);
+  const StopResult result = ToStopResult(response.end, parsed);
   LogEvent("run_stop_asked")
       .With("id", run.request_id)
       .With("server", run.server_id)
@@ -104,18 +95,30 @@
 
 void RunStopper::StopAndConfirm(const EngineRun& run,
                                 std::function<void(bool)> on_result) {
-  Ask(run,
-      [this, run, on_result = std::move(on_result)](StopResult first_result) {
-        if (first_result != StopResult::kNotRunning) {
-          on_result(first_result != StopResult::kUnknown);
-          return;
-        }
-        QTimer::singleShot(kCallInterval, this, [this, run, on_result] {
-          Ask(run, [on_result](StopResult result) {
-            on_result(result != StopResult::kUnknown);
-          });
-        });
-      });
+  TryConfirm(run, /*was_not_running=*/false, kMaxCalls, std::move(on_result));
+}
+
+void RunStopper::TryConfirm(const EngineRun& run, bool was_not_running,
+                            std::size_t calls_left,
+                            std::function<void(bool is_over)> on_result) {
+  Ask(run, [this, run, was_not_running, calls_left,
+            on_result = std::move(on_result)](StopResult result) {
+    const bool is_not_running = result == StopResult::kNotRunning;
+    const bool is_over = result == StopResult::kStopped ||
+                         result == StopResult::kEngineGone ||
+                         (is_not_running && was_not_running);
+    if (is_over || result == StopResult::kUnknown || calls_left <= 1) {
+      on_result(is_over);
+      return;
+    }
+    // It may have been queued and begin now, or the engine may respond to
+    // another call.
+    QTimer::singleShot(kCallInterval, this,
+                       [this, run, is_not_running, calls_left, on_result] {
+                         TryConfirm(run, is_not_running, calls_left - 1,
+                                    on_result);
+                       });
+  });
 }
 
 void RunStopper::Abandon(const EngineRun& run, bool may_be_queued) {
@@ -126,6 +129,7 @@
                             std::size_t calls_left) {
   Ask(run, [this, run, may_be_queued, calls_left](StopResult result) {
     const bool may_run = result == StopResult::kUnknown ||
+                         result == StopResult::kRefused ||
                          (result == StopResult::kNotRunning && may_be_queued);
     if (!may_run || calls_left <= 1) return;
     QTimer::singleShot(kCallInterval, this,
--- a/services/gateway/run_stopper.h
+++ b/services/gateway/run_stopper.h
@@ -28,6 +28,9 @@
   kNotRunning,
   // Nothing accepts connections there: the engine is gone, and the run with it.
   kEngineGone,
+  // The engine did not carry out the call, for example because it sheds load.
+  // The run goes on.
+  kRefused,
   // The engine accepted the call and did not respond to it.
   kUnknown,
 };
@@ -54,6 +57,10 @@
  private:
   void TryAbandon(const EngineRun& run, bool may_be_queued,
                   std::size_t calls_left);
+  // `was_not_running`: the engine did not run it at the call before.
+  void TryConfirm(const EngineRun& run, bool was_not_running,
+                  std::size_t calls_left,
+                  std::function<void(bool is_over)> on_result);
   void OnResponse(const EngineRun& run,
                   const OutboundConnection::Response& response,
                   const std::function<void(StopResult)>& on_result);
--- a/tests/services/gateway/abandoned_run_test.cc
+++ b/tests/services/gateway/abandoned_run_test.cc
@@ -24,6 +24,10 @@
     first_.on_request = [this](const ScriptedEngine::Request& request) {
       if (request.IsTo("/kv-move")) {
         stops_ += request.body.find("\"last\":true") != std::string::npos;
+        if (stops_ <= refused_stops_) {
+          Reply(request.socket, "503 Service Unavailable", "", "{}");
+          return;
+        }
         Reply(request.socket, stop_status_, "",
               stop_status_.starts_with("503") ? kStopped : "{}");
         if (stop_status_.starts_with("503")) is_running_ = false;
@@ -52,6 +56,8 @@
   // What the first engine answers to a call that stops a run: it stops the run,
   // or has none.
   std::string stop_status_ = "503 Service Unavailable";
+  // The first engine sheds load: it refuses so many calls and stops nothing.
+  int refused_stops_ = 0;
   int first_events_ = 2;
   // The first engine closes the connection and goes on with the run.
   bool breaks_off_ = false;
@@ -68,6 +74,15 @@
   EXPECT_EQ(stops_, 1);
 }
 
+// Guards against runs that go on because their engine refused one call.
+TEST_F(AbandonedRunTest, RefusedStopIsRepeated) {
+  refused_stops_ = 2;
+  sink_.on_text = [this] { exchange_->Cancel(); };
+  Send(RequestKind::kStream, 1);
+  ASSERT_TRUE(RunUntil([this] { return stops_ > 0 && !is_running_; }));
+  EXPECT_EQ(stops_, 3);
+}
+
 // Guards against a run that is queued when its client leaves, and begins later.
 TEST_F(AbandonedRunTest, RunThatBeginsAfterItsClientLeftIsStopped) {
   first_events_ = 0;
@@ -112,7 +127,7 @@
 TEST_F(SlowRunTest, IsStoppedBeforeItBeginsElsewhere) {
   second_.on_request = [this,
                         handle = second_.on_request](const auto& request) {
-    if (request.IsTo("/x")) EXPECT_FALSE(is_running_);
+    EXPECT_FALSE(request.IsTo("/x") && is_running_);
     handle(request);
   };
   SendOnResumableRoute();
@@ -141,6 +156,35 @@
   EXPECT_EQ(second_requests_, 0);
 }
 
+// Guards against a slow generation that runs at two engines because its engine
+// refused to stop it.
+TEST_F(SlowRunTest, IsKeptWhileItsEngineRefusesToStopIt) {
+  refused_stops_ = 2;
+  second_.on_request = [this,
+                        handle = second_.on_request](const auto& request) {
+    EXPECT_FALSE(request.IsTo("/x") && is_running_);
+    handle(request);
+  };
+  SendOnResumableRoute();
+  RunUntilDone();
+  EXPECT_EQ(sink_.complete, true);
+  EXPECT_EQ(stops_, 3);
+  EXPECT_EQ(second_requests_, 1);
+}
+
+// Guards against a run that begins at an engine that is responsive again, after
+// it has begun elsewhere.
+TEST_F(SlowRunTest, IsStoppedWhenItsEngineRespondsAgain) {
+  first_.on_request = [this, handle = first_.on_request](const auto& request) {
+    if (request.IsTo("/kv-move") && second_requests_ == 0) return;
+    handle(request);
+  };
+  SendOnResumableRoute();
+  RunUntilDone();
+  EXPECT_EQ(second_requests_, 1);
+  ASSERT_TRUE(RunUntil([this] { return !is_running_; }));
+}
+
 TEST_F(SlowRunTest, BeginsElsewhereIfItsEngineDoesNotRespond) {
   first_.on_request = [](const auto&) {};
   SendOnResumableRoute();
@@ -175,6 +219,10 @@
       if (!request.IsTo("/kv-move")) return;
       ++stops_;
       if (!responds_) return;
+      if (stops_ <= refused_stops_) {
+        Reply(request.socket, "503 Service Unavailable", "", "{}");
+        return;
+      }
       Reply(request.socket,
             is_running_ ? "503 Service Unavailable" : "404 Not Found", "",
             is_running_ ? kStopped : "{}");
@@ -201,6 +249,14 @@
   EXPECT_EQ(resumed_at_source_, 1);
 }
 
+TEST_F(LostResumeTest, RunIsStoppedAtATargetThatRefusesFirst) {
+  refused_stops_ = 2;
+  Send(RequestKind::kStream, 1);
+  RunUntilDone();
+  EXPECT_EQ(sink_.complete, true);
+  EXPECT_EQ(resumed_at_source_, 1);
+}
+
 TEST_F(LostResumeTest, RunThatTheTargetDoesNotHaveResumesAtItsSource) {
   runs_at_target_ = false;
   Send(RequestKind::kStream, 1);
