Take an entry of a former incarnation for old news, not for a restart

An entry with an older start than the known one counted as a restart: requests at the address of the incarnation that runs were cut if the older one had another address, notices of the engine were dropped, and it was used at the old address until its next heartbeat. Entries may arrive out of order: one that was on its way while its engine was cut off is written after the next incarnation's.

Cause: any difference of the start times was a restart.

Fix: only a later start is one. An earlier one is held for 5 s, longer than the store keeps an entry that nobody renews, and counts only if nothing replaces it by then: the engine's clock was set back.

Ruled out: ignoring it for good (such an engine would never be used again), applying it without the restart (requests would go to the old address).

--- a/libraries/directory/backend_directory.cc
+++ b/libraries/directory/backend_directory.cc
@@ -6,6 +6,8 @@
 
 namespace balsam::directory {
 
+using std::chrono::milliseconds;
+
 std::string Endpoint::ToString() const {
   return ip + ':' + std::to_string(port);
 }
@@ -31,9 +33,9 @@
 std::optional<ServerChange> BackendDirectory::OnAnnounced(
     const BackendServer& server, BootTime now) {
   const auto found = entries_.find(server.id);
-  ServerState state =
-      server.leaving ? ServerState::kLeaving : ServerState::kReady;
   if (found == entries_.end()) {
+    const ServerState state =
+        server.leaving ? ServerState::kLeaving : ServerState::kReady;
     entries_[server.id] = {server, state, now, false};
     entries_[server.id].server.cold_until = now + server.cold_left;
     return ServerChange{state == ServerState::kReady
@@ -42,9 +44,22 @@
                         server.id};
   }
   Entry& entry = found->second;
+  if (IsFormer(server.id, server.started_at)) {
+    entry.former = server;
+    entry.former_since = now;
+    return std::nullopt;
+  }
   const bool restarted = entry.server.started_at.has_value() &&
-                         server.started_at.has_value() &&
-                         entry.server.started_at != server.started_at;
+                         server.started_at > entry.server.started_at;
+  return Apply(entry, server, restarted, now);
+}
+
+std::optional<ServerChange> BackendDirectory::Apply(Entry& entry,
+                                                    const BackendServer& server,
+                                                    bool restarted,
+                                                    BootTime now) {
+  ServerState state =
+      server.leaving ? ServerState::kLeaving : ServerState::kReady;
   const ServerState previous_state = entry.state;
   if (restarted) {
     ForgetOldNotices(entry, now - server.age);
@@ -53,6 +68,7 @@
   if (entry.reported_leaving) state = ServerState::kLeaving;
   entry.announced = true;
   entry.doubted_until = {};
+  entry.former.reset();
   entry.server = server;
   entry.server.cold_until = now + server.cold_left;
   entry.state = state;
@@ -88,6 +104,7 @@
       return OnAnnounced(server, now);
     }
     entry.announced = true;
+    entry.former.reset();
     entry.server.leaving = server.leaving;
     entry.doubted_until = now + limits_.restored_doubt;
     return std::nullopt;
@@ -112,6 +129,7 @@
   if (found == entries_.end()) return std::nullopt;
   Entry& entry = found->second;
   entry.announced = false;
+  entry.former.reset();
   if (entry.state != ServerState::kReady) return std::nullopt;
   entry.state = may_have_lapsed ? ServerState::kLapsed : ServerState::kLeaving;
   entry.state_since = now;
@@ -160,6 +178,15 @@
       entry.state_since = now;
       changes.push_back({ServerChange::Kind::kAppeared, id});
     }
+    if (entry.former.has_value() &&
+        now - entry.former_since >= limits_.former_doubt) {
+      BackendServer server = *std::move(entry.former);
+      server.age +=
+          std::chrono::duration_cast<milliseconds>(now - entry.former_since);
+      if (const auto change = Apply(entry, server, /*restarted=*/true, now)) {
+        changes.push_back(*change);
+      }
+    }
     if (entry.state != ServerState::kLapsed ||
         now - entry.state_since < limits_.lapsed_grace_period) {
       continue;
@@ -174,6 +201,7 @@
     // requests away from it, so that must not expire.
     const bool is_listed_as_ready = entry.announced && !entry.server.leaving;
     if (entry.state != ServerState::kLeaving || is_listed_as_ready ||
+        entry.former.has_value() ||
         now - entry.state_since < limits_.leaving_retention) {
       return false;
     }
@@ -188,6 +216,13 @@
   return found == entries_.end() ? nullptr : &found->second.server;
 }
 
+bool BackendDirectory::IsFormer(std::string_view id,
+                                std::optional<milliseconds> started_at) const {
+  const BackendServer* known = Find(id);
+  return known != nullptr && known->started_at.has_value() &&
+         started_at.has_value() && started_at < known->started_at;
+}
+
 BootTime BackendDirectory::KnownSince(std::string_view id) const {
   const auto found = entries_.find(id);
   return found == entries_.end() ? BootTime{} : found->second.known_since;
--- a/libraries/directory/backend_directory.h
+++ b/libraries/directory/backend_directory.h
@@ -102,13 +102,18 @@
     // How long a restored announcement is doubted. Longer than the store keeps
     // one that its server does not renew.
     std::chrono::milliseconds restored_doubt{5000};
+    // The same for an announcement of a former incarnation.
+    std::chrono::milliseconds former_doubt{5000};
   };
 
   explicit BackendDirectory(Limits limits) : limits_(limits) {}
 
   // Called when an announcement was written. Returns the resulting change. That
   // a server has restarted may become known long after its new incarnation is
-  // in use, so notices that the new one may have given remain valid.
+  // in use, so notices that the new one may have given remain valid. An
+  // announcement of a former incarnation has been overtaken by the one that is
+  // known: it counts only if it is not replaced for a while, as the clock of a
+  // server may have been set back.
   std::optional<ServerChange> OnAnnounced(const BackendServer& server,
                                           BootTime now);
   // Called when the store was restored from an older copy and holds this
@@ -139,6 +144,9 @@
 
   // Returns null if the server is unknown.
   const BackendServer* Find(std::string_view id) const;
+  // Whether an incarnation that started then precedes the one that is known.
+  bool IsFormer(std::string_view id,
+                std::optional<std::chrono::milliseconds> started_at) const;
   // When the present incarnation became known; zero if the server is unknown.
   BootTime KnownSince(std::string_view id) const;
   // Returns nothing if the server is unknown.
@@ -175,8 +183,17 @@
     // Until then, a restored announcement does not make the server ready; zero
     // if it was not restored, or was confirmed.
     BootTime doubted_until{};
+    // The last announcement, if it is of an earlier incarnation than `server`.
+    std::optional<BackendServer> former = std::nullopt;
+    // When that was received.
+    BootTime former_since{};
   };
 
+  // Applies an announcement. `restarted`: it is of another incarnation than the
+  // entry.
+  static std::optional<ServerChange> Apply(Entry& entry,
+                                           const BackendServer& server,
+                                           bool restarted, BootTime now);
   // Drops the notices of a former incarnation; the new one started at `began`.
   static void ForgetOldNotices(Entry& entry, BootTime began);
   // Returns whether the restored announcement of a server that counts as
--- a/services/gateway/gateway_node.cc
+++ b/services/gateway/gateway_node.cc
@@ -296,10 +296,7 @@
 
 void GatewayNode::OnReportedLeaving(const gossip::LeavingServer& server,
                                     bool by_peer) {
-  const directory::BackendServer* known = context_.directory.Find(server.id);
-  const bool is_former = known != nullptr && server.started_at.has_value() &&
-                         server.started_at < known->started_at;
-  if (is_former) {
+  if (context_.directory.IsFormer(server.id, server.started_at)) {
     LogEvent("former_incarnation_leaving").With("server", server.id);
     return;
   }
--- a/services/gateway/gateway_node_store.cc
+++ b/services/gateway/gateway_node_store.cc
@@ -174,6 +174,11 @@
         [&]() -> Result<std::optional<directory::ServerChange>> {
           BOOST_LEAF_AUTO(server, context_.dialect.ParseServer(id, *text));
           server.age = AgeOf(server);
+          if (context_.directory.IsFormer(id, server.started_at)) {
+            LogEvent("former_incarnation_announced", LogEvent::Level::kWarning)
+                .With("server", id)
+                .With("age", server.age);
+          }
           return is_restored ? context_.directory.OnRestored(server, now)
                              : context_.directory.OnAnnounced(server, now);
         },
--- a/tests/libraries/directory/backend_directory_test.cc
+++ b/tests/libraries/directory/backend_directory_test.cc
@@ -194,6 +194,46 @@
   }
 }
 
+// Guards against requests that are cut, and notices that are lost, because an
+// announcement of the incarnation before arrives last.
+TEST_F(BackendDirectoryTest, AnnouncementOfFormerIncarnationIsNoRestart) {
+  directory_.OnAnnounced(MakeServer(false, 2), TimeAfter(0));
+  directory_.OnReportedLeaving("i-1", LeavingNotice::kFinal, TimeAfter(1));
+  EXPECT_FALSE(
+      directory_.OnAnnounced(MakeServer(false, 1), TimeAfter(2)).has_value());
+  EXPECT_TRUE(directory_.ProcessTimeouts(TimeAfter(3000)).empty());
+  EXPECT_FALSE(directory_.OnAnnounced(MakeServer(false, 2), TimeAfter(3001))
+                   .has_value());
+  EXPECT_TRUE(directory_.ProcessTimeouts(TimeAfter(60000)).empty());
+  EXPECT_EQ(directory_.StateOf("i-1"), ServerState::kLeaving);
+  EXPECT_FALSE(directory_.IsLeavingByReportOnly("i-1"));
+}
+
+// Guards against a server that is never used again because its clock was set
+// back before it restarted.
+TEST_F(BackendDirectoryTest, ServerWhoseClockWasSetBackReturns) {
+  directory_.OnAnnounced(MakeServer(false, 2), TimeAfter(0));
+  directory_.OnRemoved("i-1", false, TimeAfter(1));
+  BackendServer server = MakeServer(false, 1);
+  server.endpoint.port = 81;
+  directory_.OnAnnounced(server, TimeAfter(14000));
+  EXPECT_TRUE(directory_.ProcessTimeouts(TimeAfter(18999)).empty());
+  const auto changes = directory_.ProcessTimeouts(TimeAfter(19000));
+  ASSERT_EQ(changes.size(), 1U);
+  EXPECT_EQ(changes.front().kind, Kind::kRestarted);
+  EXPECT_EQ(directory_.StateOf("i-1"), ServerState::kReady);
+  EXPECT_EQ(directory_.Find("i-1")->endpoint.port, 81);
+}
+
+TEST_F(BackendDirectoryTest, FormerIncarnationIsForgottenOnceRemoved) {
+  directory_.OnAnnounced(MakeServer(false, 2), TimeAfter(0));
+  directory_.OnAnnounced(MakeServer(false, 1), TimeAfter(1));
+  EXPECT_EQ(directory_.OnRemoved("i-1", false, TimeAfter(2))->kind,
+            Kind::kLeaving);
+  EXPECT_EQ(directory_.ProcessTimeouts(TimeAfter(20000)).size(), 1U);
+  EXPECT_EQ(directory_.Find("i-1"), nullptr);
+}
+
 // The clocks of a server and of this VM differ: which incarnation gave a notice
 // near the start of the new one is not known, so it expires.
 TEST_F(BackendDirectoryTest, DoubtfulFinalNoticeExpiresAfterRestart) {
--- a/tests/services/gateway/restart_news_test.cc
+++ b/tests/services/gateway/restart_news_test.cc
@@ -77,6 +77,21 @@
   EXPECT_EQ(RequestStatus(), 502);
 }
 
+// Guards against requests that are cut because an entry of the incarnation
+// before, at another address, is written last.
+TEST_F(RestartNewsTest, RequestsOutliveLateEntryOfFormerIncarnation) {
+  kind_ = "non_idempotent";
+  Publish({&first_});
+  node_->OnStoreChanges({EntryOf(0, second_, UnixTime() - kAge)}, revision_);
+  second_.on_request = [&](const auto& request) {
+    node_->OnStoreChanges({EntryOf(0, first_, started_at_)}, revision_);
+    Reply(request, "");
+  };
+  EXPECT_EQ(RequestStatus(), 200);
+  EXPECT_EQ(RequestStatus(), 200);
+  EXPECT_EQ(Requests(first_), 0U);
+}
+
 TEST_F(RestartNewsTest, BackoffOfNewIncarnationHolds) {
   first_.on_request = [](const auto& request) {
     Reply(request, "Not-Run: 1\r\nRetry-After: 30\r\n", "503 Full");
