--- a/libraries/quarantine/crash_ledger.h
+++ b/libraries/quarantine/crash_ledger.h
@@ -175,6 +175,13 @@
   std::size_t trait_count() const { return traits_.size(); }
 
  private:
+  // The ages in a report grow stale by its delay in the network each time that
+  // it is passed on. A server takes longer than this to restart after a crash,
+  // so that a run cannot begin there so soon.
+  static constexpr std::chrono::milliseconds kMaxReportDelay{1000};
+  // No request has more traits; a peer's message may claim more.
+  static constexpr std::size_t kMaxTraits = 64;
+
   struct Suspect {
     BootTime began;
     std::vector<Trait> traits;
