Repeat the cancel of a generation that its engine did not confirm

A sidecar that gives a generation up closes its connection and asks the engine once to cancel it; a call that was refused or lost left the run going for nobody.

Cause: the call was logged as failed and not repeated.

Fix: up to three more calls, 250 ms apart, until the engine confirms, does not know the generation, or is gone.

Before: ACancelWithoutAConfirmationIsRepeated failed; after: passed three times.

--- a/libraries/backend/backend_client.cc
+++ b/libraries/backend/backend_client.cc
@@ -3,6 +3,7 @@
 
 #include <QNetworkReply>
 #include <QNetworkRequest>
+#include <QTimer>
 #include <algorithm>
 #include <utility>
 
@@ -13,6 +14,8 @@
 namespace {
 
 constexpr int kConnectionsPerManager = 6;
+constexpr std::size_t kMaxCancelCalls = 4;
+constexpr std::chrono::milliseconds kCancelInterval{250};
 constexpr char kStreamHeader[] = "X-Stream-Id";
 constexpr char kPriorityHeader[] = "X-Priority";
 constexpr int kHttpOk = 200;
@@ -145,20 +148,32 @@
 void BackendClient::CancelGeneration(execution::LocalId local_id,
                                      const std::string& stream) {
   Abort(local_id);
+  SendCancel(stream, kMaxCancelCalls);
+}
+
+void BackendClient::SendCancel(const std::string& stream,
+                               std::size_t calls_left) {
   const QString path =
       QString("/v1/streams/%1").arg(QString::fromStdString(stream));
   QNetworkReply* reply =
       control_manager_.deleteResource(RequestFor(path, stream, nullptr));
-  connect(reply, &QNetworkReply::finished, reply, [reply, stream] {
-    reply->deleteLater();
-    // An engine that does not know the stream does not run it.
-    const bool is_cancelled = reply->error() == QNetworkReply::NoError ||
-                              StatusOf(reply) == kHttpNotFound;
-    if (is_cancelled) return;
-    LogEvent("engine_cancel_failed", LogEvent::Level::kWarning)
-        .With("generation", stream)
-        .With("reason", reply->errorString().toStdString());
-  });
+  connect(
+      reply, &QNetworkReply::finished, this, [this, reply, stream, calls_left] {
+        reply->deleteLater();
+        // An engine that does not know the stream, or is gone, does not run it.
+        const bool is_cancelled = reply->error() == QNetworkReply::NoError ||
+                                  StatusOf(reply) == kHttpNotFound ||
+                                  WasNeverConnected(reply);
+        if (is_cancelled) return;
+        LogEvent("engine_cancel_failed", LogEvent::Level::kWarning)
+            .With("generation", stream)
+            .With("reason", reply->errorString().toStdString())
+            .With("calls_left", calls_left - 1);
+        if (calls_left <= 1) return;
+        QTimer::singleShot(kCancelInterval, this, [this, stream, calls_left] {
+          SendCancel(stream, calls_left - 1);
+        });
+      });
 }
 
 void BackendClient::StartCall(execution::LocalId local_id,
--- a/libraries/backend/backend_client.h
+++ b/libraries/backend/backend_client.h
@@ -8,6 +8,7 @@
 #include <QPointer>
 #include <QUrl>
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -44,7 +45,9 @@
   void ResumeGeneration(execution::LocalId local_id, const std::string& stream,
                         std::uint64_t first,
                         std::vector<std::string> repeated = {});
-  // Cancels the generation at the engine and drops its exchange.
+  // Cancels the generation at the engine and drops its exchange. The call is
+  // repeated a few times unless the engine confirms it: an engine may go on
+  // with a generation whose connection has closed.
   void CancelGeneration(execution::LocalId local_id, const std::string& stream);
   void StartCall(execution::LocalId local_id, const std::string& stream,
                  const execution::WorkItem& work);
@@ -89,6 +92,7 @@
   void FinishStream(execution::LocalId local_id, const Exchange& exchange,
                     QNetworkReply* reply);
   void Abort(execution::LocalId local_id);
+  void SendCancel(const std::string& stream, std::size_t calls_left);
 
   BackendSettings settings_;
   std::vector<std::unique_ptr<QNetworkAccessManager>> managers_;
--- a/services/gateway/exchange.cc
+++ b/services/gateway/exchange.cc
@@ -13,7 +13,6 @@
 
 using dispatch::AttemptResult;
 using retry::AttemptEnd;
-using routing::RequestKind;
 using std::chrono::milliseconds;
 
 // An idempotent request without a response after this fraction of its latency
--- a/tests/libraries/backend/backend_client_test.cc
+++ b/tests/libraries/backend/backend_client_test.cc
@@ -585,6 +585,19 @@
 
 // Guards against a response whose head the server broke off, delivered as a
 // success with an empty or short body.
+// Guards against a generation that goes on at its engine, which refused the
+// call that cancels it, or lost the response.
+TEST_F(BackendClientTest, ACancelWithoutAConfirmationIsRepeated) {
+  for (const QByteArray& response :
+       {QByteArray("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"),
+        QByteArray()}) {
+    FixedServer server(response, true);
+    CreateClient(server.url());
+    client_->CancelGeneration(1, "g-1");
+    EXPECT_TRUE(WaitUntil([&] { return server.requests() >= 2; }, seconds(20)));
+  }
+}
+
 TEST_F(BackendClientTest, AHeadThatIsBrokenOffIsABrokenCall) {
   const std::string head =
       "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n"
