Send nothing new to data centres that operators have evacuated

Cause: nothing read the evacuations in the store.

The directory now has the list of evacuated data centres, apart from the state of servers, so that neither forgets the other; the selector asks for both in one place, which also serves migrations' targets, repeats and requests that waited. Runs end where they are.

Ruled out: taking the servers for leaving ones, which would copy all their runs at once and which a withdrawal would have to undo.

--- a/libraries/directory/backend_directory.cc
+++ b/libraries/directory/backend_directory.cc
@@ -216,6 +216,11 @@
   return found == entries_.end() ? nullptr : &found->second.server;
 }
 
+bool BackendDirectory::IsEvacuated(std::string_view id) const {
+  const BackendServer* server = Find(id);
+  return server != nullptr && evacuations_.Contains(server->data_center);
+}
+
 bool BackendDirectory::IsFormer(std::string_view id,
                                 std::optional<milliseconds> started_at) const {
   const BackendServer* known = Find(id);
--- a/libraries/directory/backend_directory.h
+++ b/libraries/directory/backend_directory.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "libraries/base/boot_clock.h"
+#include "libraries/directory/evacuation_list.h"
 
 namespace balsam::directory {
 
@@ -104,9 +105,11 @@
     std::chrono::milliseconds restored_doubt{5000};
     // The same for an announcement of a former incarnation.
     std::chrono::milliseconds former_doubt{5000};
+    EvacuationList::Limits evacuations;
   };
 
-  explicit BackendDirectory(Limits limits) : limits_(limits) {}
+  explicit BackendDirectory(Limits limits)
+      : limits_(limits), evacuations_(limits.evacuations) {}
 
   // Called when an announcement was written. Returns the resulting change. That
   // a server has restarted may become known long after its new incarnation is
@@ -142,6 +145,17 @@
   // Applies the grace and retention periods that have ended.
   std::vector<ServerChange> ProcessTimeouts(BootTime now);
 
+  EvacuationList& evacuations() { return evacuations_; }
+  const EvacuationList& evacuations() const { return evacuations_; }
+  // Whether a known server's data centre is evacuated.
+  bool IsEvacuated(std::string_view id) const;
+  // Whether new requests may be sent to `server`, which is in `state`, as far
+  // as its own notices and the operators say.
+  bool AcceptsRequests(const BackendServer& server, ServerState state) const {
+    return state != ServerState::kLeaving &&
+           !evacuations_.Contains(server.data_center);
+  }
+
   // Returns null if the server is unknown.
   const BackendServer* Find(std::string_view id) const;
   // Whether an incarnation that started then precedes the one that is known.
@@ -201,6 +215,7 @@
   static bool IsConfirmed(const Entry& entry, BootTime now);
 
   Limits limits_;
+  EvacuationList evacuations_;
   std::map<std::string, Entry, std::less<>> entries_;
 };
 
--- a/libraries/dispatch/server_selector.cc
+++ b/libraries/dispatch/server_selector.cc
@@ -160,6 +160,10 @@
           ++skip_counts_.leaving;
           return;
         }
+        if (!directory.AcceptsRequests(server, state)) {
+          ++skip_counts_.evacuated;
+          return;
+        }
         if (demand.excluded.contains(server.id)) {
           ++skip_counts_.excluded;
           return;
@@ -243,10 +247,10 @@
     return false;
   }
   bool found = false;
-  directory.ForEachOfService(demand.service,
-                             [&](const BackendServer&, ServerState state) {
-                               found = found || state != ServerState::kLeaving;
-                             });
+  directory.ForEachOfService(
+      demand.service, [&](const BackendServer& server, ServerState state) {
+        found = found || directory.AcceptsRequests(server, state);
+      });
   return found;
 }
 
@@ -315,7 +319,8 @@
   bool all_backing_off = true;
   directory.ForEachOfService(demand.service, [&](const BackendServer& server,
                                                  ServerState state) {
-    if (state == ServerState::kLeaving || demand.excluded.contains(server.id)) {
+    if (!directory.AcceptsRequests(server, state) ||
+        demand.excluded.contains(server.id)) {
       return;
     }
     const Record& record = RecordOf(server.id);
--- a/libraries/dispatch/server_selector.h
+++ b/libraries/dispatch/server_selector.h
@@ -84,6 +84,8 @@
     // All servers of the service, skipped or not.
     int servers = 0;
     int leaving = 0;
+    // In a data centre that operators have evacuated.
+    int evacuated = 0;
     // Already tried by this request.
     int excluded = 0;
     // Refused a request or was unreachable a moment ago.
--- a/services/gateway/dialect.h
+++ b/services/gateway/dialect.h
@@ -168,6 +168,10 @@
   // keys.
   virtual std::optional<std::string> ServerIdOf(
       const std::string& key) const = 0;
+  // The data centre that operators evacuate as long as `key` exists; nothing
+  // for other keys.
+  virtual std::optional<std::string> EvacuatedDataCenterOf(
+      const std::string& key) const = 0;
   virtual Result<routing::Configuration> ParseConfiguration(
       const std::string& text) const = 0;
   // Fails if the entry does not describe a usable server.
--- a/services/gateway/exchange.h
+++ b/services/gateway/exchange.h
@@ -48,6 +48,8 @@
   // It has become known that the server has restarted. `server` is the new
   // incarnation, which may run this request.
   void OnServerRestarted(const directory::BackendServer& server);
+  // Whether a backend server there is running the request.
+  bool RunsInDataCenter(std::string_view data_center) const;
   // Something was quarantined: rejects the request if it is affected and does
   // not run yet.
   void OnQuarantine();
--- a/services/gateway/exchange_placement.cc
+++ b/services/gateway/exchange_placement.cc
@@ -72,6 +72,7 @@
         .With("rounds", search_.rounds())
         .With("servers", skip_counts.servers)
         .With("leaving", skip_counts.leaving)
+        .With("evacuated", skip_counts.evacuated)
         .With("excluded", skip_counts.excluded)
         .With("paused", skip_counts.in_cooldown)
         .With("resting", skip_counts.in_backoff)
--- a/services/gateway/exchange_relay.cc
+++ b/services/gateway/exchange_relay.cc
@@ -312,6 +312,15 @@
   OnEnd(OutboundConnection::EndReason::kBroken);
 }
 
+bool Exchange::RunsInDataCenter(std::string_view data_center) const {
+  if (finished_ || !attempt_.has_value() || attempt_->connection == nullptr) {
+    return false;
+  }
+  const directory::BackendServer* server =
+      context_.directory.Find(attempt_->server_id);
+  return server != nullptr && server->data_center == data_center;
+}
+
 void Exchange::Resume(const GenerationMigration::ResumePoint& resume_point) {
   // The run has stopped. Events that its engine still had to send have arrived,
   // or are generated again by the engine that resumes it.
--- a/services/gateway/gateway_node.cc
+++ b/services/gateway/gateway_node.cc
@@ -147,6 +147,8 @@
       {"servers_ready", servers[directory::ServerState::kReady]},
       {"servers_lapsed", servers[directory::ServerState::kLapsed]},
       {"servers_leaving", servers[directory::ServerState::kLeaving]},
+      {"data_centers_evacuated",
+       static_cast<double>(context_.directory.evacuations().size())},
       {"quarantined_signatures",
        static_cast<double>(context_.crash_ledger.quarantined_count())},
       {"peers_alive", static_cast<double>(peers_.AlivePeers().size())},
@@ -362,6 +364,10 @@
   for (const auto& change : context_.directory.ProcessTimeouts(now)) {
     OnServerChange(change);
   }
+  for (const std::string& data_center :
+       context_.directory.evacuations().TakeLapsed(now)) {
+    OnReopened(data_center);
+  }
   PollReports();
   context_.selector.RemoveIdleServers(now);
   context_.limits.RemoveExpired(now);
--- a/services/gateway/gateway_node.h
+++ b/services/gateway/gateway_node.h
@@ -70,6 +70,13 @@
   void OnConfiguration(const std::string& text);
   void OnServerEntry(const std::string& id,
                      const std::optional<std::string>& text, bool is_restored);
+  // `exists`: operators evacuate the data centre; otherwise they have withdrawn
+  // that.
+  void OnEvacuationEntry(const std::string& data_center, bool exists,
+                         bool is_restored);
+  void OnEvacuated(const std::string& data_center);
+  // New requests may be sent to the servers of the data centre again.
+  void OnReopened(const std::string& data_center);
   void OnServerChange(const directory::ServerChange& change);
   // Drops what is known of a server's former incarnation. `server` is the new
   // one, which may have been in use for a while under the same id.
--- a/services/gateway/gateway_node_store.cc
+++ b/services/gateway/gateway_node_store.cc
@@ -135,10 +135,54 @@
     if (entry.value.has_value()) OnConfiguration(*entry.value);
     return;
   }
+  if (const auto data_center =
+          context_.dialect.EvacuatedDataCenterOf(entry.key)) {
+    OnEvacuationEntry(*data_center, entry.value.has_value(), is_restored);
+    return;
+  }
   const auto id = context_.dialect.ServerIdOf(entry.key);
   if (id.has_value()) OnServerEntry(*id, entry.value, is_restored);
 }
 
+void GatewayNode::OnEvacuationEntry(const std::string& data_center, bool exists,
+                                    bool is_restored) {
+  directory::EvacuationList& evacuations = context_.directory.evacuations();
+  if (exists) {
+    if (evacuations.OnRequested(data_center)) OnEvacuated(data_center);
+  } else if (is_restored) {
+    evacuations.OnMissingFromCopy(data_center, BootClock::now());
+  } else if (evacuations.OnWithdrawn(data_center)) {
+    OnReopened(data_center);
+  }
+}
+
+void GatewayNode::OnEvacuated(const std::string& data_center) {
+  std::vector<std::string> servers;
+  context_.directory.ForEach(
+      [&](const directory::BackendServer& server, directory::ServerState) {
+        if (server.data_center == data_center) servers.push_back(server.id);
+      });
+  for (const std::string& id : servers) {
+    context_.pool.CloseIdleConnections(id);
+  }
+  const auto runs =
+      std::ranges::count_if(context_.exchanges, [&](const Exchange* exchange) {
+        return exchange->RunsInDataCenter(data_center);
+      });
+  LogEvent("data_center_evacuated", LogEvent::Level::kWarning)
+      .With("data_center", data_center)
+      .With("servers", servers.size())
+      .With("running", runs)
+      .With("revision", replica_.revision());
+}
+
+void GatewayNode::OnReopened(const std::string& data_center) {
+  LogEvent("data_center_reopened")
+      .With("data_center", data_center)
+      .With("revision", replica_.revision());
+  context_.on_capacity_freed();
+}
+
 void GatewayNode::OnConfiguration(const std::string& text) {
   const auto on_error = [](const Error& error) {
     LogEvent("configuration_refused", LogEvent::Level::kError)
--- a/services/gateway/generation_migration.cc
+++ b/services/gateway/generation_migration.cc
@@ -159,7 +159,7 @@
       Resume(true);
       return;
     case MigrationStep::kResumeAtSource:
-      if (source_restarted_) {
+      if (source_restarted_ || context_.directory.IsEvacuated(run_.server_id)) {
         ExecuteStep(state_machine_.OnResumeResult(false));
         return;
       }
@@ -253,6 +253,13 @@
           target_id_, dispatch::AttemptResult::kUnreachable, BootClock::now());
     }
   }
+  // Operators may have evacuated the target's data centre since it was chosen.
+  // A run that has stopped has nowhere else to go on.
+  if (!state_machine_.stopping() && response.result == CopyResult::kCopied &&
+      context_.directory.IsEvacuated(target_id_)) {
+    response.result = CopyResult::kNoCapacity;
+    refused_targets_.insert(target_id_);
+  }
   LogEvent("move_copied")
       .With("id", run_.request_id)
       .With("from", run_.server_id)
--- a/tests/libraries/dispatch/server_selector_test.cc
+++ b/tests/libraries/dispatch/server_selector_test.cc
@@ -77,6 +77,33 @@
   EXPECT_EQ(Select(Generation(100, 100)), "c");
 }
 
+TEST_F(ServerSelectorTest, EvacuatedDataCenterGetsNoRequests) {
+  directory_.evacuations().OnRequested("near");
+  EXPECT_EQ(CountSelections(Generation(100, 100)).size(), 1U);
+  EXPECT_EQ(Select(Generation(100, 100)), "c");
+  EXPECT_EQ(selector_.skip_counts().evacuated, 2);
+  EXPECT_EQ(
+      selector_.Candidates(directory_, &engine_, Generation(100, 100), 3, now_)
+          .size(),
+      1U);
+  directory_.evacuations().OnRequested("far");
+  EXPECT_EQ(Select(Generation(100, 100)), "");
+  EXPECT_FALSE(
+      selector_.IsServable(directory_, &engine_, Generation(100, 100)));
+}
+
+// A server there that rests must not delay the return of rejected clients.
+TEST_F(ServerSelectorTest, BackoffInEvacuatedDataCenterIsIgnored) {
+  directory_.evacuations().OnRequested("near");
+  for (const char* id : {"a", "b"}) {
+    selector_.OnBackoffRequested(id, now_ + milliseconds(100), now_);
+  }
+  selector_.OnBackoffRequested("c", now_ + milliseconds(900), now_);
+  EXPECT_EQ(
+      selector_.EarliestBackoffEnd(directory_, Generation(100, 100), now_),
+      now_ + milliseconds(900));
+}
+
 TEST_F(ServerSelectorTest, LapsedServerIsUsedOnlyIfNoOtherIsReady) {
   directory_.OnRemoved("a", true, now_);
   EXPECT_EQ(CountSelections(Generation(100, 100)).count("a"), 0U);
