Issue permits for cold backend servers within each second

A cold server bears a number of requests a second from all entries together, and crashes well above it. Nothing bound the sum; the permits of servers that name a limit bind one, over four seconds: their burst (500 ms) and the backup's share exceed what is allowed in one second.

The table of limits now also holds the rates of cold servers, apart from statements, and the smaller of both binds. A request for a permit tells the issuer at which rate the server is cold, as it may not have heard of it; an entry of an earlier version refuses such a request like any unknown message.

Ruled out: a share of the rate for each entry (requests are unevenly spread), and the whole rate with a wait after each change of the issuer (a cold spell of 1 s would pass in it).

--- a/libraries/gossip/digest.cc
+++ b/libraries/gossip/digest.cc
@@ -28,6 +28,8 @@
 // Limits, and the start times of leaving servers.
 constexpr std::size_t kOptionalDigestElements = 2;
 constexpr std::size_t kLoadMessageElements = 3;
+// With the rate of a cold server, which is left out for others.
+constexpr std::size_t kColdPermitRequestElements = 4;
 constexpr std::size_t kPermitReplyElements = 5;
 
 // Token counts are sent in units of this size, rounded up: smaller numbers
@@ -88,10 +90,18 @@
       number.get<std::int64_t>(), 0, kLongest.count()));
 }
 
+std::int64_t ToLimitUnits(double requests_per_second) {
+  return std::llround(requests_per_second * kLimitSeconds);
+}
+
+double FromLimitUnits(const json& number) {
+  return static_cast<double>(number.get<std::int64_t>()) / kLimitSeconds;
+}
+
 json ToJson(const limits::Statement& statement) {
   json limit;
   if (statement.requests_per_second.has_value()) {
-    limit = std::llround(*statement.requests_per_second * kLimitSeconds);
+    limit = ToLimitUnits(*statement.requests_per_second);
   }
   return {statement.server, statement.age.count(), std::move(limit)};
 }
@@ -100,8 +110,7 @@
   limits::Statement statement{item.at(0).get<std::uint32_t>(), std::nullopt,
                               ReadMilliseconds(item.at(1))};
   if (!item.at(2).is_null()) {
-    statement.requests_per_second =
-        static_cast<double>(item.at(2).get<std::int64_t>()) / kLimitSeconds;
+    statement.requests_per_second = FromLimitUnits(item.at(2));
   }
   return statement;
 }
@@ -231,7 +240,11 @@
 }
 
 std::string Encode(const PermitRequest& request) {
-  return ToCbor({kPermitRequestFormat, request.id, ToJson(request.limit)});
+  json message = {kPermitRequestFormat, request.id, ToJson(request.limit)};
+  if (request.cold_requests_per_second.has_value()) {
+    message.push_back(ToLimitUnits(*request.cold_requests_per_second));
+  }
+  return ToCbor(message);
 }
 
 std::string Encode(const PermitReply& reply) {
@@ -265,6 +278,12 @@
             PermitRequest{sequence_or_id, ReadStatement(message[2])});
       }
     }
+    if (message.is_array() && message.size() == kColdPermitRequestElements &&
+        message[0] == kPermitRequestFormat) {
+      return Message(PermitRequest{message[1].get<std::uint64_t>(),
+                                   ReadStatement(message[2]),
+                                   FromLimitUnits(message[3])});
+    }
     if (message.is_array() && message.size() == kPermitReplyElements &&
         message[0] == kPermitReplyFormat) {
       return Message(
--- a/libraries/gossip/digest.h
+++ b/libraries/gossip/digest.h
@@ -7,6 +7,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -99,8 +100,11 @@
   // Unique among the sender's requests; zero if a request was sent to the
   // server without a permit, which is only reported.
   std::uint64_t id = 0;
-  // What the sender knows of the server's limit.
+  // What the sender knows of the limit that the server named.
   limits::Statement limit;
+  // The requests a second that the server bears, if it is cold as far as the
+  // sender knows. The issuer may not have heard of it yet.
+  std::optional<double> cold_requests_per_second = std::nullopt;
 };
 
 // The reply to a `PermitRequest`.
--- a/tests/libraries/gossip/gossip_test.cc
+++ b/tests/libraries/gossip/gossip_test.cc
@@ -599,6 +599,16 @@
       [](const Error&) { return Message(); });
   ASSERT_TRUE(std::holds_alternative<PermitRequest>(request));
   EXPECT_EQ(std::get<PermitRequest>(request).limit, ended);
+  EXPECT_FALSE(
+      std::get<PermitRequest>(request).cold_requests_per_second.has_value());
+  const auto cold = TryOr(
+      [&] {
+        return Decode(Encode(PermitRequest{9, ended, 2.5}));
+      },
+      [](const Error&) { return Message(); });
+  ASSERT_TRUE(std::holds_alternative<PermitRequest>(cold));
+  EXPECT_EQ(std::get<PermitRequest>(cold).limit, ended);
+  EXPECT_EQ(std::get<PermitRequest>(cold).cold_requests_per_second, 2.5);
 }
 
 }  // namespace
--- a/tests/libraries/limits/limit_table_test.cc
+++ b/tests/libraries/limits/limit_table_test.cc
@@ -89,5 +89,34 @@
   EXPECT_EQ(table.LimitOf(kServer), LimitTable::kMaxRequestsPerSecond);
 }
 
+// Guards against a cold rate that turns into a statement or ends one, here or
+// at an entry that is told of it.
+TEST(LimitTableTest, ColdRateIsNoStatement) {
+  LimitTable table;
+  EXPECT_TRUE(table.SetCold(kServer, 25.0, kStart + milliseconds(500)));
+  EXPECT_FALSE(table.SetCold(kServer, 25.0, kStart + milliseconds(500)));
+  EXPECT_EQ(table.LimitOf(kServer), 25.0);
+  EXPECT_TRUE(table.TakeStatements(8, kStart).empty());
+  LimitTable peer;
+  peer.OnResponse(kServer, 40.0, kStart - milliseconds(20000));
+  EXPECT_FALSE(
+      peer.OnStatement(table.StatementForMessage(kServer, kStart), kStart));
+  EXPECT_EQ(peer.LimitOf(kServer), 40.0);
+  table.RemoveExpired(kStart + milliseconds(500));
+  EXPECT_FALSE(table.LimitOf(kServer).has_value());
+}
+
+// An issuer that has not heard yet that the server is cold.
+TEST(LimitTableTest, ColdClaimOfAPeerHoldsForAMoment) {
+  LimitTable table;
+  table.OnColdClaim(kServer, 25.0, kStart);
+  EXPECT_EQ(table.LimitOf(kServer), 25.0);
+  EXPECT_FALSE(table.OwnColdRateOf(kServer).has_value());
+  table.EndCold(kServer);
+  EXPECT_EQ(table.LimitOf(kServer), 25.0);
+  table.RemoveExpired(kStart + LimitTable::kColdClaimRetention);
+  EXPECT_FALSE(table.LimitOf(kServer).has_value());
+}
+
 }  // namespace
 }  // namespace balsam::limits
