Limit cold backend servers to what their service says they bear

Cold servers had a penalty in the choice of servers, and nothing else kept requests from them: all of them reach a server that is taken back while others are full.

The configuration's rate of a service is decoded, and each gateway limits the servers of such a service while their announcement calls them cold; health responses may prolong that. Permits, repeats, migrations and the rejection of what would wait too long follow from the table of limits. Without the rate nothing changes.

--- a/libraries/directory/backend_directory.cc
+++ b/libraries/directory/backend_directory.cc
@@ -1,6 +1,7 @@
 // Derives the state of backend servers from their announcements and reports.
 #include "libraries/directory/backend_directory.h"
 
+#include <algorithm>
 #include <boost/asio/ip/address_v4.hpp>
 #include <charconv>
 
@@ -116,6 +117,14 @@
   return ServerChange{ServerChange::Kind::kLeaving, server.id};
 }
 
+void BackendDirectory::OnReportedCold(std::string_view id, milliseconds left,
+                                      BootTime now) {
+  const auto found = entries_.find(id);
+  if (found == entries_.end()) return;
+  BootTime& cold_until = found->second.server.cold_until;
+  cold_until = std::max(cold_until, now + left);
+}
+
 bool BackendDirectory::IsConfirmed(const Entry& entry, BootTime now) {
   return entry.doubted_until != BootTime{} && now >= entry.doubted_until &&
          entry.state == ServerState::kLeaving && entry.announced &&
--- a/libraries/directory/backend_directory.h
+++ b/libraries/directory/backend_directory.h
@@ -140,6 +140,10 @@
   // announcement in the store applies again.
   std::optional<ServerChange> OnLeavingReportExpired(std::string_view id,
                                                      BootTime now);
+  // Called when a response of the present incarnation says that it stays cold
+  // for this long. An announcement may say less, as it was made earlier.
+  void OnReportedCold(std::string_view id, std::chrono::milliseconds left,
+                      BootTime now);
   // Whether the server counts as leaving only because of reports, which expire.
   bool IsLeavingByReportOnly(std::string_view id) const;
   // Applies the grace and retention periods that have ended.
--- a/services/gateway/dialect.h
+++ b/services/gateway/dialect.h
@@ -85,6 +85,8 @@
   // The requests a second that the server takes from all gateways together;
   // unset if it names no limit.
   std::optional<double> requests_per_second;
+  // How much longer the server is cold; unset if it does not say.
+  std::optional<std::chrono::milliseconds> cold_left;
 };
 
 // A call to a backend server's own interface.
--- a/services/gateway/gateway_context.h
+++ b/services/gateway/gateway_context.h
@@ -92,7 +92,8 @@
   std::shared_ptr<const routing::RouteTable> routes;
   directory::BackendDirectory directory;
   dispatch::ServerSelector selector;
-  // The limits that servers name, as received here or by peers.
+  // The limits that servers name, as received here or by peers, and the rates
+  // of cold ones.
   limits::LimitTable limits;
   ConnectionPool pool;
   RunStopper run_stopper;
@@ -120,7 +121,7 @@
   std::function<bool(const std::vector<std::string>& server_ids,
                      LoadQueryCallback on_done)>
       query_loads;
-  // Asks for a permit for one request if the server names a limit. Without the
+  // Asks for a permit for one request if the server is limited. Without the
   // callback, the request is sent in any case. If unset, limits are not kept.
   std::function<PermitResult(const std::string& server_id,
                              PermitCallback on_result)>
--- a/services/gateway/gateway_node.cc
+++ b/services/gateway/gateway_node.cc
@@ -147,6 +147,8 @@
       {"servers_ready", servers[directory::ServerState::kReady]},
       {"servers_lapsed", servers[directory::ServerState::kLapsed]},
       {"servers_leaving", servers[directory::ServerState::kLeaving]},
+      {"servers_limited_as_cold",
+       static_cast<double>(context_.limits.cold_count())},
       {"data_centers_evacuated",
        static_cast<double>(context_.directory.evacuations().size())},
       {"quarantined_signatures",
@@ -245,6 +247,9 @@
   if (notice.leaving || notice.is_other_server) {
     OnSaidLeaving(server_id, connected_at, notice);
   }
+  if (notice.cold_left.has_value()) {
+    OnSaidCold(server_id, connected_at, *notice.cold_left);
+  }
   OnLimitStated(server_id, notice.requests_per_second, head);
   if (!notice.retry_after.has_value()) return;
   LogEvent("server_rests")
@@ -256,24 +261,6 @@
                                        now);
 }
 
-void GatewayNode::OnLimitStated(const std::string& server_id,
-                                std::optional<double> requests_per_second,
-                                const http1::ResponseHead& head) {
-  // A response to a poll may not name a limit that still holds.
-  if (!requests_per_second.has_value() &&
-      context_.dialect.ParseResponse(head).request_id.empty()) {
-    return;
-  }
-  if (!context_.limits.OnResponse(dispatch::ServerKey(server_id),
-                                  requests_per_second, BootClock::now())) {
-    return;
-  }
-  LogEvent("server_limit")
-      .With("server", server_id)
-      .With("limited", requests_per_second.has_value() ? 1 : 0)
-      .With("per_second", std::to_string(requests_per_second.value_or(0.0)));
-}
-
 void GatewayNode::OnSaidLeaving(const std::string& server_id,
                                 BootTime connected_at,
                                 const ServerNotice& notice) {
@@ -371,6 +358,7 @@
   PollReports();
   context_.selector.RemoveIdleServers(now);
   context_.limits.RemoveExpired(now);
+  UpdateColdLimits(now);
   LogQuarantineChanges(context_.crash_ledger.DropExpired(now));
 }
 
--- a/services/gateway/gateway_node.h
+++ b/services/gateway/gateway_node.h
@@ -5,6 +5,7 @@
 
 #include <QObject>
 #include <QTimer>
+#include <chrono>
 #include <functional>
 #include <map>
 #include <memory>
@@ -102,6 +103,14 @@
   void OnLimitStated(const std::string& server_id,
                      std::optional<double> requests_per_second,
                      const http1::ResponseHead& head);
+  // A response says how much longer the server is cold. `connected_at`: when
+  // its connection was requested.
+  void OnSaidCold(const std::string& server_id, BootTime connected_at,
+                  std::chrono::milliseconds left);
+  // Limits the server if it is cold and its service says how much a cold one
+  // bears, and ends that otherwise. Must be called when either has changed.
+  void UpdateColdLimit(const std::string& server_id, BootTime now);
+  void UpdateColdLimits(BootTime now);
   // A response says that the server is leaving, or that it is gone and another
   // one has its address. `connected_at`: when its connection was requested.
   void OnSaidLeaving(const std::string& server_id, BootTime connected_at,
--- a/services/gateway/gateway_node_store.cc
+++ b/services/gateway/gateway_node_store.cc
@@ -202,6 +202,7 @@
   if (table->version() <= before) return;
   context_.routes = table;
   configured_at_ = BootClock::now();
+  UpdateColdLimits(configured_at_);
   LogEvent("configuration_in_force")
       .With("version", table->version())
       .With("before", before)
@@ -236,6 +237,8 @@
     change =
         context_.directory.OnRemoved(id, is_restored || MayHaveLapsed(), now);
   }
+  // Before the change lets requests go to the server.
+  UpdateColdLimit(id, now);
   if (change.has_value()) OnServerChange(*change);
 }
 
--- a/services/gateway/permit_exchange.cc
+++ b/services/gateway/permit_exchange.cc
@@ -20,10 +20,6 @@
 // beyond ask: a long queue would ask all at once each time.
 constexpr std::ptrdiff_t kMaxPendingRequests = 8;
 constexpr milliseconds kCrowdedRetry{10};
-// The share of a limit that the backup issues, for gateways that the primary
-// does not answer. Both together stay within the excess that the platform
-// allows (half of the limit).
-constexpr double kBackupShare = 0.25;
 
 }  // namespace
 
@@ -39,34 +35,32 @@
   };
 }
 
-void PermitExchange::OnGossipRound() { issuer_.RemoveIdle(BootClock::now()); }
+void PermitExchange::OnGossipRound() { permits_.RemoveIdle(BootClock::now()); }
 
 bool PermitExchange::IsIssuer(const std::string& issuer) const {
   // There is none while this gateway is alone and has just started.
   return issuer.empty() || issuer == own_ip_;
 }
 
-std::optional<double> PermitExchange::IssueRate(std::uint32_t server) {
-  const auto limit = context_.limits.LimitOf(server);
-  if (!limit.has_value()) return std::nullopt;
-  const std::string& primary = loads_.PrimaryAggregatorOf(server);
-  return IsIssuer(primary) ? *limit : *limit * kBackupShare;
+limits::IssuerRole PermitExchange::RoleFor(std::uint32_t server) {
+  return IsIssuer(loads_.PrimaryAggregatorOf(server))
+             ? limits::IssuerRole::kPrimary
+             : limits::IssuerRole::kBackup;
 }
 
 limits::PermitIssuer::Decision PermitExchange::Decide(
     std::uint32_t server, const std::string& entry) {
-  const auto rate = IssueRate(server);
-  if (!rate.has_value()) return {true, milliseconds(0)};
-  const auto decision = issuer_.Request(server, entry, *rate, BootClock::now());
-  context_.metrics.CountEvent(decision.is_granted ? "permits_granted_total"
-                                                  : "permits_denied_total");
+  const auto decision = permits_.Request(context_.limits, server, entry,
+                                         RoleFor(server), BootClock::now());
+  if (context_.limits.LimitOf(server).has_value()) {
+    context_.metrics.CountEvent(decision.is_granted ? "permits_granted_total"
+                                                    : "permits_denied_total");
+  }
   return decision;
 }
 
 void PermitExchange::Charge(std::uint32_t server) {
-  if (const auto rate = IssueRate(server)) {
-    issuer_.Charge(server, *rate, BootClock::now());
-  }
+  permits_.Charge(context_.limits, server, RoleFor(server), BootClock::now());
 }
 
 void PermitExchange::Deny(const std::string& server_id,
@@ -103,7 +97,8 @@
     return PermitResult::kDenied;
   }
   gossip::PermitRequest request;
-  request.limit = *context_.limits.StatementOf(server, BootClock::now());
+  request.limit = context_.limits.StatementForMessage(server, BootClock::now());
+  request.cold_requests_per_second = context_.limits.OwnColdRateOf(server);
   if (!on_result) {
     send_(issuer, gossip::Encode(request));
     return PermitResult::kGranted;
@@ -143,17 +138,19 @@
                                const std::string& sender) {
   OnStatement(request.limit, sender);
   const std::uint32_t server = request.limit.server;
+  if (request.cold_requests_per_second.has_value()) {
+    context_.limits.OnColdClaim(server, *request.cold_requests_per_second,
+                                BootClock::now());
+  }
   if (request.id == 0) {
     Charge(server);
     return;
   }
   const auto decision = Decide(server, sender);
-  // Neither a statement that has expired nor a server without a limit is
-  // recorded.
-  const auto known = context_.limits.StatementOf(server, BootClock::now());
-  send_(sender, gossip::Encode(gossip::PermitReply{
-                    request.id, decision.is_granted, decision.retry_after,
-                    known.value_or(request.limit)}));
+  send_(sender,
+        gossip::Encode(gossip::PermitReply{
+            request.id, decision.is_granted, decision.retry_after,
+            context_.limits.StatementForMessage(server, BootClock::now())}));
 }
 
 void PermitExchange::OnMessage(const gossip::PermitReply& reply,
--- a/services/gateway/permit_exchange.h
+++ b/services/gateway/permit_exchange.h
@@ -1,6 +1,7 @@
-// Permits for the requests to servers that name a limit. One gateway, an
-// aggregator of the server's load, issues those of all gateways; the others ask
-// it for each request. So the limit binds their sum.
+// Permits for the requests to servers that name a limit, and to cold servers
+// that bear only so many requests a second. One gateway, an aggregator of the
+// server's load, issues those of all gateways; the others ask it for each
+// request. So the limit binds their sum.
 #pragma once
 
 #include <QObject>
@@ -8,11 +9,10 @@
 #include <cstdint>
 #include <functional>
 #include <map>
-#include <optional>
 #include <string>
 
 #include "libraries/gossip/digest.h"
-#include "libraries/limits/permit_issuer.h"
+#include "libraries/limits/server_permits.h"
 #include "services/gateway/gateway_context.h"
 #include "services/gateway/load_exchange.h"
 
@@ -54,9 +54,8 @@
   limits::PermitIssuer::Decision Decide(std::uint32_t server,
                                         const std::string& entry);
   void Charge(std::uint32_t server);
-  // The rate at which this gateway issues permits; nothing if the server has no
-  // limit.
-  std::optional<double> IssueRate(std::uint32_t server);
+  // What this gateway is to those that ask it for permits of the server.
+  limits::IssuerRole RoleFor(std::uint32_t server);
   std::ptrdiff_t PendingRequests(const std::string& server_id) const;
   bool IsIssuer(const std::string& issuer) const;
   void Deny(const std::string& server_id,
@@ -67,7 +66,7 @@
   GatewayContext& context_;
   LoadExchange& loads_;
   Send send_;
-  limits::PermitIssuer issuer_{{}};
+  limits::ServerPermits permits_;
   // By id.
   std::map<std::uint64_t, PendingRequest> pending_;
   std::uint64_t last_id_ = 0;
--- a/tests/platform/wire_dialect_test.cc
+++ b/tests/platform/wire_dialect_test.cc
@@ -176,6 +176,19 @@
   *out << value.value;
 }
 
+TEST(WireDialectTest, ParsesOrIgnoresColdTime) {
+  const auto cold_left = [](const char* value) {
+    http1::ResponseHead head;
+    head.status = 200;
+    head.fields.Add("Cold-Ms", value);
+    return WireDialect().ParseNotice(head).cold_left;
+  };
+  EXPECT_EQ(cold_left("1200"), milliseconds(1200));
+  EXPECT_EQ(cold_left("-1"), milliseconds(0));
+  EXPECT_EQ(cold_left("1e300"), std::chrono::hours(24));
+  EXPECT_FALSE(cold_left("soon").has_value());
+}
+
 class RetryAfterTest : public testing::TestWithParam<RetryAfterCase> {};
 
 TEST_P(RetryAfterTest, ParsesOrIgnoresValue) {
@@ -426,10 +439,10 @@
            "split":[{"service":"e","weight":90},{"service":"w","weight":10}],
            "attempts":1,"public":false,"sticky":true,"resumable":false,
            "gapGoalMs":180}],
-          "services":[{"name":"e","healthPath":"/health","maxConns":312,
+          "services":[{"name":"e","healthPath":"/health","maxConns":312,"coldPerS":2.5,
             "engine":{"slots":32,"kvCapacity":34316,"moves":true,
                       "backups":true}},
-            {"name":"w","healthPath":"/health","maxConns":110}],
+            {"name":"w","healthPath":"/health","maxConns":110,"coldPerS":0}],
           "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,
                     "headerTimeoutMs":3000,"idleTimeoutMs":15000},
           "tenants":[{"name":"t","apiKeys":["k"],"priority":1}]})");
@@ -447,6 +460,8 @@
   ASSERT_TRUE(configuration.services[0].engine.has_value());
   EXPECT_TRUE(configuration.services[0].engine->can_migrate);
   EXPECT_FALSE(configuration.services[1].engine.has_value());
+  EXPECT_EQ(configuration.services[0].cold_requests_per_second, 2.5);
+  EXPECT_FALSE(configuration.services[1].cold_requests_per_second.has_value());
   EXPECT_EQ(configuration.limits.idle_timeout, milliseconds(15000));
   EXPECT_EQ(configuration.workspaces[0].priority, 1);
 }
--- a/tests/services/gateway/server_limit_test.cc
+++ b/tests/services/gateway/server_limit_test.cc
@@ -1,5 +1,5 @@
 // A server in need names the requests a second that it takes from all gateways
-// together.
+// together; of a cold one, its service's configuration says it.
 #include <gtest/gtest.h>
 
 #include <algorithm>
@@ -86,5 +86,57 @@
   EXPECT_NE(head.find("Retry-After"), std::string::npos) << head;
 }
 
+class ColdServerTest : public GatewayNodeTest {
+ protected:
+  static constexpr double kColdRate = 10.0;
+
+  // Publishes one server that is cold throughout the test, and sends requests
+  // that do not wait; returns the share of them that it got, and expects that
+  // it got no more than it bears if its service says how much.
+  double FloodColdServer(bool has_rate) {
+    objective_ = std::chrono::milliseconds(10);
+    auto configuration = ConfigurationEntry(1, true);
+    auto server = EntryOf(0, first_, 1);
+    if (has_rate) {
+      auto text = nlohmann::json::parse(*configuration.value);
+      text["services"][0]["coldPerS"] = kColdRate;
+      configuration.value = text.dump();
+    }
+    auto text = nlohmann::json::parse(*server.value);
+    text["coldLeftMs"] = 600'000;
+    server.value = text.dump();
+    node_->OnStoreSnapshot({configuration, server}, revision_);
+    constexpr int kRequests = 300;
+    const BootTime start = BootClock::now();
+    for (int i = 0; i < kRequests; ++i) {
+      const int status = RequestStatus();
+      EXPECT_TRUE(status == 200 || (has_rate && status == 503)) << status;
+    }
+    const std::chrono::duration<double> time = BootClock::now() - start;
+    const auto requests = static_cast<double>(Requests(first_));
+    // Platform: in any second half more than the rate, and five.
+    if (has_rate) {
+      EXPECT_LE(requests, 1.5 * kColdRate * std::max(time.count(), 1.0) + 5.0);
+    }
+    return requests / kRequests;
+  }
+};
+
+// Guards against a server that crashes since all requests reach it at once when
+// it is taken back.
+TEST_F(ColdServerTest, ColdServerGetsNoMoreThanItBears) {
+  EXPECT_LT(FloodColdServer(true), 1.0);
+  const std::size_t before = Requests(first_);
+  // It gets its share of what comes later.
+  EXPECT_TRUE(RunUntil([&] {
+    RequestStatus();
+    return Requests(first_) > before;
+  }));
+}
+
+TEST_F(ColdServerTest, WithoutARateAColdServerGetsAll) {
+  EXPECT_EQ(FloodColdServer(false), 1.0);
+}
+
 }  // namespace
 }  // namespace balsam::gateway
