Test servers that turn cold after their announcement

A response may say that the server stays cold longer than its announcement does, or is cold again; the directory keeps the later end.

--- a/tests/libraries/directory/backend_directory_test.cc
+++ b/tests/libraries/directory/backend_directory_test.cc
@@ -29,6 +29,18 @@
   BackendDirectory directory_{{milliseconds(2500), milliseconds(15000)}};
 };
 
+TEST_F(BackendDirectoryTest, ReportsProlongTheCold) {
+  directory_.OnReportedCold("i-1", milliseconds(500), TimeAfter(0));
+  EXPECT_EQ(directory_.Find("i-1"), nullptr);
+  BackendServer server = MakeServer();
+  server.cold_left = milliseconds(500);
+  directory_.OnAnnounced(server, TimeAfter(0));
+  directory_.OnReportedCold("i-1", milliseconds(100), TimeAfter(200));
+  EXPECT_EQ(directory_.Find("i-1")->cold_until, TimeAfter(500));
+  directory_.OnReportedCold("i-1", milliseconds(400), TimeAfter(200));
+  EXPECT_EQ(directory_.Find("i-1")->cold_until, TimeAfter(600));
+}
+
 TEST_F(BackendDirectoryTest, AnnouncedServerAppearsAndLeaves) {
   EXPECT_EQ(directory_.OnAnnounced(MakeServer(), TimeAfter(0))->kind,
             Kind::kAppeared);
--- a/tests/services/gateway/server_limit_test.cc
+++ b/tests/services/gateway/server_limit_test.cc
@@ -89,11 +89,12 @@
 class ColdServerTest : public GatewayNodeTest {
  protected:
   static constexpr double kColdRate = 10.0;
+  static constexpr std::chrono::milliseconds kThroughout{600'000};
 
-  // Publishes one server that is cold throughout the test, and sends requests
+  // Publishes one server that announces this of its cold, and sends requests
   // that do not wait; returns the share of them that it got, and expects that
   // it got no more than it bears if its service says how much.
-  double FloodColdServer(bool has_rate) {
+  double FloodColdServer(bool has_rate, std::chrono::milliseconds cold_left) {
     objective_ = std::chrono::milliseconds(10);
     auto configuration = ConfigurationEntry(1, true);
     auto server = EntryOf(0, first_, 1);
@@ -103,7 +104,7 @@
       configuration.value = text.dump();
     }
     auto text = nlohmann::json::parse(*server.value);
-    text["coldLeftMs"] = 600'000;
+    text["coldLeftMs"] = cold_left.count();
     server.value = text.dump();
     node_->OnStoreSnapshot({configuration, server}, revision_);
     constexpr int kRequests = 300;
@@ -125,7 +126,7 @@
 // Guards against a server that crashes since all requests reach it at once when
 // it is taken back.
 TEST_F(ColdServerTest, ColdServerGetsNoMoreThanItBears) {
-  EXPECT_LT(FloodColdServer(true), 1.0);
+  EXPECT_LT(FloodColdServer(true, kThroughout), 1.0);
   const std::size_t before = Requests(first_);
   // It gets its share of what comes later.
   EXPECT_TRUE(RunUntil([&] {
@@ -134,8 +135,16 @@
   }));
 }
 
+// Its announcement is older than what it responds.
+TEST_F(ColdServerTest, ServerThatTurnsColdSaysSoItself) {
+  first_.on_request = [](const auto& request) {
+    Reply(request, "Cold-Ms: " + std::to_string(kThroughout.count()) + "\r\n");
+  };
+  EXPECT_LT(FloodColdServer(true, std::chrono::milliseconds(0)), 1.0);
+}
+
 TEST_F(ColdServerTest, WithoutARateAColdServerGetsAll) {
-  EXPECT_EQ(FloodColdServer(false), 1.0);
+  EXPECT_EQ(FloodColdServer(false, kThroughout), 1.0);
 }
 
 }  // namespace
