Name every limit in the directory's tests

The linter failed on the list of limits, which lacked the one that evacuations added. The values are the same; backend_directory_test (27) passed, and the linter passes on the file.

--- a/tests/libraries/directory/backend_directory_test.cc
+++ b/tests/libraries/directory/backend_directory_test.cc
@@ -26,7 +26,9 @@
     return BootTime{} + std::chrono::hours(1) +
            milliseconds(milliseconds_later);
   }
-  BackendDirectory directory_{{milliseconds(2500), milliseconds(15000)}};
+  BackendDirectory directory_{{.lapsed_grace_period = milliseconds(2500),
+                               .leaving_retention = milliseconds(15000),
+                               .evacuations = {}}};
 };
 
 TEST_F(BackendDirectoryTest, ReportsProlongTheCold) {
