Bound the memory and the connections of clients of a gateway

Seen: the 11 red cases of crowd_process_test: crowds of legal requests that stop short of their end took up to 111,064 KiB where the machine has 49,152, and idle connections took 247 sockets of 100.

Cause: nothing bounded the sum of what connections hold. A body was held up to four times (input, body, outbound request, outbound stream), a short header line took 64 bytes and more, and the allocator kept large blocks that were freed.

Limits come from the machine's settings.

Ruled out: pausing reads; a share for each client address; reserving a declared length.

--- a/libraries/http1/message_head.cc
+++ b/libraries/http1/message_head.cc
@@ -3,11 +3,13 @@
 
 #include <algorithm>
 #include <array>
+#include <boost/algorithm/string/case_conv.hpp>
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/rfc7230.hpp>
 #include <boost/beast/http/status.hpp>
 #include <cstdio>
 #include <ostream>
+#include <set>
 
 namespace balsam::http1 {
 namespace {
@@ -48,6 +50,7 @@
 }
 
 void FieldList::Add(std::string_view name, std::string_view value) {
+  text_bytes_ += name.size() + value.size();
   fields_.push_back({std::string(name), std::string(value)});
 }
 
@@ -77,17 +80,22 @@
 }
 
 void FieldList::RemoveHopByHopFields() {
-  std::vector<std::string> listed_fields;
+  // Ordered, since a client may list as many names as it sends fields.
+  std::set<std::string> listed_names;
   for (const Field& field : fields_) {
     if (!EqualFieldNames(field.name, "Connection")) continue;
     for (const auto token : boost::beast::http::token_list(field.value)) {
-      listed_fields.emplace_back(token);
+      listed_names.insert(boost::algorithm::to_lower_copy(std::string(token)));
     }
   }
-  std::ranges::for_each(listed_fields,
-                        [this](const auto& name) { Remove(name); });
-  std::ranges::for_each(kHopByHopFields,
-                        [this](std::string_view name) { Remove(name); });
+  std::erase_if(fields_, [&](const Field& field) {
+    return std::ranges::any_of(kHopByHopFields,
+                               [&](std::string_view name) {
+                                 return EqualFieldNames(field.name, name);
+                               }) ||
+           (!listed_names.empty() &&
+            listed_names.contains(boost::algorithm::to_lower_copy(field.name)));
+  });
 }
 
 std::string_view RequestHead::Path() const {
--- a/libraries/http1/message_head.h
+++ b/libraries/http1/message_head.h
@@ -20,6 +20,8 @@
 class FieldList {
  public:
   void Add(std::string_view name, std::string_view value);
+  // Makes room for `count` fields in all.
+  void Reserve(std::size_t count) { fields_.reserve(count); }
   // Replaces every field of this name by one.
   void Set(std::string_view name, std::string_view value);
   void Remove(std::string_view name);
@@ -35,9 +37,16 @@
   std::vector<Field>::const_iterator begin() const { return fields_.begin(); }
   std::vector<Field>::const_iterator end() const { return fields_.end(); }
   std::size_t size() const { return fields_.size(); }
+  // Memory that the fields occupy, in bytes: a short line takes far more than
+  // its text.
+  std::size_t MemoryBytes() const {
+    return fields_.capacity() * sizeof(Field) + text_bytes_;
+  }
 
  private:
   std::vector<Field> fields_;
+  // Length of all names and values that were added; removed ones still count.
+  std::size_t text_bytes_ = 0;
 };
 
 struct RequestHead {
--- a/libraries/http1/message_parser.cc
+++ b/libraries/http1/message_parser.cc
@@ -2,6 +2,7 @@
 // reports its parts through virtual functions.
 #include "libraries/http1/message_parser.h"
 
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/basic_parser.hpp>
 #include <limits>
@@ -164,10 +165,15 @@
   if (!input.empty()) started_ = true;
   if (!head_complete_) {
     const std::size_t length = HeadLength(input);
-    if (length != std::string_view::npos &&
-        HasFoldedLine(input.substr(0, length))) {
-      error_ = ParseError::kMalformed;
-      return 0;
+    if (length != std::string_view::npos) {
+      const std::string_view head = input.substr(0, length);
+      if (HasFoldedLine(head)) {
+        error_ = ParseError::kMalformed;
+        return 0;
+      }
+      const auto lines = std::ranges::count(head, '\n');
+      head_.fields.Reserve(head_.fields.size() +
+                           static_cast<std::size_t>(lines));
     }
   }
   return FeedAndUpdateState(*implementation_, input, body);
--- a/libraries/net/tcp_stream.cc
+++ b/libraries/net/tcp_stream.cc
@@ -13,6 +13,7 @@
 #include <array>
 #include <cerrno>
 #include <chrono>
+#include <utility>
 
 namespace balsam::net {
 namespace {
@@ -98,23 +99,56 @@
   read_notifier_->setEnabled(reading_);
 }
 
+std::size_t TcpStream::Send(std::string_view bytes) {
+  std::size_t total = 0;
+  while (total < bytes.size()) {
+    const ssize_t sent = ::send(descriptor_, bytes.data() + total,
+                                bytes.size() - total, MSG_NOSIGNAL);
+    if (sent < 0 && errno == EINTR) continue;
+    // A connection error is reported by the next read.
+    if (sent <= 0) break;
+    total += static_cast<std::size_t>(sent);
+  }
+  return total;
+}
+
 void TcpStream::Write(std::string_view bytes) {
   if (state_ != State::kConnected) return;
+  if (pending() == 0) bytes.remove_prefix(Send(bytes));
+  if (bytes.empty()) return;
+  // Not with each write: that would move all that is queued every time.
+  if (output_sent_ * 2 >= output_.size()) {
+    output_.erase(0, std::exchange(output_sent_, 0));
+  }
+  if (const auto shared = std::exchange(shared_, nullptr)) {
+    output_ += std::string_view(*shared).substr(shared_sent_);
+  }
   output_ += bytes;
+  write_notifier_->setEnabled(true);
+}
+
+void TcpStream::WriteShared(std::shared_ptr<const std::string> bytes) {
+  if (state_ != State::kConnected || bytes->empty()) return;
+  if (shared_ != nullptr) {
+    Write(*bytes);
+    return;
+  }
+  shared_ = std::move(bytes);
+  shared_sent_ = 0;
   Flush();
 }
 
 void TcpStream::Flush() {
-  while (!output_.empty()) {
-    const ssize_t sent =
-        ::send(descriptor_, output_.data(), output_.size(), MSG_NOSIGNAL);
-    if (sent < 0 && errno == EINTR) continue;
-    // A connection error is reported by the next read.
-    if (sent <= 0) break;
-    output_.erase(0, static_cast<std::size_t>(sent));
+  output_sent_ += Send(std::string_view(output_).substr(output_sent_));
+  if (output_sent_ == output_.size()) {
+    std::string().swap(output_);
+    output_sent_ = 0;
+    if (shared_ != nullptr) {
+      shared_sent_ += Send(std::string_view(*shared_).substr(shared_sent_));
+      if (shared_sent_ == shared_->size()) shared_.reset();
+    }
   }
-  write_notifier_->setEnabled(!output_.empty());
-  if (output_.empty()) output_.shrink_to_fit();
+  write_notifier_->setEnabled(pending() > 0);
 }
 
 void TcpStream::SetReadEnabled(bool reading) {
@@ -161,7 +195,7 @@
   }
   Flush();
   if (state_ == State::kClosing) {
-    if (output_.empty()) CloseWith(CloseReason::kOrderly);
+    if (pending() == 0) CloseWith(CloseReason::kOrderly);
     return;
   }
   Q_EMIT Drained();
@@ -169,7 +203,7 @@
 
 void TcpStream::CloseAfterWriting() {
   if (state_ == State::kConnected) state_ = State::kClosing;
-  if (!output_.empty()) return;
+  if (pending() > 0) return;
   QMetaObject::invokeMethod(
       this, [this] { CloseWith(CloseReason::kOrderly); }, Qt::QueuedConnection);
 }
@@ -178,7 +212,9 @@
 
 void TcpStream::Release() {
   state_ = State::kClosed;
-  output_.clear();
+  std::string().swap(output_);
+  output_sent_ = 0;
+  shared_.reset();
   // This may run while a notifier's signal is being delivered, so the notifiers
   // are deleted later.
   for (auto* notifier : {&read_notifier_, &write_notifier_}) {
--- a/libraries/net/tcp_stream.h
+++ b/libraries/net/tcp_stream.h
@@ -39,8 +39,13 @@
 
   // Queues bytes, and writes at once what the kernel accepts.
   void Write(std::string_view bytes);
+  // The same without a copy: keeps `bytes` until the kernel has accepted them.
+  void WriteShared(std::shared_ptr<const std::string> bytes);
   // Queued bytes that the kernel has not accepted yet.
-  std::size_t pending() const { return output_.size(); }
+  std::size_t pending() const {
+    return output_.size() - output_sent_ +
+           (shared_ == nullptr ? 0 : shared_->size() - shared_sent_);
+  }
   // While disabled, received bytes stay in the kernel, whose full buffer slows
   // the peer down by TCP flow control.
   void SetReadEnabled(bool reading);
@@ -72,6 +77,8 @@
   void OnReadable();
   void OnWritable();
   void Flush();
+  // Returns how many of the bytes the kernel accepted.
+  std::size_t Send(std::string_view bytes);
   void Release();
   void CloseWith(CloseReason reason);
 
@@ -79,7 +86,12 @@
   State state_ = State::kClosed;
   std::unique_ptr<QSocketNotifier> read_notifier_;
   std::unique_ptr<QSocketNotifier> write_notifier_;
+  // Queued bytes; the first `output_sent_` of them are sent.
   std::string output_;
+  std::size_t output_sent_ = 0;
+  // Follows `output_`; null if there is nothing left of it.
+  std::shared_ptr<const std::string> shared_;
+  std::size_t shared_sent_ = 0;
   bool reading_ = true;
 };
 
--- a/services/gateway/client_connection.cc
+++ b/services/gateway/client_connection.cc
@@ -15,7 +15,7 @@
 constexpr std::size_t kWriteHighWatermark = 256 << 10;
 // Maximum number of bytes of pipelined requests that are read while a request
 // is being answered.
-constexpr std::size_t kMaxPipelinedBytes = 64 << 10;
+constexpr std::size_t kMaxPipelinedBytes = 16 << 10;
 // How long data that the client sends after a final response is discarded, so
 // that a reset does not destroy the response.
 constexpr milliseconds kLingerTime{500};
@@ -25,7 +25,8 @@
 }  // namespace
 
 ClientConnection::ClientConnection(GatewayContext& context, int descriptor)
-    : context_(context) {
+    : context_(context),
+      holding_(&context.client_account.Add(this, BootClock::now())) {
   connect(&stream_, &net::TcpStream::Received, this,
           &ClientConnection::OnReceived);
   connect(&stream_, &net::TcpStream::Closed, this, &ClientConnection::OnClosed);
@@ -38,27 +39,64 @@
   StartReadTimer();
 }
 
-ClientConnection::~ClientConnection() = default;
+ClientConnection::~ClientConnection() { context_.client_account.Remove(this); }
 
 void ClientConnection::StartReadTimer() {
   const routing::ClientLimits limits = context_.ClientLimits();
   timer_.start(parser_started_ ? limits.header_timeout : limits.idle_timeout);
+  context_.client_account.Enter(
+      *holding_,
+      parser_started_ ? intake::Stage::kReceiving : intake::Stage::kIdle,
+      BootClock::now());
 }
 
 void ClientConnection::OnReceived(std::string_view bytes) {
   if (closing_) return;
-  input_ += bytes;
   if (exchange_ == nullptr) {
-    ParseInput();
+    ParseInput(bytes);
     return;
   }
   // Pipelined requests are buffered up to a limit.
+  input_ += bytes;
   if (input_.size() > kMaxPipelinedBytes) stream_.SetReadEnabled(false);
+  ChargeMemory();
+}
+
+void ClientConnection::ChargeMemory() {
+  intake::ClientAccount<ClientConnection>& account = context_.client_account;
+  account.Resize(
+      *holding_,
+      input_.capacity() + body_.capacity() + request_bytes_ +
+          (parser_ == nullptr ? 0 : parser_->head().fields.MemoryBytes()));
+  const BootTime now = BootClock::now();
+  while (ClientConnection* client = account.NextToRefuse(
+             now, [](const ClientConnection* c) { return c->MayRefuse(); })) {
+    client->RefuseForMemory();
+  }
+}
+
+bool ClientConnection::MayRefuse() const {
+  if (closing_) return false;
+  return exchange_ == nullptr ? parser_ != nullptr : exchange_->MayRefuse();
+}
+
+void ClientConnection::RefuseForMemory() {
+  LogEvent("refused_for_memory", LogEvent::Level::kWarning)
+      .With("peer", stream_.peer())
+      .With("bytes", holding_->bytes)
+      .With("held", context_.client_account.bytes())
+      .With("complete", exchange_ == nullptr ? 0 : 1);
+  context_.metrics.CountEvent("refused_for_memory_total");
+  if (exchange_ != nullptr) {
+    exchange_->OnMemoryShortage();
+  } else {
+    Reject(503, kMemoryRetryAfter);
+  }
 }
 
-void ClientConnection::ParseInput() {
+void ClientConnection::ParseInput(std::string_view bytes) {
   if (parser_ == nullptr) {
-    if (input_.empty()) return;
+    if (input_.empty() && bytes.empty()) return;
     const routing::ClientLimits limits = context_.ClientLimits();
     parser_ = std::make_unique<http1::RequestParser>(
         http1::ParseLimits{limits.max_header_bytes, limits.max_body_bytes});
@@ -66,8 +104,20 @@
     StartReadTimer();
   }
   const bool had_head = parser_->head_complete();
-  const std::size_t taken = parser_->Consume(input_, body_);
-  input_.erase(0, taken);
+  // What arrives is copied only if something precedes or is left of it.
+  std::size_t taken = 0;
+  if (input_.empty()) {
+    taken = parser_->Consume(bytes, body_);
+    input_ = bytes.substr(taken);
+  } else {
+    input_ += bytes;
+    taken = parser_->Consume(input_, body_);
+    input_.erase(0, taken);
+    if (input_.empty()) input_.shrink_to_fit();
+  }
+  context_.client_account.OnReceived(*holding_, BootClock::now());
+  ChargeMemory();
+  if (closing_) return;
   if (parser_->error() != http1::ParseError::kNone) {
     OnParseError();
     return;
@@ -101,13 +151,14 @@
   }
 }
 
-void ClientConnection::Reject(int status) {
+void ClientConnection::Reject(int status,
+                              std::optional<milliseconds> retry_after) {
   LogEvent("request_rejected", LogEvent::Level::kWarning)
       .With("status", status)
       .With("peer", stream_.peer());
   close_after_response_ = true;
   const http1::ResponseHead head =
-      context_.dialect.MakeGatewayResponse(status, {}, std::nullopt);
+      context_.dialect.MakeGatewayResponse(status, {}, retry_after);
   WriteHead(head, {0, false});
   FinishResponse();
 }
@@ -115,6 +166,9 @@
 void ClientConnection::BeginRequest() {
   timer_.stop();
   close_after_response_ = !parser_->keep_alive();
+  request_bytes_ = parser_->head().fields.MemoryBytes() + body_.capacity();
+  context_.client_account.Enter(*holding_, intake::Stage::kServing,
+                                BootClock::now());
   http1::RequestHead head = parser_->TakeHead();
   is_head_request_ = head.method == "HEAD";
   parser_.reset();
@@ -170,6 +224,8 @@
 
 void ClientConnection::FinishResponse() {
   if (exchange_ != nullptr) exchange_.release()->deleteLater();
+  request_bytes_ = 0;
+  context_.client_account.Resize(*holding_, input_.capacity());
   if (close_after_response_) {
     Linger();
     return;
@@ -181,7 +237,7 @@
     QMetaObject::invokeMethod(
         this,
         [this] {
-          if (exchange_ == nullptr && !closing_) ParseInput();
+          if (exchange_ == nullptr && !closing_) ParseInput({});
         },
         Qt::QueuedConnection);
   }
@@ -195,6 +251,10 @@
     return;
   }
   lingering_ = true;
+  ReleaseBuffers();
+  context_.client_account.Resize(*holding_, 0);
+  context_.client_account.Enter(*holding_, intake::Stage::kClosing,
+                                BootClock::now());
   timer_.start(kLingerTime);
 }
 
@@ -221,6 +281,21 @@
   Close();
 }
 
+void ClientConnection::ReleaseBuffers() {
+  parser_.reset();
+  // An assignment would keep the capacity.
+  std::string().swap(input_);
+  std::string().swap(body_);
+}
+
+void ClientConnection::CloseAtOnce() {
+  LogEvent("connection_closed_for_descriptors", LogEvent::Level::kWarning)
+      .With("peer", stream_.peer());
+  context_.metrics.CountEvent("closed_for_descriptors_total");
+  stream_.Abort();
+  OnClosed();
+}
+
 void ClientConnection::Close() {
   closing_ = true;
   stream_.CloseAfterWriting();
@@ -233,6 +308,8 @@
   timer_.stop();
   closing_ = true;
   if (exchange_ != nullptr) exchange_->Cancel();
+  ReleaseBuffers();
+  context_.client_account.Remove(this);
   if (on_closed) on_closed();
 }
 
--- a/services/gateway/client_connection.h
+++ b/services/gateway/client_connection.h
@@ -4,12 +4,16 @@
 
 #include <QObject>
 #include <QTimer>
+#include <chrono>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
+#include <string_view>
 
 #include "libraries/base/boot_clock.h"
 #include "libraries/http1/message_parser.h"
+#include "libraries/intake/client_account.h"
 #include "libraries/net/tcp_stream.h"
 #include "services/gateway/exchange.h"
 #include "services/gateway/gateway_context.h"
@@ -27,6 +31,12 @@
 
   // Closes the connection unless a request is in progress.
   void CloseIfIdle();
+  // Closes the connection without a response, to free its descriptor.
+  void CloseAtOnce();
+  // Whether a response can still say truly that the request has not run.
+  bool MayRefuse() const;
+  // Requests hold too much memory: gives up what this one holds.
+  void RefuseForMemory();
   bool busy() const { return exchange_ != nullptr || parser_started_; }
 
   // ResponseSink
@@ -44,17 +54,24 @@
   void OnReceived(std::string_view bytes);
   void OnClosed();
   void OnTimeout();
-  void ParseInput();
+  // Parses what was kept and then `bytes`, and keeps what is left.
+  void ParseInput(std::string_view bytes);
+  // Charges the memory that this connection holds, and refuses requests,
+  // possibly its own, until the limit is kept.
+  void ChargeMemory();
   void BeginRequest();
   void StartReadTimer();
-  // Responds to an invalid request and closes the connection.
-  void Reject(int status);
+  // Responds to a request that is not served and closes the connection.
+  void Reject(int status, std::optional<std::chrono::milliseconds> retry_after =
+                              std::nullopt);
   void OnParseError();
   // The response has been written: reads the next request or closes.
   void FinishResponse();
   // Discards what the client sends for a while, then closes.
   void Linger();
   void Close();
+  // Gives up what was received of a request.
+  void ReleaseBuffers();
   // Writes the response head with the connection fields.
   void WriteHead(http1::ResponseHead head, const http1::Framing& framing);
 
@@ -63,6 +80,10 @@
   std::string input_;
   std::unique_ptr<http1::RequestParser> parser_;
   std::string body_;
+  // Memory of the request being answered, in bytes.
+  std::size_t request_bytes_ = 0;
+  // Belongs to the account until the connection is closed.
+  intake::Holding* holding_;
   // The request being answered; null between requests.
   std::unique_ptr<Exchange> exchange_;
   QTimer timer_;
--- a/services/gateway/exchange.cc
+++ b/services/gateway/exchange.cc
@@ -23,6 +23,9 @@
 // A request that must not run twice counts against its server when it has no
 // response after this many latency objectives.
 constexpr double kVerySlowShare = 2.0;
+// A body up to this size is copied behind the head, which saves a write. The
+// attempts of a request share a larger one.
+constexpr std::size_t kMaxCopiedBody = 16 << 10;
 // A request that crashed this many servers is not sent to another one.
 constexpr int kMaxCrashesPerRequest = 2;
 // Returns whether a response with this status tells the client that its request
@@ -53,7 +56,7 @@
     : context_(context),
       sink_(sink),
       head_(std::move(head)),
-      body_(std::move(body)),
+      body_(std::make_shared<const std::string>(std::move(body))),
       received_(received),
       search_(context) {
   context_.exchanges.insert(this);
@@ -73,7 +76,7 @@
 void Exchange::Start() {
   metadata_ = context_.dialect.ParseRequest(head_);
   events_ = migration::EventStreamMerger(metadata_.last_event);
-  auto admission = Admit(context_, metadata_, head_, body_, received_);
+  auto admission = Admit(context_, metadata_, head_, *body_, received_);
   if (const auto* rejection = std::get_if<Rejection>(&admission)) {
     Answer(rejection->status, rejection->reason, rejection->retry_after);
     return;
@@ -120,11 +123,16 @@
   const http1::RequestHead head =
       context_.dialect.MakeBackendRequest(head_, options);
   http1::Framing framing;
-  if (!body_.empty() || head.method == "POST" || head.method == "PUT") {
-    framing.content_length = body_.size();
+  if (!body_->empty() || head.method == "POST" || head.method == "PUT") {
+    framing.content_length = body_->size();
   }
   OutboundConnection::Request request;
-  request.bytes = http1::Serialize(head, framing) + body_;
+  request.bytes = http1::Serialize(head, framing);
+  if (body_->size() <= kMaxCopiedBody) {
+    request.bytes += *body_;
+  } else {
+    request.body = body_;
+  }
   request.is_head_request = head_.method == "HEAD";
   request.on_head = [this](const http1::ResponseHead& response) {
     OnHead(response);
--- a/services/gateway/exchange.h
+++ b/services/gateway/exchange.h
@@ -53,6 +53,14 @@
   // Something was quarantined: rejects the request if it is affected and does
   // not run yet.
   void OnQuarantine();
+  // Whether the request was never sent to a server, so that a refusal of it
+  // tells the truth.
+  bool MayRefuse() const {
+    return !finished_ && !response_started_ && started_attempts_ == 0;
+  }
+  // Requests hold too much memory, and this one, which `MayRefuse`, loses its
+  // place.
+  void OnMemoryShortage();
   // The client accepts more data after `IsFull` was true.
   void OnSinkDrained();
 
@@ -235,7 +243,8 @@
   GatewayContext& context_;
   ResponseSink& sink_;
   http1::RequestHead head_;
-  std::string body_;
+  // Shared with the attempts that send it.
+  std::shared_ptr<const std::string> body_;
   BootTime received_;
   RequestMetadata metadata_;
   // The route is null until the request is admitted.
--- a/services/gateway/exchange_response.cc
+++ b/services/gateway/exchange_response.cc
@@ -34,6 +34,11 @@
   Answer(504, "stopping");
 }
 
+void Exchange::OnMemoryShortage() {
+  LeaveWaitQueue();
+  Answer(503, "no_memory", kMemoryRetryAfter);
+}
+
 void Exchange::Cancel() {
   if (finished_) return;
   LeaveWaitQueue();
--- a/services/gateway/gateway_context.h
+++ b/services/gateway/gateway_context.h
@@ -19,6 +19,7 @@
 #include "libraries/dispatch/wait_estimator.h"
 #include "libraries/dispatch/wait_queue.h"
 #include "libraries/gossip/digest.h"
+#include "libraries/intake/client_account.h"
 #include "libraries/limits/limit_table.h"
 #include "libraries/migration/copy_queue.h"
 #include "libraries/quarantine/crash_ledger.h"
@@ -32,12 +33,17 @@
 
 namespace balsam::gateway {
 
+class ClientConnection;
 class Exchange;
 class GenerationMigration;
 
 // Limit for the metrics' label sets, each of which takes about 3 KB of memory.
 inline constexpr std::size_t kMaxMetricLabels = 200;
 
+// When a client that was refused for lack of memory may retry: what stalls has
+// lost its place by then.
+inline constexpr std::chrono::milliseconds kMemoryRetryAfter{1000};
+
 // Receives the servers, by `dispatch::ServerKey`, whose loads remain unknown.
 using LoadQueryCallback =
     std::function<void(const std::set<std::uint32_t>& unresolved)>;
@@ -103,6 +109,8 @@
   std::map<std::string, migration::CopyQueue<GenerationMigration>> copy_queues;
   // Requests in progress.
   std::set<Exchange*> exchanges;
+  // What client connections hold.
+  intake::ClientAccount<ClientConnection> client_account{{}};
   retry::SharedRetryBudget::Limits retry_limits;
   std::map<std::string, retry::SharedRetryBudget> retry_budgets;
   // Which requests crash servers, as seen here or by peers.
--- a/services/gateway/gateway_node.cc
+++ b/services/gateway/gateway_node.cc
@@ -51,6 +51,8 @@
              replica_, RandomNumber()) {
   context_.data_center = settings_.data_center;
   context_.data_centers = settings_.data_centers;
+  context_.client_account.SetLimits(
+      intake::Limits::ForMachine(settings_.memory_bytes, settings_.sockets));
   context_.on_capacity_freed = [this] {
     if (!dispatch_timer_.isActive()) dispatch_timer_.start(0);
   };
@@ -153,6 +155,8 @@
        static_cast<double>(context_.crash_ledger.quarantined_count())},
       {"peers_alive", static_cast<double>(peers_.AlivePeers().size())},
       {"client_connections", static_cast<double>(clients_.size())},
+      {"request_memory_bytes",
+       static_cast<double>(context_.client_account.bytes())},
       {"requests_open", static_cast<double>(context_.exchanges.size())},
       {"requests_waiting", static_cast<double>(queued)},
       {"store_calls", static_cast<double>(store_calls ? store_calls() : 0)},
@@ -180,6 +184,9 @@
     clients_.erase(client);
     client->deleteLater();
   };
+  while (ClientConnection* other = context_.client_account.NextToClose()) {
+    other->CloseAtOnce();
+  }
 }
 
 void GatewayNode::OnServerChange(const directory::ServerChange& change) {
--- a/services/gateway/gateway_settings.h
+++ b/services/gateway/gateway_settings.h
@@ -32,6 +32,10 @@
   directory::Endpoint store;
   // Time from the stop request until the process is terminated.
   std::chrono::milliseconds stop_grace{8000};
+  // Memory of the process's machine, in bytes.
+  std::size_t memory_bytes = std::size_t{512} << 20;
+  // Number of sockets that the process may open.
+  std::size_t sockets = 16'000;
   // Retry budget, shared by all gateways.
   double retry_ratio = 0.1;
   double retry_slack = 0.0;
--- a/services/gateway/outbound_connection.cc
+++ b/services/gateway/outbound_connection.cc
@@ -107,8 +107,10 @@
 void OutboundConnection::WriteRequest() {
   written_ = true;
   stream_.Write(request_->bytes);
-  request_->bytes.clear();
-  request_->bytes.shrink_to_fit();
+  std::string().swap(request_->bytes);
+  if (request_->body != nullptr) {
+    stream_.WriteShared(std::exchange(request_->body, nullptr));
+  }
 }
 
 void OutboundConnection::OnReceived(std::string_view bytes) {
--- a/services/gateway/outbound_connection.h
+++ b/services/gateway/outbound_connection.h
@@ -60,8 +60,10 @@
   };
 
   struct Request {
-    // Head and body.
+    // Head, and the body unless `body` has it.
     std::string bytes;
+    // Sent after `bytes`, without a copy; may be null.
+    std::shared_ptr<const std::string> body;
     bool is_head_request = false;
     // From `Send` to the end of the response; unlimited if unset.
     std::optional<std::chrono::milliseconds> response_timeout;
--- a/tests/platform/node_settings_test.cc
+++ b/tests/platform/node_settings_test.cc
@@ -49,5 +49,26 @@
   }
 }
 
+TEST(NodeSettingsTest, ReadsTheLimitsOfTheMachine) {
+  const auto settings =
+      Load(SettingsWith(R"("limits": {"memoryMb": 88, "maxFds": 4100}, )"));
+  ASSERT_TRUE(settings.has_value());
+  EXPECT_EQ(settings->memory_bytes, std::size_t{88} << 20);
+  EXPECT_EQ(settings->sockets, 3900U);
+}
+
+TEST(NodeSettingsTest, KeepsTheDefaultsForLimitsThatCannotBe) {
+  const gateway::GatewaySettings defaults;
+  for (const char* limits :
+       {"", R"("limits": 3, )", R"("limits": {"memoryMb": 0, "maxFds": 200}, )",
+        R"("limits": {"memoryMb": -1, "maxFds": "many"}, )",
+        R"("limits": {"memoryMb": 18446744073709551615}, )"}) {
+    const auto settings = Load(SettingsWith(limits));
+    ASSERT_TRUE(settings.has_value()) << limits;
+    EXPECT_EQ(settings->memory_bytes, defaults.memory_bytes) << limits;
+    EXPECT_EQ(settings->sockets, defaults.sockets) << limits;
+  }
+}
+
 }  // namespace
 }  // namespace balsam::platform
