Test a large shared body and the default limits on the smallest machine

A body of 4 MiB that attempts share arrives behind its head unchanged, and is freed once the kernel has taken it. One request with a body of 4 MiB, by length and in chunks of one byte, is answered 200 by a gateway on a machine of 88 MB. The linter's finding in gateway_process.cc is mended: the result of bind() is used.

--- a/tests/processes/crowd_test.cc
+++ b/tests/processes/crowd_test.cc
@@ -129,8 +129,11 @@
 class CrowdProcessTest : public testing::Test {
  protected:
   void Begin(std::size_t descriptors = kDescriptors) {
-    gateway_ = std::make_unique<GatewayProcess>(
-        GatewayLimits{kMemoryMegabytes, descriptors, kMaxBodyBytes});
+    BeginWith({kMemoryMegabytes, descriptors, kMaxBodyBytes});
+  }
+
+  void BeginWith(const GatewayLimits& limits) {
+    gateway_ = std::make_unique<GatewayProcess>(limits);
     ASSERT_TRUE(gateway_->Start());
     idle_memory_ = gateway_->StatusKilobytes("VmRSS");
     crowd_ = std::make_unique<Crowd>(gateway_->client_port());
@@ -268,5 +271,17 @@
   ExpectHealthy(kDescriptors);
 }
 
+TEST_F(CrowdProcessTest, OneRequestOfTheDefaultLimitsIsServedBySmallMachine) {
+  constexpr std::size_t kSmallMachineMegabytes = 88;
+  constexpr std::size_t kDefaultMaxBodyBytes = 4 << 20;
+  BeginWith({kSmallMachineMegabytes, kDescriptors, kDefaultMaxBodyBytes});
+  EXPECT_EQ(gateway_->Request(std::string(kDefaultMaxBodyBytes, 'b')), 200);
+  EXPECT_EQ(gateway_->Request(Chunked(kDefaultMaxBodyBytes, 1),
+                              "Transfer-Encoding: chunked\r\n"),
+            200);
+  ASSERT_TRUE(gateway_->IsRunning());
+  EXPECT_LE(gateway_->StatusKilobytes("VmHWM"), kSmallMachineMegabytes << 10);
+}
+
 }  // namespace
 }  // namespace balsam::processes
--- a/tests/processes/gateway_process.cc
+++ b/tests/processes/gateway_process.cc
@@ -49,7 +49,9 @@
   const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   sockaddr_in address = LoopbackAddress(0);
   socklen_t size = sizeof(address);
-  ::bind(descriptor, reinterpret_cast<sockaddr*>(&address), size);
+  if (::bind(descriptor, reinterpret_cast<sockaddr*>(&address), size) != 0) {
+    return {descriptor, 0};
+  }
   ::getsockname(descriptor, reinterpret_cast<sockaddr*>(&address), &size);
   return {descriptor, ntohs(address.sin_port)};
 }
--- a/tests/services/gateway/outbound_connection_test.cc
+++ b/tests/services/gateway/outbound_connection_test.cc
@@ -58,6 +58,34 @@
   EXPECT_TRUE(connection_->reusable());
 }
 
+// The kernel takes a large body in parts, of which none may be lost, repeated
+// or sent before the head.
+TEST_F(OutboundConnectionTest, SharedBodyFollowsTheHeadUnchanged) {
+  constexpr std::size_t kBodyBytes = 4 << 20;
+  QTcpServer server;
+  ASSERT_TRUE(server.listen(QHostAddress::LocalHost));
+  std::string received;
+  QObject::connect(&server, &QTcpServer::newConnection, &server, [&] {
+    QTcpSocket* socket = server.nextPendingConnection();
+    QObject::connect(socket, &QTcpSocket::readyRead, &server, [&, socket] {
+      received += socket->readAll().toStdString();
+    });
+  });
+  std::string body;
+  for (int i = 0; body.size() < kBodyBytes; ++i) body += std::to_string(i);
+  OutboundConnection::Request request;
+  request.bytes = "POST / HTTP/1.1\r\n\r\n";
+  request.body = std::make_shared<const std::string>(body);
+  const std::string expected = request.bytes + body;
+  const std::weak_ptr<const std::string> shared = request.body;
+  OutboundConnection connection({"127.0.0.1", server.serverPort()},
+                                {kTestLimit}, nullptr);
+  connection.Send(std::move(request));
+  ASSERT_TRUE(RunUntil([&] { return received.size() >= expected.size(); }));
+  EXPECT_TRUE(received == expected);
+  EXPECT_TRUE(shared.expired());
+}
+
 // The time overflowed in milliseconds and was negative, so that no connection
 // to this server was used twice.
 TEST_F(OutboundConnectionTest, BoundsKeepAliveTime) {
