--- a/services/gateway/exchange.cc
+++ b/services/gateway/exchange.cc
@@ -3,7 +3,6 @@
 
 #include <QPointer>
 #include <algorithm>
-#include <boost/algorithm/string/join.hpp>
 #include <utility>
 
 #include "libraries/base/log_event.h"
@@ -143,35 +142,6 @@
   attempt_->connection->Send(std::move(request));
 }
 
-void Exchange::LogSent() const {
-  const BootTime now = BootClock::now();
-  const dispatch::Usage usage =
-      context_.selector.UsageOf(attempt_->server_id, now);
-  const auto total_received = context_.selector.reports().TotalReceivedAt(
-      dispatch::ServerKey(attempt_->server_id));
-  LogEvent line("sent");
-  line.With("id", metadata_.id)
-      .With("server", attempt_->server_id)
-      .With("sent", sent_attempts_)
-      .With("goes_on", attempt_->is_resumed ? 1 : 0)
-      .With("after", events_.last_event().value_or(0))
-      .With("waited", now - received_)
-      .With("rounds", search_.rounds())
-      .With("requests", usage.requests)
-      .With("tokens", usage.tokens)
-      .With("unread", usage.pending_prefill_tokens)
-      .With("config", request_.routes->version());
-  if (!metadata_.shared_parts.empty()) line.With("parts", SharedPartsText());
-  // Age of the load total of the other gateways. It is missing if this gateway
-  // is itself an aggregator for the server, or if it has received nothing about
-  // it.
-  if (total_received.has_value()) line.With("load_age", now - *total_received);
-}
-
-std::string Exchange::SharedPartsText() const {
-  return boost::algorithm::join(metadata_.shared_parts, ",");
-}
-
 bool Exchange::MustKeepAttempt() const {
   return !request_.route->MayRepeat() || attempt_->is_resumed;
 }
