--- a/libraries/dispatch/server_selector.cc
+++ b/libraries/dispatch/server_selector.cc
@@ -64,16 +64,6 @@
 Usage ServerSelector::UsageOf(const std::string& id, BootTime now) const {
   Usage usage = reports_.UsageOf(id, now);
   usage += RecordOf(id).local;
-  usage.claimed_tokens += claims_.TokensAt(id);
-  return usage;
-}
-
-Usage ServerSelector::UsageFor(const std::string& id, const Demand& demand,
-                               BootTime now) const {
-  Usage usage = UsageOf(id, now);
-  const MemoryClaim* own = claims_.Find(demand.claim);
-  if (own != nullptr && own->server == id) usage.claimed_tokens -= own->tokens;
-  if (demand.is_migration) usage.claimed_tokens = 0;
   return usage;
 }
 
@@ -108,8 +98,7 @@
           limits_.max_prefill_tokens) {
     return &SkipCounts::prefill_backlog;
   }
-  const auto tokens = static_cast<double>(usage.tokens + usage.claimed_tokens +
-                                          demand.Tokens());
+  const auto tokens = static_cast<double>(usage.tokens + demand.Tokens());
   // An idle engine takes any request; `IsServable` rejects prompts that exceed
   // its memory.
   const bool fits =
@@ -122,8 +111,7 @@
                              const Demand& demand, double noise, BootTime now) {
   double load = static_cast<double>(usage.requests) / std::max(server.slots, 1);
   if (engine != nullptr) {
-    const auto tokens = static_cast<double>(
-        usage.tokens + usage.claimed_tokens + demand.Tokens());
+    const auto tokens = static_cast<double>(usage.tokens + demand.Tokens());
     load = std::max(load, tokens / MemoryCapacityFor(*engine, demand)) +
            static_cast<double>(usage.pending_prefill_tokens) /
                kPrefillTokensPerLoadUnit;
@@ -144,19 +132,15 @@
          noise_distribution(random_);
 }
 
-bool ServerSelector::HasStaleTotal(const std::string& id, BootTime now) const {
-  const auto received_at = reports_.TotalReceivedAt(ServerKey(id));
-  return received_at.has_value() &&
-         now - *received_at > limits_.stale_total_age;
-}
-
 bool ServerSelector::DependsOnStaleTotal(const BackendServer& server,
                                          SkipReason skip_reason,
                                          BootTime now) const {
   const bool is_load_reason = skip_reason == &SkipCounts::without_slot ||
                               skip_reason == &SkipCounts::without_memory ||
                               skip_reason == &SkipCounts::prefill_backlog;
-  return is_load_reason && HasStaleTotal(server.id, now);
+  const auto received_at = reports_.TotalReceivedAt(ServerKey(server.id));
+  return is_load_reason && received_at.has_value() &&
+         now - *received_at > limits_.stale_total_age;
 }
 
 template <typename Visit>
@@ -184,7 +168,7 @@
           ++skip_counts_.excluded;
           return;
         }
-        const Usage usage = UsageFor(server.id, demand, now);
+        const Usage usage = UsageOf(server.id, now);
         const SkipReason skip_reason =
             FindSkipReason(server, usage, engine, demand, now);
         const bool is_stale = purpose == Purpose::kQuery &&
@@ -250,97 +234,12 @@
                             ranked.begin() + static_cast<std::ptrdiff_t>(taken),
                             {}, [](const auto& item) { return item.first; });
   std::vector<Choice> candidates;
-  const MemoryClaim* claim = claims_.Find(demand.claim);
-  const directory::BackendServer* claimed =
-      claim == nullptr ? nullptr : directory.Find(claim->server);
-  if (claimed != nullptr && max_count > 0) {
-    candidates.push_back({claimed->id, claimed->endpoint});
-  }
   for (auto& [score, choice] : ranked | std::views::take(taken)) {
-    if (candidates.size() == max_count) break;
-    if (claimed != nullptr && choice.id == claimed->id) continue;
     candidates.push_back(std::move(choice));
   }
   return candidates;
 }
 
-std::optional<ClaimId> ServerSelector::BeginClaim(
-    const directory::BackendDirectory& directory,
-    const routing::EngineTraits* engine, const Demand& demand,
-    BootTime expires_at, BootTime now) {
-  if (engine == nullptr || !claims_.IsLarge(*engine, demand.Tokens()) ||
-      static_cast<double>(demand.Tokens()) >
-          MemoryCapacityFor(*engine, demand)) {
-    return std::nullopt;
-  }
-  const BackendServer* best = nullptr;
-  double best_score = std::numeric_limits<double>::max();
-  std::int64_t fleet_tokens = 0;
-  std::int64_t claimed_tokens = 0;
-  directory.ForEachOfService(demand.service, [&](const BackendServer& server,
-                                                 ServerState state) {
-    if (state != ServerState::kReady ||
-        !directory.AcceptsRequests(server, state)) {
-      return;
-    }
-    fleet_tokens += engine->memory_tokens;
-    const Usage usage = UsageFor(server.id, demand, now);
-    claimed_tokens += usage.claimed_tokens;
-    const SkipReason reason =
-        FindSkipReason(server, usage, engine, demand, now);
-    // Memory is gathered and prompts are processed while the claim lasts;
-    // nothing else that keeps the request off changes by it.
-    const bool is_claimable = reason == nullptr ||
-                              reason == &SkipCounts::without_memory ||
-                              reason == &SkipCounts::prefill_backlog;
-    if (!is_claimable || usage.claimed_tokens > 0 ||
-        demand.excluded.contains(server.id)) {
-      return;
-    }
-    double score = Score(server, usage, engine, demand, kSelectionNoise, now);
-    if (HasStaleTotal(server.id, now)) score += kStaleTotalPenalty;
-    if (score >= best_score) return;
-    best_score = score;
-    best = &server;
-  });
-  if (best == nullptr ||
-      !claims_.MayBegin(demand.Tokens(), claimed_tokens, fleet_tokens)) {
-    return std::nullopt;
-  }
-  ++usage_version_;
-  return claims_.Begin(
-      {best->id, best->started_at, demand.Tokens(), now, expires_at});
-}
-
-void ServerSelector::EndClaim(ClaimId claim) {
-  claims_.End(claim);
-  ++usage_version_;
-}
-
-std::optional<ClaimEnd> ServerSelector::FindClaimEnd(
-    const directory::BackendDirectory& directory, ClaimId claim,
-    BootTime now) const {
-  const MemoryClaim* found = claims_.Find(claim);
-  if (found == nullptr) return std::nullopt;
-  if (found->expires_at <= now) return ClaimEnd::kExpired;
-  const BackendServer* server = directory.Find(found->server);
-  const auto state = directory.StateOf(found->server);
-  if (server == nullptr || !state.has_value() ||
-      !directory.AcceptsRequests(*server, *state)) {
-    return ClaimEnd::kServerClosed;
-  }
-  if (server->started_at != found->server_started_at) {
-    return ClaimEnd::kServerRestarted;
-  }
-  const Record& record = RecordOf(found->server);
-  const bool is_unavailable =
-      record.backoff_until >= found->expires_at ||
-      record.outcomes.IsUnhealthy(reports_.UsageOf(found->server, now).failures,
-                                  now);
-  if (is_unavailable) return ClaimEnd::kServerUnavailable;
-  return std::nullopt;
-}
-
 bool ServerSelector::IsServable(const directory::BackendDirectory& directory,
                                 const routing::EngineTraits* engine,
                                 const Demand& demand) const {
@@ -453,9 +352,6 @@
     if (record.is_engine) own.failures = record.outcomes.ReportedFailures(now);
     if (own != Usage{}) usage[ServerKey(id)] += own;
   }
-  for (const auto& [id, claim] : claims_.claims()) {
-    usage[ServerKey(claim.server)].claimed_tokens += claim.tokens;
-  }
   return usage;
 }
 
--- a/libraries/dispatch/server_selector.h
+++ b/libraries/dispatch/server_selector.h
@@ -16,7 +16,6 @@
 #include "libraries/base/boot_clock.h"
 #include "libraries/directory/backend_directory.h"
 #include "libraries/dispatch/load_reports.h"
-#include "libraries/dispatch/memory_claims.h"
 #include "libraries/dispatch/outcome_history.h"
 #include "libraries/dispatch/usage.h"
 #include "libraries/routing/configuration.h"
@@ -37,8 +36,6 @@
   bool is_migration = false;
   // Servers that are not to be tried again.
   std::set<std::string> excluded;
-  // The request's own claim, which does not keep it off the claimed engine.
-  ClaimId claim = kNoClaim;
 
   std::int64_t Tokens() const { return prompt_tokens + output_tokens; }
 };
@@ -72,7 +69,6 @@
     std::chrono::milliseconds stale_total_age{300};
     // How long the load report of another entry is valid.
     std::chrono::milliseconds report_lifetime{1500};
-    MemoryClaims::Limits claims;
   };
 
   ServerSelector(Limits limits, std::uint64_t seed)
@@ -115,8 +111,7 @@
   // Returns up to `max_count` servers that may have capacity, so that the
   // caller can query their current load before it selects one. Known loads are
   // stale where many entries choose, so the list is randomized rather than
-  // limited to the best servers. An engine that the request has claimed is
-  // always the first.
+  // limited to the best servers.
   std::vector<Choice> Candidates(const directory::BackendDirectory& directory,
                                  const routing::EngineTraits* engine,
                                  const Demand& demand, std::size_t max_count,
@@ -131,21 +126,6 @@
                   const routing::EngineTraits* engine,
                   const Demand& demand) const;
 
-  // Claims the engine where the request is expected to find memory first, among
-  // those without a claim, until `expires_at`. Returns nothing if the request
-  // is not large, no engine qualifies or as much is claimed as may be. The
-  // caller must end the claim.
-  std::optional<ClaimId> BeginClaim(
-      const directory::BackendDirectory& directory,
-      const routing::EngineTraits* engine, const Demand& demand,
-      BootTime expires_at, BootTime now);
-  void EndClaim(ClaimId claim);
-  // Why the claim cannot succeed any more; nothing if it can or does not exist.
-  std::optional<ClaimEnd> FindClaimEnd(
-      const directory::BackendDirectory& directory, ClaimId claim,
-      BootTime now) const;
-  const MemoryClaims& claims() const { return claims_; }
-
   // From the last call of `Select`, `SelectAmong` or `Candidates`.
   const SkipCounts& skip_counts() const { return skip_counts_; }
 
@@ -191,7 +171,7 @@
   // Incremented with each change of `LocalUsage`, except the decay of failures.
   std::uint64_t usage_version() const { return usage_version_; }
 
-  // Usage by this entry and all others, claims included.
+  // Usage by this entry and all others.
   Usage UsageOf(const std::string& id, BootTime now) const;
   // Weighted share of failures among recent outcomes, from 0 to 1, here and at
   // other entries.
@@ -222,11 +202,7 @@
   // depends on whether it is a migration.
   double MemoryCapacityFor(const routing::EngineTraits& engine,
                            const Demand& demand) const;
-  // Usage that `demand` competes with: all but its own claim. A migration does
-  // not yield to claims, because its run is lost if no target takes it.
-  Usage UsageFor(const std::string& id, const Demand& demand,
-                 BootTime now) const;
-  // `usage`: as `demand` competes with it at this server.
+  // `usage`: by all entries at this server.
   SkipReason FindSkipReason(const directory::BackendServer& server,
                             const Usage& usage,
                             const routing::EngineTraits* engine,
@@ -234,8 +210,6 @@
   // Whether the selected server is sent the request or is queried for its load
   // first.
   enum class Purpose { kSend, kQuery };
-  // Whether the load total of the server may be outdated.
-  bool HasStaleTotal(const std::string& id, BootTime now) const;
   // Whether the server is skipped only because of a stale load total.
   bool DependsOnStaleTotal(const directory::BackendServer& server,
                            SkipReason skip_reason, BootTime now) const;
@@ -261,7 +235,6 @@
   std::minstd_rand random_;
   std::map<std::string, Record> records_;
   LoadReports reports_{limits_.report_lifetime};
-  MemoryClaims claims_{limits_.claims};
   std::uint64_t usage_version_ = 0;
   SkipCounts skip_counts_;
 };
--- a/libraries/dispatch/usage.h
+++ b/libraries/dispatch/usage.h
@@ -17,16 +17,12 @@
   // Recent failures at an engine, with decay. Without them, an engine that
   // fails every request would look idle to entries that have not tried it.
   std::int64_t failures = 0;
-  // Memory claimed for large requests that wait, in tokens; see
-  // memory_claims.h.
-  std::int64_t claimed_tokens = 0;
 
   Usage& operator+=(const Usage& other) {
     requests += other.requests;
     tokens += other.tokens;
     pending_prefill_tokens += other.pending_prefill_tokens;
     failures += other.failures;
-    claimed_tokens += other.claimed_tokens;
     return *this;
   }
   bool operator==(const Usage&) const = default;
--- a/libraries/gossip/digest.cc
+++ b/libraries/gossip/digest.cc
@@ -183,8 +183,7 @@
     load[usage.at(0).get<std::uint32_t>()] = {
         ReadCount(usage.at(1)), ReadCount(usage.at(2)) * kTokensPerUnit,
         ReadCount(usage.at(3)) * kTokensPerUnit,
-        usage.size() > 4 ? ReadCount(usage.at(4)) : 0,
-        usage.size() > 5 ? ReadCount(usage.at(5)) * kTokensPerUnit : 0};
+        usage.size() > 4 ? ReadCount(usage.at(4)) : 0};
   }
   return load;
 }
@@ -194,13 +193,7 @@
   for (const auto& [key, usage] : load) {
     json item = {key, usage.requests, ToTokenUnits(usage.tokens),
                  ToTokenUnits(usage.pending_prefill_tokens)};
-    // The last two are rarely set, and omitted if they are zero.
-    if (usage.failures > 0 || usage.claimed_tokens > 0) {
-      item.push_back(usage.failures);
-    }
-    if (usage.claimed_tokens > 0) {
-      item.push_back(ToTokenUnits(usage.claimed_tokens));
-    }
+    if (usage.failures > 0) item.push_back(usage.failures);
     list.push_back(std::move(item));
   }
   return list;
--- a/services/gateway/exchange.h
+++ b/services/gateway/exchange.h
@@ -68,8 +68,6 @@
   std::int64_t tokens() const { return request_.demand.Tokens(); }
   // Amount of work before the first byte of the response.
   std::int64_t work() const { return request_.work(); }
-  // Whether it waits for memory that it has claimed, instead of its turn.
-  bool HasClaim() const { return request_.demand.claim != dispatch::kNoClaim; }
 
  private:
   // One attempt at one backend server.
@@ -149,16 +147,6 @@
   std::chrono::milliseconds ExpectedWait();
   std::chrono::milliseconds RetryAfter();
   void EnqueueOrReject();
-  void Enqueue(std::chrono::milliseconds expected_wait,
-               std::chrono::milliseconds max_wait);
-  // Claims memory for a large request until `expires_at`; returns whether it
-  // did.
-  bool BeginClaim(BootTime expires_at);
-  // Does nothing without a claim.
-  void EndClaim(dispatch::ClaimEnd reason);
-  // Ends a claim that cannot succeed any more, and claims another engine for
-  // the time that is left.
-  void ReplaceFailedClaim();
   void LeaveWaitQueue();
 
   // Attempts.
--- a/services/gateway/exchange_placement.cc
+++ b/services/gateway/exchange_placement.cc
@@ -31,10 +31,7 @@
 
 milliseconds Exchange::ExpectedWait() {
   const std::int64_t ahead = ServiceWaitQueue().WorkAhead(
-      request_.priority, [](const Exchange* other) {
-        // A claim leaves the memory of all other engines to the others.
-        return other->HasClaim() ? 0 : other->work();
-      });
+      request_.priority, [](const Exchange* other) { return other->work(); });
   const BootTime now = BootClock::now();
   const milliseconds expected_wait =
       context_.wait_estimators[request_.service->name].EstimateWait(
@@ -60,15 +57,9 @@
     return;
   }
   const milliseconds objective = request_.route->latency_objective;
-  const milliseconds max_claim_time =
-      dispatch::MaxClaimTime(objective, TimeLeft());
-  const milliseconds expected_wait = ExpectedWait();
-  if (BeginClaim(BootClock::now() + max_claim_time)) {
-    Enqueue(expected_wait, max_claim_time);
-    return;
-  }
   const milliseconds max_wait =
       dispatch::MaxQueueWait(request_.work_kind(), objective, TimeLeft());
+  const milliseconds expected_wait = ExpectedWait();
   if (expected_wait > max_wait) {
     // The wait would exceed its limit, so the request is rejected immediately.
     const dispatch::ServerSelector::SkipCounts& skip_counts =
@@ -95,70 +86,15 @@
     Answer(503, "no_room_in_time", RetryAfter());
     return;
   }
-  Enqueue(expected_wait, max_wait);
-}
-
-void Exchange::Enqueue(milliseconds expected_wait, milliseconds max_wait) {
   LogEvent("waiting")
       .With("id", metadata_.id)
       .With("expected", expected_wait)
       .With("longest", max_wait)
       .With("line", ServiceWaitQueue().size());
   waiting_ = true;
-  ServiceWaitQueue().Push(
-      this, request_.priority,
-      received_ + request_.route->latency_objective - kTypicalFirstEventTime,
-      BootClock::now() + max_wait);
-}
-
-bool Exchange::BeginClaim(BootTime expires_at) {
-  const BootTime now = BootClock::now();
-  const auto claim = context_.selector.BeginClaim(
-      context_.directory, request_.engine(), request_.demand, expires_at, now);
-  if (!claim.has_value()) return false;
-  request_.demand.claim = *claim;
-  const std::string& server = context_.selector.claims().Find(*claim)->server;
-  const dispatch::Usage usage = context_.selector.UsageOf(server, now);
-  LogEvent("claim_begun")
-      .With("id", metadata_.id)
-      .With("server", server)
-      .With("claimed", tokens())
-      .With("longest", expires_at - now)
-      .With("requests", usage.requests)
-      .With("tokens", usage.tokens);
-  context_.metrics.CountEvent("claims_begun_total");
-  if (context_.send_load) context_.send_load();
-  return true;
-}
-
-void Exchange::EndClaim(dispatch::ClaimEnd reason) {
-  if (!HasClaim()) return;
-  const dispatch::ClaimId claim =
-      std::exchange(request_.demand.claim, dispatch::kNoClaim);
-  LogEvent line("claim_ended");
-  line.With("id", metadata_.id).With("reason", dispatch::NameOf(reason));
-  const auto* found = context_.selector.claims().Find(claim);
-  if (found != nullptr) {
-    line.With("server", found->server)
-        .With("claimed", found->tokens)
-        .With("took", BootClock::now() - found->began);
-  }
-  if (reason == dispatch::ClaimEnd::kStarted) {
-    context_.metrics.CountEvent("claims_used_total");
-  }
-  context_.selector.EndClaim(claim);
-}
-
-void Exchange::ReplaceFailedClaim() {
-  if (!HasClaim()) return;
-  const dispatch::ClaimId claim = request_.demand.claim;
-  const auto reason = context_.selector.FindClaimEnd(context_.directory, claim,
-                                                     BootClock::now());
-  if (!reason.has_value()) return;
-  const BootTime expires_at =
-      context_.selector.claims().Find(claim)->expires_at;
-  EndClaim(*reason);
-  if (*reason != dispatch::ClaimEnd::kExpired) BeginClaim(expires_at);
+  ServiceWaitQueue().Push(this, request_.priority,
+                          received_ + objective - kTypicalFirstEventTime,
+                          BootClock::now() + max_wait);
 }
 
 void Exchange::LeaveWaitQueue() {
@@ -168,7 +104,6 @@
 
 void Exchange::OnWaitExpired() {
   waiting_ = false;
-  EndClaim(dispatch::ClaimEnd::kExpired);
   // The request has not been sent since it last joined the queue. 503 tells the
   // client that it was not run.
   Answer(503, "no_room", RetryAfter());
@@ -182,7 +117,6 @@
 
 Exchange::DispatchResult Exchange::Dispatch() {
   if (search_.is_querying()) return DispatchResult::kSearching;
-  ReplaceFailedClaim();
   // A request that was already sent to an engine has waited long enough and
   // skips the query.
   const auto mode = attempt_.has_value() ? ServerSearch::Mode::kKnownLoads
@@ -214,10 +148,6 @@
     Instruments().queueing->Observe(
         telemetry::Seconds(BootClock::now() - received_));
   }
-  const auto* claim = context_.selector.claims().Find(request_.demand.claim);
-  EndClaim(claim != nullptr && claim->server == choice.id
-               ? dispatch::ClaimEnd::kStarted
-               : dispatch::ClaimEnd::kStartedElsewhere);
   DispatchOptions options;
   options.last_event = events_.last_event();
   StartAttempt(choice.id, choice.endpoint, request_.demand, std::move(options));
--- a/services/gateway/exchange_response.cc
+++ b/services/gateway/exchange_response.cc
@@ -76,7 +76,6 @@
 void Exchange::Finish(std::string_view outcome, int status) {
   if (std::exchange(finished_, true)) return;
   EndMigration();
-  EndClaim(dispatch::ClaimEnd::kRequestEnded);
   deadline_timer_.stop();
   slow_timer_.stop();
   CountFinished(outcome, status);
--- a/services/gateway/gateway_node.cc
+++ b/services/gateway/gateway_node.cc
@@ -161,8 +161,6 @@
        static_cast<double>(context_.client_account.bytes())},
       {"requests_open", static_cast<double>(context_.exchanges.size())},
       {"requests_waiting", static_cast<double>(queued)},
-      {"tokens_claimed",
-       static_cast<double>(context_.selector.claims().tokens())},
       {"store_calls", static_cast<double>(store_calls ? store_calls() : 0)},
   };
   for (const auto& [name, value] : gauges) {
--- a/services/gateway/gateway_node_limits.cc
+++ b/services/gateway/gateway_node_limits.cc
@@ -60,8 +60,7 @@
 void GatewayNode::UpdateColdLimits(BootTime now) {
   context_.directory.ForEach(
       [&](const directory::BackendServer& server, directory::ServerState) {
-        // The limits of servers that are not cold any more end by time.
-        if (server.cold_until > now) UpdateColdLimit(server.id, now);
+        UpdateColdLimit(server.id, now);
       });
 }
 
--- a/services/gateway/server_search.cc
+++ b/services/gateway/server_search.cc
@@ -20,11 +20,6 @@
 constexpr int kMaxRounds = 3;
 // Minimum interval between two searches for the same waiting request.
 constexpr std::chrono::milliseconds kSearchInterval{25};
-// The same for a request that has claimed an engine. It waits longer than
-// others, and its room grows with each generation that ends, so that one round
-// with that engine and two others is enough.
-constexpr std::chrono::milliseconds kClaimSearchInterval{50};
-constexpr int kMaxRoundsWithClaim = 1;
 
 }  // namespace
 
@@ -90,8 +85,7 @@
 }
 
 std::optional<ServerSearch::Choice> ServerSearch::QueryNextRound() {
-  const int max_rounds = HasClaim() ? kMaxRoundsWithClaim : kMaxRounds;
-  while (rounds_ < max_rounds) {
+  while (rounds_ < kMaxRounds) {
     ++rounds_;
     const auto candidates =
         context_.selector.Candidates(context_.directory, engine_, *demand_,
@@ -108,8 +102,7 @@
     if (auto choice = SelectBest(candidates)) return choice;
   }
   if (auto choice = SelectBest(unresolved_)) return choice;
-  next_search_time_ =
-      BootClock::now() + (HasClaim() ? kClaimSearchInterval : kSearchInterval);
+  next_search_time_ = BootClock::now() + kSearchInterval;
   return std::nullopt;
 }
 
--- a/services/gateway/server_search.h
+++ b/services/gateway/server_search.h
@@ -55,8 +55,6 @@
   // Ends the search, or continues it without `choice`.
   void Continue(std::optional<Choice> choice);
   std::optional<Choice> SelectBest(const std::vector<Choice>& candidates);
-  // Whether the request has claimed an engine, which it mostly waits for.
-  bool HasClaim() const { return demand_->claim != dispatch::kNoClaim; }
 
   GatewayContext& context_;
   Mode mode_ = Mode::kKnownLoads;
--- a/tests/libraries/dispatch/engine_fleet.h
+++ b/tests/libraries/dispatch/engine_fleet.h
@@ -1,7 +1,6 @@
 // A service with identical engines for load tests in virtual time.
 #pragma once
 
-#include <chrono>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -63,21 +62,6 @@
     return selector.SelectAmong(candidates, directory_, &traits_, demand, now);
   }
 
-  std::optional<ClaimId> BeginClaim(ServerSelector& selector,
-                                    const Demand& demand, BootTime expires_at,
-                                    BootTime now) const {
-    return selector.BeginClaim(directory_, &traits_, demand, expires_at, now);
-  }
-  std::optional<ClaimEnd> FindClaimEnd(const ServerSelector& selector,
-                                       ClaimId claim, BootTime now) const {
-    return selector.FindClaimEnd(directory_, claim, now);
-  }
-  void Restart(std::size_t engine, std::chrono::milliseconds started_at,
-               BootTime now) {
-    engines_.at(engine).started_at = started_at;
-    Announce(engine, false, now);
-  }
-
   const std::string& id(std::size_t engine) const {
     return engines_.at(engine).id;
   }
--- a/tests/libraries/gossip/gossip_test.cc
+++ b/tests/libraries/gossip/gossip_test.cc
@@ -241,14 +241,6 @@
         OddMessage{"huge_text", std::string("\x7b\x10\0\0\0\0\0\0\0", 9)}),
     [](const auto& info) { return std::string(info.param.name); });
 
-TEST(LoadUpdateTest, CarriesClaimsWithAndWithoutFailures) {
-  LoadUpdate update;
-  update.load = {{1, {0, 0, 0, 0, 6400}}, {2, {1, 640, 64, 3, 6400}}};
-  const auto decoded = TryDecode<LoadUpdate>(Encode(update));
-  ASSERT_TRUE(decoded.has_value());
-  EXPECT_EQ(decoded->load, update.load);
-}
-
 // Loads are added up, which overflowed.
 TEST(LoadUpdateTest, BoundsCounts) {
   constexpr auto kMost = std::numeric_limits<std::int64_t>::max() - 63;
--- a/tests/services/gateway/exchange_test.cc
+++ b/tests/services/gateway/exchange_test.cc
@@ -277,59 +277,6 @@
             dispatch::WaitEstimator::kWindow);
 }
 
-// Scenario: both engines are full when a large generation arrives.
-class LargeRequestTest : public ExchangeTest {
- protected:
-  LargeRequestTest() {
-    expected_tokens_ = max_tokens_ = 30000;
-    running_.prompt_tokens = 90000;
-    Offer(routing::RequestKind::kStream, 1);
-    for (const char* id : {"i-1", "i-2"}) {
-      context_.selector.OnStart(id, running_);
-      context_.selector.OnFirstEvent(id, running_);
-    }
-    SendRequest();
-  }
-  std::size_t claims() const {
-    return context_.selector.claims().claims().size();
-  }
-
-  dispatch::Demand running_;
-};
-
-TEST_F(LargeRequestTest, IsSentToClaimedEngineOnceItHasRoom) {
-  ASSERT_EQ(claims(), 1U);
-  EXPECT_FALSE(exchange_->TryDispatch());
-  first_.on_request = [](const auto& request) {
-    BeginStream(request.socket, 1, 2);
-    EndStream(request.socket);
-  };
-  second_.on_request = first_.on_request;
-  const std::string server =
-      context_.selector.claims().claims().begin()->second.server;
-  context_.selector.OnEnd(server, running_, true);
-  EXPECT_TRUE(exchange_->TryDispatch());
-  EXPECT_EQ(claims(), 0U);
-  RunUntilDone();
-  EXPECT_EQ(sink_.status, 200);
-}
-
-TEST_F(LargeRequestTest, ClaimEndsWithRequest) {
-  exchange_->Cancel();
-  EXPECT_EQ(claims(), 0U);
-}
-
-TEST_F(LargeRequestTest, ClaimMovesWhenEngineLeaves) {
-  const auto claimed = [this] {
-    return context_.selector.claims().claims().begin()->second.server;
-  };
-  const std::string before = claimed();
-  Announce(before, before == "i-1" ? first_ : second_, /*leaving=*/true);
-  EXPECT_FALSE(exchange_->TryDispatch());
-  ASSERT_EQ(claims(), 1U);
-  EXPECT_NE(claimed(), before);
-}
-
 TEST_F(ExchangeTest, RespondsWith503WithoutConfiguration) {
   http1::RequestHead head;
   head.method = "GET";
--- a/tests/services/gateway/server_search_test.cc
+++ b/tests/services/gateway/server_search_test.cc
@@ -118,29 +118,6 @@
   EXPECT_TRUE(queried_.empty());
 }
 
-// Scenario: a large request waits for memory at an engine that it has claimed.
-TEST_F(ServerSearchTest, ClaimedEngineIsQueriedFirstAndInOneRound) {
-  for (int i = 0; i < kEngines; ++i) {
-    context_.selector.reports().SetTotal(
-        dispatch::ServerKey("i-" + std::to_string(i)), {4, 9000, 0},
-        BootClock::now());
-  }
-  demand_.prompt_tokens = 3000;
-  const auto claim = context_.selector.BeginClaim(
-      context_.directory, &engine_, demand_,
-      BootClock::now() + std::chrono::hours(1), BootClock::now());
-  ASSERT_TRUE(claim.has_value());
-  demand_.claim = *claim;
-  const std::string server = context_.selector.claims().Find(*claim)->server;
-  Start();
-  ASSERT_EQ(queried_.size(), 1U);
-  EXPECT_EQ(queried_[0].at(0), server);
-  FinishQuery();
-  EXPECT_TRUE(ended_);
-  EXPECT_FALSE(choice_.has_value());
-  EXPECT_EQ(queried_.size(), 1U);
-}
-
 // Permits are decided by the test.
 class PermitSearchTest : public ServerSearchTest {
  protected:
