Let requests that can wait leave room for those that cannot

Cause: a request of any urgency took the last free memory of an engine.

A request now sees engines of 0.8 times their memory while requests arrive that it yields to: it does not outrank them, and its latency objective is at least twice as long. Each gateway decides by what it received in the last 10 s; no message is needed. Migrations and idle engines are as before.

The servers' cold rates are now compared only for servers that are cold.

--- a/libraries/dispatch/server_selector.cc
+++ b/libraries/dispatch/server_selector.cc
@@ -69,9 +69,9 @@
 
 double ServerSelector::MemoryCapacityFor(const routing::EngineTraits& engine,
                                          const Demand& demand) const {
-  const double fraction = demand.is_migration
-                              ? limits_.migration_memory_fraction
-                              : limits_.memory_fraction;
+  const double fraction =
+      demand.is_migration ? limits_.migration_memory_fraction
+                          : limits_.memory_fraction - demand.memory_left_free;
   return fraction * static_cast<double>(engine.memory_tokens);
 }
 
--- a/libraries/dispatch/server_selector.h
+++ b/libraries/dispatch/server_selector.h
@@ -34,6 +34,9 @@
   // The request is the migration of a running generation, whose memory is
   // copied to the server over links that many copies share at the same time.
   bool is_migration = false;
+  // The part of an engine's memory that the request leaves free for more urgent
+  // ones (`DemandMix`), from 0 to 1. Does not apply to migrations.
+  double memory_left_free = 0.0;
   // Servers that are not to be tried again.
   std::set<std::string> excluded;
 
--- a/services/gateway/admission.cc
+++ b/services/gateway/admission.cc
@@ -137,6 +137,16 @@
     return Rejection{503, "stopping",
                      StopRetryAfter(context, request.deadline, received)};
   }
+  if (request.engine() != nullptr) {
+    const dispatch::Urgency urgency{request.priority,
+                                    request.route->latency_objective};
+    dispatch::DemandMix& mix = context.demand_mixes[request.service->name];
+    mix.OnArrival(urgency, received);
+    request.demand.memory_left_free = mix.MemoryLeftFree(urgency, received);
+    if (request.demand.memory_left_free > 0.0) {
+      context.metrics.CountEvent("requests_leaving_room_total");
+    }
+  }
   request.traits = TraitsOf(metadata, head, body);
   if (const auto signature =
           context.crash_ledger.FindQuarantined(request.traits)) {
--- a/services/gateway/exchange_placement.cc
+++ b/services/gateway/exchange_placement.cc
@@ -2,6 +2,7 @@
 // logs the choice.
 #include <algorithm>
 #include <boost/algorithm/string/join.hpp>
+#include <cmath>
 #include <random>
 #include <utility>
 
@@ -17,6 +18,7 @@
 // Typical time from dispatching a generation to its first event, including the
 // prefill of some queued prompts.
 constexpr milliseconds kTypicalFirstEventTime{500};
+constexpr double kPercent = 100.0;
 
 }  // namespace
 
@@ -71,6 +73,8 @@
         .With("line", ServiceWaitQueue().size())
         .With("prompt", request_.demand.prompt_tokens)
         .With("output", request_.demand.output_tokens)
+        .With("left_free",
+              std::llround(request_.demand.memory_left_free * kPercent))
         .With("rounds", search_.rounds())
         .With("servers", skip_counts.servers)
         .With("leaving", skip_counts.leaving)
--- a/services/gateway/gateway_context.h
+++ b/services/gateway/gateway_context.h
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "libraries/directory/backend_directory.h"
+#include "libraries/dispatch/demand_mix.h"
 #include "libraries/dispatch/server_selector.h"
 #include "libraries/dispatch/wait_estimator.h"
 #include "libraries/dispatch/wait_queue.h"
@@ -103,7 +104,8 @@
   limits::LimitTable limits;
   ConnectionPool pool;
   RunStopper run_stopper;
-  // Both by service.
+  // All by service.
+  std::map<std::string, dispatch::DemandMix> demand_mixes;
   std::map<std::string, dispatch::WaitQueue<Exchange*>> wait_queues;
   std::map<std::string, dispatch::WaitEstimator> wait_estimators;
   // By leaving engine.
--- a/services/gateway/gateway_node_limits.cc
+++ b/services/gateway/gateway_node_limits.cc
@@ -60,7 +60,8 @@
 void GatewayNode::UpdateColdLimits(BootTime now) {
   context_.directory.ForEach(
       [&](const directory::BackendServer& server, directory::ServerState) {
-        UpdateColdLimit(server.id, now);
+        // The limits of servers that are not cold any more end by time.
+        if (server.cold_until > now) UpdateColdLimit(server.id, now);
       });
 }
 
