Mend what the review of the merged parts found

Read by one who wrote none of it; each by reading, the first four as sequences of events that were checked in the code:

- A response that a slow reader had not taken yet was cut when descriptors ran short: its connection counted as idle.
It counts as serving until the kernel has accepted the response.
- A broken stream that may be repeated was cut if its next server needed a permit from another gateway, which cold rates make common.
It waits for the permit.
- A repeat left room free as a first attempt does, though it is not queued and fails without room.
It uses all memory, as a migration does.
- After a permit came from another gateway, the server was not checked again for an evacuation or a leave notice.
- Requests without a latency objective yielded to each other; a head of bare line feeds reserved memory for lines that are none; the account was used by a connection that outlived it.

Test: DemandMixTest.WithoutObjectiveNothingIsUrgent. No tests were written for the others. Not mended: with very many connections, each further one and each chunk while nothing can be refused look at all of them.

--- a/libraries/dispatch/demand_mix.cc
+++ b/libraries/dispatch/demand_mix.cc
@@ -19,7 +19,9 @@
 }  // namespace
 
 bool Urgency::YieldsTo(const Urgency& other) const {
+  // Without an objective nothing is late.
   return priority >= other.priority &&
+         other.latency_objective > std::chrono::milliseconds(0) &&
          latency_objective >= kObjectiveRatio * other.latency_objective;
 }
 
--- a/libraries/http1/message_parser.cc
+++ b/libraries/http1/message_parser.cc
@@ -171,7 +171,7 @@
         error_ = ParseError::kMalformed;
         return 0;
       }
-      const auto lines = std::ranges::count(head, '\n');
+      const auto lines = std::ranges::count(head, '\r');
       head_.fields.Reserve(head_.fields.size() +
                            static_cast<std::size_t>(lines));
     }
--- a/services/gateway/client_connection.cc
+++ b/services/gateway/client_connection.cc
@@ -32,6 +32,9 @@
   connect(&stream_, &net::TcpStream::Closed, this, &ClientConnection::OnClosed);
   connect(&stream_, &net::TcpStream::Drained, this, [this] {
     if (exchange_ != nullptr && !IsFull()) exchange_->OnSinkDrained();
+    if (stream_.pending() == 0 && next_stage_.has_value()) {
+      EnterStage(*next_stage_);
+    }
   });
   timer_.setSingleShot(true);
   connect(&timer_, &QTimer::timeout, this, &ClientConnection::OnTimeout);
@@ -39,15 +42,24 @@
   StartReadTimer();
 }
 
-ClientConnection::~ClientConnection() { context_.client_account.Remove(this); }
+ClientConnection::~ClientConnection() {
+  if (!closed_) context_.client_account.Remove(this);
+}
 
 void ClientConnection::StartReadTimer() {
   const routing::ClientLimits limits = context_.ClientLimits();
   timer_.start(parser_started_ ? limits.header_timeout : limits.idle_timeout);
-  context_.client_account.Enter(
-      *holding_,
-      parser_started_ ? intake::Stage::kReceiving : intake::Stage::kIdle,
-      BootClock::now());
+  EnterStage(parser_started_ || !input_.empty() ? intake::Stage::kReceiving
+                                                : intake::Stage::kIdle);
+}
+
+void ClientConnection::EnterStage(intake::Stage stage) {
+  // A response that is still being sent is not given up for a descriptor.
+  const bool is_sending = stream_.pending() > 0;
+  next_stage_ = is_sending ? std::optional(stage) : std::nullopt;
+  context_.client_account.Enter(*holding_,
+                                is_sending ? intake::Stage::kServing : stage,
+                                BootClock::now());
 }
 
 void ClientConnection::OnReceived(std::string_view bytes) {
@@ -167,8 +179,7 @@
   timer_.stop();
   close_after_response_ = !parser_->keep_alive();
   request_bytes_ = parser_->head().fields.MemoryBytes() + body_.capacity();
-  context_.client_account.Enter(*holding_, intake::Stage::kServing,
-                                BootClock::now());
+  EnterStage(intake::Stage::kServing);
   http1::RequestHead head = parser_->TakeHead();
   is_head_request_ = head.method == "HEAD";
   parser_.reset();
@@ -253,8 +264,7 @@
   lingering_ = true;
   ReleaseBuffers();
   context_.client_account.Resize(*holding_, 0);
-  context_.client_account.Enter(*holding_, intake::Stage::kClosing,
-                                BootClock::now());
+  EnterStage(intake::Stage::kClosing);
   timer_.start(kLingerTime);
 }
 
--- a/services/gateway/client_connection.h
+++ b/services/gateway/client_connection.h
@@ -70,6 +70,9 @@
   // Discards what the client sends for a while, then closes.
   void Linger();
   void Close();
+  // Tells the account what the connection does now, or will do once the
+  // response before is sent.
+  void EnterStage(intake::Stage stage);
   // Gives up what was received of a request.
   void ReleaseBuffers();
   // Writes the response head with the connection fields.
@@ -84,6 +87,8 @@
   std::size_t request_bytes_ = 0;
   // Belongs to the account until the connection is closed.
   intake::Holding* holding_;
+  // Entered when the kernel has accepted the queued response.
+  std::optional<intake::Stage> next_stage_;
   // The request being answered; null between requests.
   std::unique_ptr<Exchange> exchange_;
   QTimer timer_;
--- a/services/gateway/exchange.cc
+++ b/services/gateway/exchange.cc
@@ -283,6 +283,8 @@
   if (end != AttemptEnd::kNotSent) ++sent_attempts_;
   EndAttempt(ToAttemptResult(end));
   request_.demand.excluded.insert(attempt_->server_id);
+  // A repeat without room is not queued, but fails.
+  request_.demand.memory_left_free = 0.0;
   if (attempt_->is_resumed) {
     LogEvent("resume_refused", LogEvent::Level::kWarning)
         .With("id", metadata_.id)
--- a/services/gateway/exchange_relay.cc
+++ b/services/gateway/exchange_relay.cc
@@ -223,8 +223,11 @@
   const bool may_retry = MayRetryAfterCrash() &&
                          sent_attempts_ < request_.route->max_attempts &&
                          TimeLeft() > milliseconds(0);
-  if (may_retry && RetryBudget().TrySpend(BootClock::now()) && TryDispatch()) {
-    return;
+  request_.demand.memory_left_free = 0.0;
+  if (may_retry && RetryBudget().TrySpend(BootClock::now())) {
+    // The search may go on, for a permit.
+    repeated_end_ = AttemptEnd::kUnknown;
+    if (Dispatch() != DispatchResult::kNoCapacity) return;
   }
   if (response_started_) {
     BreakOff("stream_lost");
--- a/services/gateway/report_poller.cc
+++ b/services/gateway/report_poller.cc
@@ -24,7 +24,7 @@
         !context_.directory.IsLeavingByReportOnly(server.id)) {
       return;
     }
-    if (context_.directory.IsEvacuated(server.id)) return;
+    if (context_.directory.evacuations().Contains(server.data_center)) return;
     const auto* service = context_.routes->FindService(server.service);
     if (service == nullptr || !service->engine.has_value() ||
         !service->engine->can_migrate) {
--- a/services/gateway/server_search.cc
+++ b/services/gateway/server_search.cc
@@ -70,7 +70,13 @@
       [self = QPointer<ServerSearch>(this), choice](bool is_granted) {
         if (!self) return;
         self->querying_ = false;
-        if (is_granted) {
+        // It may have left, or been evacuated, since the permit was asked for.
+        const auto& directory = self->context_.directory;
+        const directory::BackendServer* server = directory.Find(choice.id);
+        const bool is_open =
+            server != nullptr &&
+            directory.AcceptsRequests(*server, *directory.StateOf(choice.id));
+        if (is_granted && is_open) {
           self->on_ended(choice);
         } else {
           self->Continue(std::nullopt);
--- a/tests/libraries/dispatch/demand_mix_test.cc
+++ b/tests/libraries/dispatch/demand_mix_test.cc
@@ -46,6 +46,13 @@
   EXPECT_EQ(LeftFree({1, milliseconds(1800)}), 0.0);
 }
 
+TEST_F(DemandMixTest, WithoutObjectiveNothingIsUrgent) {
+  const Urgency none{2, milliseconds(0)};
+  mix_.OnArrival(none, now_);
+  EXPECT_EQ(LeftFree(none), 0.0);
+  EXPECT_EQ(LeftFree(kPatient), 0.0);
+}
+
 TEST_F(DemandMixTest, HigherPriorityNeverYields) {
   mix_.OnArrival({1, milliseconds(1500)}, now_);
   EXPECT_EQ(LeftFree({0, milliseconds(4000)}), 0.0);
