--- a/libraries/routing/configuration.h
+++ b/libraries/routing/configuration.h
@@ -87,11 +87,11 @@
   // FIXME: not enforced; so far the limits on requests keep the number far
   // below it.
   int max_connections = 0;
-  // Requests a second that one backend server bears from all entries together
-  // while it is cold; unset if a cold one bears any number.
-  std::optional<double> cold_requests_per_second;
   // Unset for plain services.
   std::optional<EngineTraits> engine;
+  // Requests a second that one backend server bears from all entries together
+  // while it is cold; unset if a cold one bears any number.
+  std::optional<double> cold_requests_per_second = std::nullopt;
 };
 
 struct Workspace {
