--- a/review/standin-2/run_case.sh
+++ b/review/standin-2/run_case.sh
@@ -14,6 +14,12 @@
         "$root/target/platform/balsam-gateway" ] && kill -9 "$pid"
     done < "$tmp/pids"
   fi
+  if [ -f "$tmp/engine-pids" ]; then
+    while read -r pid; do
+      [ "$(readlink "/proc/$pid/exe" 2>/dev/null)" = "$program" ] &&
+        kill -9 "$pid"
+    done < "$tmp/engine-pids"
+  fi
   [ -n "${KEEP_LOGS:-}" ] && cp "$tmp"/*.log "$KEEP_LOGS"/
   rm -rf "$tmp"
   case $status in 0 | 1) return "$status" ;; *) return 2 ;; esac
