--- a/review/standin-2/engine.h
+++ b/review/standin-2/engine.h
@@ -72,8 +72,8 @@
                 std::to_string(running_) +
                 ",\"kvUsed\":0,\"kvTotal\":34316,\"handles\":0}"));
       } else if (target == "/health") {
-        connection.Write(Response(
-            200, "OK", "Instance-Id: " + options_.id + "\r\n", ""));
+        connection.Write(
+            Response(200, "OK", "Instance-Id: " + options_.id + "\r\n", ""));
       } else if (target == "/kv-move") {
         connection.Write(Move(body));
       } else if (target.starts_with("/kv-handle/")) {
@@ -119,7 +119,8 @@
                                        "Instance-Id: " + options_.id + "\r\n",
                                        ""));
     }
-    const double deadline = arrived + std::atof(head.Get("Deadline-Ms").c_str());
+    const double deadline =
+        arrived + std::atof(head.Get("Deadline-Ms").c_str());
     const std::string usage = head.Get("Token-Usage");
     const int prompt = std::atoi(usage.c_str());
     const int pieces =
@@ -134,9 +135,9 @@
     record.Line("engine " + options_.id + " gets " + id + ", deadline in " +
                 head.Get("Deadline-Ms") + " ms, after event " +
                 std::to_string(from));
-    const int sent = Generate(connection, id, *run, deadline,
-                              prompt / (options_.prompt_tokens_per_ms / factor_),
-                              from, pieces);
+    const int sent = Generate(
+        connection, id, *run, deadline,
+        prompt / (options_.prompt_tokens_per_ms / factor_), from, pieces);
     {
       const std::scoped_lock lock(mutex_);
       run->over = true;
@@ -179,12 +180,13 @@
         bytes = size + bytes + "\r\n";
       }
       if (sent == from) {
-        bytes = "HTTP/1.1 200 OK\r\nRequest-Id: " + id +
-                "\r\nResponse-Seal: seal-" + id +
-                "\r\nWeight-Versions: 1\r\nContent-Type: text/event-stream\r\n" +
-                (options_.framed ? "Transfer-Encoding: chunked\r\n\r\n"
-                                 : "Connection: close\r\n\r\n") +
-                bytes;
+        bytes =
+            "HTTP/1.1 200 OK\r\nRequest-Id: " + id +
+            "\r\nResponse-Seal: seal-" + id +
+            "\r\nWeight-Versions: 1\r\nContent-Type: text/event-stream\r\n" +
+            (options_.framed ? "Transfer-Encoding: chunked\r\n\r\n"
+                             : "Connection: close\r\n\r\n") +
+            bytes;
       }
       if (!connection.Write(bytes)) return sent;
       ++sent;
@@ -235,9 +237,9 @@
   Connection connection(descriptor);
   connection.Write(
       "POST " + request.path + " HTTP/1.1\r\nHost: towns.example\r\n" +
-      "Request-Id: " + request.id + "\r\nModel: m\r\nToken-Usage: " +
-      std::to_string(request.prompt_tokens) + "," +
-      std::to_string(request.pieces * kTokensPerEvent) +
+      "Request-Id: " + request.id +
+      "\r\nModel: m\r\nToken-Usage: " + std::to_string(request.prompt_tokens) +
+      "," + std::to_string(request.pieces * kTokensPerEvent) +
       "\r\nPrefix-Hash: 5c1e07a2:79," + request.id + ":" +
       std::to_string(request.prompt_tokens - 79) +
       "\r\nLength-Hint: " + std::to_string(request.pieces * kTokensPerEvent) +
@@ -261,8 +263,8 @@
       body += chunk->substr(0, size);
     }
   } else if (head->Has("Content-Length")) {
-    const auto whole = connection.ReadExactly(
-        std::stoul(head->Get("Content-Length")), until);
+    const auto whole =
+        connection.ReadExactly(std::stoul(head->Get("Content-Length")), until);
     result.complete = whole.has_value();
     body = whole.value_or("");
   }
--- a/review/standin-2/main_deadline.cc
+++ b/review/standin-2/main_deadline.cc
@@ -7,8 +7,7 @@
 #include "engine.h"
 #include "platform.h"
 
-using namespace review;
-
+namespace review {
 namespace {
 
 constexpr int kLongTimeoutMs = 39'000;
@@ -26,7 +25,8 @@
          "\"/health\",\"maxConns\":312,\"engine\":{\"slots\":32,"
          "\"kvCapacity\":34316,\"kvBytes\":163840,\"linkMbps\":24000.0,"
          "\"moves\":true,\"backups\":true,\"stride\":4,\"handleS\":5.0,"
-         "\"models\":[{\"name\":\"m\"}]}}],\"limits\":{\"maxHeaderBytes\":16384,"
+         "\"models\":[{\"name\":\"m\"}]}}],\"limits\":{\"maxHeaderBytes\":"
+         "16384,"
          "\"maxBodyBytes\":4194304,\"headerTimeoutMs\":3000,"
          "\"idleTimeoutMs\":15000},\"tenants\":[{\"name\":\"town\","
          "\"apiKeys\":[\"key-1\"]}]}";
@@ -34,7 +34,7 @@
 
 }  // namespace
 
-int main(int argc, char** argv) {
+int Run(int argc, char** argv) {
   if (argc != 4) return 2;
   const std::string root = argv[1];
   const std::string folder = argv[2];
@@ -85,12 +85,10 @@
       request.prompt_tokens = 1500 + 37 * (i % 10);
       // 4.2 s and more at 28 ms each.
       request.pieces = 150 + i % 17;
-      const auto result =
-          SendStream(gateways[static_cast<std::size_t>(i) % 2]->clients(),
-                     request);
+      const auto result = SendStream(
+          gateways[static_cast<std::size_t>(i) % 2]->clients(), request);
       const bool is_whole = result.pieces == request.pieces;
-      const bool violated =
-          !result.in_order || (result.complete && !is_whole);
+      const bool violated = !result.in_order || (result.complete && !is_whole);
       ++(result.status != 200 ? refused
          : violated           ? violations
          : result.complete    ? whole
@@ -118,3 +116,7 @@
   // Without the disruption all are to be whole.
   std::_Exit(!trouble && whole != kRequests ? 2 : 0);
 }
+
+}  // namespace review
+
+int main(int argc, char** argv) { return review::Run(argc, argv); }
--- a/review/standin-2/main_engine_crash.cc
+++ b/review/standin-2/main_engine_crash.cc
@@ -7,8 +7,7 @@
 #include "engine.h"
 #include "platform.h"
 
-using namespace review;
-
+namespace review {
 namespace {
 
 constexpr int kEngines = 12;
@@ -79,7 +78,7 @@
 
 }  // namespace
 
-int main(int argc, char** argv) {
+int Run(int argc, char** argv) {
   if (argc != 4) return 2;
   if (std::string(argv[1]) == "--engine") return RunEngine(argv[2], argv[3]);
   const std::string root = argv[1];
@@ -125,12 +124,10 @@
       request.path = "/reply/a";
       request.prompt_tokens = 2000 + 37 * (i % 10);
       request.pieces = 200 + i % 40;
-      const auto result =
-          SendStream(gateways[static_cast<std::size_t>(i) % 2]->clients(),
-                     request);
+      const auto result = SendStream(
+          gateways[static_cast<std::size_t>(i) % 2]->clients(), request);
       const bool is_whole = result.pieces == request.pieces;
-      const bool violated =
-          !result.in_order || (result.complete && !is_whole);
+      const bool violated = !result.in_order || (result.complete && !is_whole);
       ++(result.status != 200 ? refused
          : violated           ? violations
          : result.complete    ? whole
@@ -172,3 +169,7 @@
   std::fflush(stdout);
   std::_Exit(violations > 0 ? 1 : 0);
 }
+
+}  // namespace review
+
+int main(int argc, char** argv) { return review::Run(argc, argv); }
--- a/review/standin-2/main_second_answer.cc
+++ b/review/standin-2/main_second_answer.cc
@@ -7,8 +7,7 @@
 #include "net.h"
 #include "platform.h"
 
-using namespace review;
-
+namespace review {
 namespace {
 
 constexpr int kServers = 3;
@@ -94,9 +93,10 @@
   const int descriptor = ConnectTo(gateway);
   if (descriptor < 0) return 2;
   Connection connection(descriptor);
-  connection.Write("GET /search/a HTTP/1.1\r\nHost: towns.example\r\n"
-                   "Request-Id: " + id +
-                   "\r\nDeadline-Ms: 2500\r\nCredential: key-1\r\n\r\n");
+  connection.Write(
+      "GET /search/a HTTP/1.1\r\nHost: towns.example\r\n"
+      "Request-Id: " +
+      id + "\r\nDeadline-Ms: 2500\r\nCredential: key-1\r\n\r\n");
   const auto head = connection.ReadHead(until);
   if (!head.has_value() || head->status() != 200) return 2;
   std::string body;
@@ -130,7 +130,7 @@
 
 }  // namespace
 
-int main(int argc, char** argv) {
+int Run(int argc, char** argv) {
   if (argc != 4) return 2;
   const std::string root = argv[1];
   const std::string folder = argv[2];
@@ -181,3 +181,7 @@
   std::fflush(stdout);
   std::_Exit(results[1] > 0 ? 1 : 0);
 }
+
+}  // namespace review
+
+int main(int argc, char** argv) { return review::Run(argc, argv); }
--- a/review/standin-2/main_slow_stop.cc
+++ b/review/standin-2/main_slow_stop.cc
@@ -7,8 +7,7 @@
 #include "engine.h"
 #include "platform.h"
 
-using namespace review;
-
+namespace review {
 namespace {
 
 constexpr int kEngines = 12;
@@ -33,7 +32,7 @@
 
 }  // namespace
 
-int main(int argc, char** argv) {
+int Run(int argc, char** argv) {
   if (argc != 4) return 2;
   const std::string root = argv[1];
   const std::string folder = argv[2];
@@ -51,9 +50,8 @@
     store.Put("servers/" + engines.back()->id(), engines.back()->Entry("llm"));
   }
   store.Put("op/config", kConfiguration);
-  const std::vector<std::string> ips = {"127.0.0.11", "127.0.0.12",
-                                        "127.0.0.13", "127.0.0.14",
-                                        "127.0.0.15"};
+  const std::vector<std::string> ips = {
+      "127.0.0.11", "127.0.0.12", "127.0.0.13", "127.0.0.14", "127.0.0.15"};
   const int port = FreePort(ips[0]);
   std::vector<std::unique_ptr<Gateway>> gateways;
   for (const std::string& ip : ips) {
@@ -93,8 +91,7 @@
           gateways[static_cast<std::size_t>(i) % gateways.size()]->clients(),
           request);
       const bool is_whole = result.pieces == request.pieces;
-      const bool violated =
-          !result.in_order || (result.complete && !is_whole);
+      const bool violated = !result.in_order || (result.complete && !is_whole);
       ++(result.status != 200 ? refused
          : violated           ? violations
          : result.complete    ? whole
@@ -124,3 +121,7 @@
   std::fflush(stdout);
   std::_Exit(violations > 0 ? 1 : 0);
 }
+
+}  // namespace review
+
+int main(int argc, char** argv) { return review::Run(argc, argv); }
--- a/review/standin-2/platform.h
+++ b/review/standin-2/platform.h
@@ -65,8 +65,8 @@
   };
 
   static std::string ToJson(const std::string& key, const Item& item) {
-    std::string text = "{\"key\":\"" + key +
-                       "\",\"rev\":" + std::to_string(item.revision);
+    std::string text =
+        "{\"key\":\"" + key + "\",\"rev\":" + std::to_string(item.revision);
     if (item.deleted) return text + ",\"deleted\":true}";
     return text + ",\"created\":1,\"lease\":0,\"value\":\"" +
            Base64(item.value) + "\"}";
@@ -89,8 +89,8 @@
            "\"storeRevision\":" + std::to_string(revision_) + "}";
   }
   std::string Watch(const std::string& target) {
-    const auto after = std::strtoull(Parameter(target, "after").c_str(),
-                                     nullptr, 10);
+    const auto after =
+        std::strtoull(Parameter(target, "after").c_str(), nullptr, 10);
     const double wait = std::atof(Parameter(target, "waitMs").c_str());
     std::unique_lock lock(mutex_);
     changed_.wait_for(lock, Ms(wait), [&] { return revision_ > after; });
@@ -172,15 +172,14 @@
     posix_spawn_file_actions_t actions{};
     ::posix_spawn_file_actions_init(&actions);
     ::posix_spawn_file_actions_addchdir_np(&actions, root_.c_str());
-    ::posix_spawn_file_actions_addopen(
-        &actions, STDOUT_FILENO, (folder_ + "/" + ip_ + ".log").c_str(),
-        O_CREAT | O_WRONLY | O_APPEND, 0600);
+    ::posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO,
+                                       (folder_ + "/" + ip_ + ".log").c_str(),
+                                       O_CREAT | O_WRONLY | O_APPEND, 0600);
     ::posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
     const std::string program =
         words[0].starts_with("/") ? words[0] : root_ + "/" + words[0];
-    const int error =
-        ::posix_spawn(&pid_, program.c_str(), &actions, nullptr,
-                      arguments.data(), environment.data());
+    const int error = ::posix_spawn(&pid_, program.c_str(), &actions, nullptr,
+                                    arguments.data(), environment.data());
     ::posix_spawn_file_actions_destroy(&actions);
     if (error != 0) {
       pid_ = -1;
@@ -194,7 +193,8 @@
     const int descriptor = ConnectTo(readiness());
     if (descriptor < 0) return false;
     Connection connection(descriptor);
-    connection.Write("GET /ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+    connection.Write(
+        "GET /ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
     const auto head = connection.ReadHead(NowMs() + 1000);
     return head.has_value() && head->status() == 200;
   }
@@ -236,29 +236,30 @@
                std::to_string(port_ + 2) + "\"";
     }
     std::ofstream file(SettingsPath());
-    file << "{\"node\":\"front-" << ip_ << "\",\"role\":\"entry\","
-         << "\"class\":\"front\",\"serves\":[\"front\",\"control\"],"
-         << "\"ip\":\"" << ip_ << "\",\"zone\":\"hall-tywi\","
-         << "\"region\":\"cymru-west\",\"zones\":{\"hall-tywi\":\"cymru-west\"},"
-         << "\"listen\":{\"front\":" << at(0) << ",\"ready\":" << at(1)
-         << ",\"control\":" << at(2) << "},\"portRange\":[" << port_ + 3 << ","
-         << port_ + 18 << "],\"seeds\":[" << seeds << "],\"bootstrap\":true,"
-         << "\"countsAsLoss\":false,\"limits\":{\"cpuShare\":0.19,\"cores\":1,"
-         << "\"memoryMb\":110,\"maxFds\":4100,\"linkMbps\":1000.0,"
-         << "\"diskMb\":0},\"dataDir\":null,\"discovery\":\"platform\","
-         << "\"entry\":\"vip\",\"heartbeatMs\":1200,\"contracts\":[\"base\","
-         << "\"drain\",\"config\",\"cost\",\"retry\",\"recover\",\"engine\","
-         << "\"stream\",\"tenants\",\"platform\"],\"tolerate\":{\"machines\":2,"
-         << "\"zones\":0,\"regions\":0},\"bounds\":{\"seedLagS\":3,"
-         << "\"reuseAfterS\":2,\"stableMs\":3000,\"ackMs\":4000,\"catchUpS\":4,"
-         << "\"drainMs\":2000,\"graceS\":8,\"lostMs\":200,\"configMs\":2000,"
-         << "\"downgradeMs\":250,\"outerMs\":5000,\"strictRevoke\":false,"
-         << "\"revokeMs\":5000,\"retryRatio\":0.2,\"retryWindowS\":10,"
-         << "\"retrySlack\":56,\"recoverS\":12,\"passMs\":120,"
-         << "\"reuseWindowS\":5.4},\"platform\":{\"addr\":\""
-         << store_.ToString() << "\",\"form\":\"read\",\"writesPerS\":400,"
-         << "\"readsPerS\":2000,\"historyS\":20,\"valueBytes\":1048576,"
-         << "\"ttlMinMs\":1000}}";
+    file
+        << "{\"node\":\"front-" << ip_ << "\",\"role\":\"entry\","
+        << "\"class\":\"front\",\"serves\":[\"front\",\"control\"],"
+        << "\"ip\":\"" << ip_ << "\",\"zone\":\"hall-tywi\","
+        << "\"region\":\"cymru-west\",\"zones\":{\"hall-tywi\":\"cymru-west\"},"
+        << "\"listen\":{\"front\":" << at(0) << ",\"ready\":" << at(1)
+        << ",\"control\":" << at(2) << "},\"portRange\":[" << port_ + 3 << ","
+        << port_ + 18 << "],\"seeds\":[" << seeds << "],\"bootstrap\":true,"
+        << "\"countsAsLoss\":false,\"limits\":{\"cpuShare\":0.19,\"cores\":1,"
+        << "\"memoryMb\":110,\"maxFds\":4100,\"linkMbps\":1000.0,"
+        << "\"diskMb\":0},\"dataDir\":null,\"discovery\":\"platform\","
+        << "\"entry\":\"vip\",\"heartbeatMs\":1200,\"contracts\":[\"base\","
+        << "\"drain\",\"config\",\"cost\",\"retry\",\"recover\",\"engine\","
+        << "\"stream\",\"tenants\",\"platform\"],\"tolerate\":{\"machines\":2,"
+        << "\"zones\":0,\"regions\":0},\"bounds\":{\"seedLagS\":3,"
+        << "\"reuseAfterS\":2,\"stableMs\":3000,\"ackMs\":4000,\"catchUpS\":4,"
+        << "\"drainMs\":2000,\"graceS\":8,\"lostMs\":200,\"configMs\":2000,"
+        << "\"downgradeMs\":250,\"outerMs\":5000,\"strictRevoke\":false,"
+        << "\"revokeMs\":5000,\"retryRatio\":0.2,\"retryWindowS\":10,"
+        << "\"retrySlack\":56,\"recoverS\":12,\"passMs\":120,"
+        << "\"reuseWindowS\":5.4},\"platform\":{\"addr\":\""
+        << store_.ToString() << "\",\"form\":\"read\",\"writesPerS\":400,"
+        << "\"readsPerS\":2000,\"historyS\":20,\"valueBytes\":1048576,"
+        << "\"ttlMinMs\":1000}}";
   }
 
   std::string root_;
