Review case 7: twice the deployment, so that a play hardly finds none

Cause: on a quiet machine the smaller deployment gave 2 and 3 broken streams in a play, near to none.

--- a/review/standin-2/main_slow_stop.cc
+++ b/review/standin-2/main_slow_stop.cc
@@ -1,7 +1,7 @@
 // Case: a stream without length or chunks, whose slow engine is asked to stop
 // it just as its first event is under way, ends as complete.
 //
-// Two of twelve engines work four times as long (`srv_slow`). A gateway leaves
+// Four of 24 engines work four times as long (`srv_slow`). A gateway leaves
 // an engine that has not begun to answer within the objective of the route: it
 // asks the engine to stop the run. With TROUBLE=0 no engine is slow.
 #include "engine.h"
@@ -10,11 +10,12 @@
 namespace review {
 namespace {
 
-constexpr int kEngines = 12;
+constexpr int kEngines = 24;
 // The share .15 of `srv_slow`, rounded up.
-constexpr int kSlowEngines = 2;
+constexpr int kSlowEngines = 4;
+constexpr int kGateways = 10;
 constexpr double kSlowFactor = 4.0;
-constexpr int kRequests = 1050;
+constexpr int kRequests = 1800;
 
 const char kConfiguration[] =
     "{\"version\":1,\"routes\":[{\"name\":\"daily-digest\",\"host\":"
@@ -50,8 +51,11 @@
     store.Put("servers/" + engines.back()->id(), engines.back()->Entry("llm"));
   }
   store.Put("op/config", kConfiguration);
-  const std::vector<std::string> ips = {
-      "127.0.0.11", "127.0.0.12", "127.0.0.13", "127.0.0.14", "127.0.0.15"};
+  std::vector<std::string> ips;
+  ips.reserve(kGateways);
+  for (int i = 0; i < kGateways; ++i) {
+    ips.push_back("127.0.0." + std::to_string(11 + i));
+  }
   const int port = FreePort(ips[0]);
   std::vector<std::unique_ptr<Gateway>> gateways;
   for (const std::string& ip : ips) {
@@ -105,7 +109,7 @@
                   " ms, took " + std::to_string(result.took_ms) + " ms" +
                   (violated ? "  <-- ORDER" : ""));
     });
-    SleepMs(90);
+    SleepMs(45);
   }
   for (std::thread& client : clients) client.join();
   gateways.clear();
