--- a/review/standin-2/main_engine_crash.cc
+++ b/review/standin-2/main_engine_crash.cc
@@ -69,6 +69,8 @@
 };
 
 int RunEngine(const std::string& id, const std::string& entry_file) {
+  record.Open(entry_file + ".runs");
+  record.Line("start " + std::to_string(kStart.time_since_epoch().count()));
   Engine engine("127.0.0.1", EngineOptions{.id = id, .framed = false});
   std::ofstream(entry_file) << engine.Entry("llm");
   // It ends with the case.
@@ -76,6 +78,22 @@
   std::_Exit(0);
 }
 
+// Copies what an engine recorded, with the times of this process.
+void CopyRuns(const std::string& runs_file) {
+  std::ifstream file(runs_file);
+  double time = 0;
+  double offset = 0;
+  std::string text;
+  while (file >> time && std::getline(file, text)) {
+    if (text.starts_with(" start ")) {
+      const Clock::duration start(std::stoll(text.substr(7)));
+      offset = Ms(start - kStart.time_since_epoch()).count();
+      continue;
+    }
+    record.Line("at " + std::to_string(time + offset) + text);
+  }
+}
+
 }  // namespace
 
 int Run(int argc, char** argv) {
@@ -160,6 +178,9 @@
   for (std::thread& client : clients) client.join();
   gateways.clear();
   engines.clear();
+  for (int i = 0; i < kEngines; ++i) {
+    CopyRuns(folder + "/i-" + std::to_string(i) + ".entry.runs");
+  }
   const std::string sum =
       "whole " + std::to_string(whole) + ", broken off " +
       std::to_string(broken) + ", refused " + std::to_string(refused) +
--- a/review/standin-2/main_second_answer.cc
+++ b/review/standin-2/main_second_answer.cc
@@ -62,6 +62,7 @@
       return;
     }
     const std::string id = head->Get("Request-Id");
+    record.Line("server " + id_ + " runs " + id);
     SleepMs(15);
     const int number = ++answers_;
     std::string earlier;
@@ -166,7 +167,14 @@
     clients.emplace_back([&, i] {
       char id[17];
       std::snprintf(id, sizeof(id), "%016x", 0x1000 + i);
-      ++results[Ask(gateways[static_cast<std::size_t>(i) % 2]->clients(), id)];
+      record.Line("client " + std::string(id) + " sends");
+      const int result =
+          Ask(gateways[static_cast<std::size_t>(i) % 2]->clients(), id);
+      ++results[result];
+      record.Line("client " + std::string(id) +
+                  (result == 0   ? " has its whole answer"
+                   : result == 1 ? " has a success that is not its answer"
+                                 : " has no success"));
     });
     SleepMs(40);
   }
