Do not take a stream that ends at its deadline for complete

Cause: an orderly close was taken for the end of a run unless a migration had asked for it. An engine closes in the same way at the deadline, and the gateway's own timer is due in the same millisecond. Change: retry::JudgeUnframedEnd decides what an orderly close proves. A success that ends at the deadline that its engine was given, less the difference of two clocks, is not whole, whether a stream or a plain answer. A resumable stream goes on; a deadline is no crash. GatewayContext has a clock that tests set.

--- a/services/gateway/exchange.cc
+++ b/services/gateway/exchange.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "libraries/base/log_event.h"
+#include "libraries/retry/unframed_end.h"
 
 namespace balsam::gateway {
 namespace {
@@ -102,12 +103,15 @@
                             DispatchOptions options) {
   options.server_id = server_id;
   options.workspace = WorkspaceName();
-  if (metadata_.time_left.has_value()) options.time_left = TimeLeft();
   Attempt attempt;
+  // Before the time limit is computed, so that the server's deadline is not
+  // expected later than it is.
+  attempt.started = context_.now();
+  if (metadata_.time_left.has_value()) options.time_left = TimeLeft();
+  attempt.time_limit = options.time_left;
   attempt.server_id = server_id;
   attempt.endpoint = endpoint;
   attempt.demand = demand;
-  attempt.started = BootClock::now();
   attempt.is_resumed = options.memory.has_value();
   attempt.connection = context_.pool.Acquire(
       server_id, endpoint,
@@ -157,7 +161,7 @@
 
 void Exchange::OnEnd(OutboundConnection::EndReason end) {
   slow_timer_.stop();
-  if (end == OutboundConnection::EndReason::kComplete && IsStreamCutShort()) {
+  if (end == OutboundConnection::EndReason::kComplete && !IsWhole()) {
     end = OutboundConnection::EndReason::kBroken;
   }
   if (end == OutboundConnection::EndReason::kComplete &&
@@ -178,11 +182,32 @@
   OnAttemptEnded(ClassifyAttempt(end));
 }
 
-bool Exchange::IsStreamCutShort() const {
-  if (!attempt_->streaming) return false;
-  if (attempt_->splitter.partial_bytes() > 0) return true;
-  // An engine that is asked to stop a run closes its stream without an end.
-  return attempt_->is_unframed && (!attempt_->is_relayed || IsStopRequested());
+bool Exchange::IsWhole() {
+  if (attempt_->streaming && attempt_->splitter.partial_bytes() > 0) {
+    return false;
+  }
+  // A failure is not the result of a run that could be stopped.
+  if (!attempt_->is_unframed || !http1::IsSuccess(attempt_->head.status)) {
+    return true;
+  }
+  retry::UnframedResponse response;
+  response.is_empty_stream = attempt_->streaming && !attempt_->is_relayed;
+  response.is_stop_requested = IsStopRequested();
+  response.time_limit = attempt_->time_limit;
+  response.took = context_.now() - attempt_->started;
+  const retry::UnframedEnd end = retry::JudgeUnframedEnd(response);
+  attempt_->is_stopped = end == retry::UnframedEnd::kStopped;
+  if (attempt_->is_stopped) {
+    LogEvent("run_may_be_stopped", LogEvent::Level::kWarning)
+        .With("id", metadata_.id)
+        .With("server", attempt_->server_id)
+        .With("events", events_.events())
+        .With("asked", response.is_stop_requested ? 1 : 0)
+        .With("limit",
+              response.time_limit.value_or(std::chrono::nanoseconds(0)))
+        .With("took", response.took);
+  }
+  return end == retry::UnframedEnd::kWhole;
 }
 
 void Exchange::RecordCrashIfBroken(OutboundConnection::EndReason end) {
@@ -190,7 +215,7 @@
   const bool broken = end == EndReason::kClosedWithoutResponse ||
                       (end == EndReason::kBroken && !IsStopRequested());
   if (!broken || proved_harmless_ || attempt_->is_rejected ||
-      attempt_->is_stop_asked) {
+      attempt_->is_stop_asked || attempt_->is_stopped) {
     return;
   }
   // An engine that is leaving breaks off its runs through no fault of the
--- a/services/gateway/exchange.h
+++ b/services/gateway/exchange.h
@@ -82,9 +82,14 @@
     BootTime answered;
     http1::ResponseHead head;
     ResponseMetadata metadata;
+    // How long the server may work on the request from `started`; unset if it
+    // was given no deadline.
+    std::optional<std::chrono::milliseconds> time_limit;
     // The response has neither a length nor chunks: its end looks like a crash
     // of the server.
     bool is_unframed = false;
+    // The response ended as it does when its run is stopped.
+    bool is_stopped = false;
     // The response was rejected. The server may run the request all the same.
     bool is_rejected = false;
     // The whole response has arrived: the server does not run the request.
@@ -163,10 +168,10 @@
   bool MustKeepAttempt() const;
   void StartSlowTimer();
   void OnEnd(OutboundConnection::EndReason end);
-  // Whether the stream has ended inside an event, or with nothing that marks
-  // its end before it added an event to the client's or after its engine was
-  // asked to stop the run.
-  bool IsStreamCutShort() const;
+  // Whether the response, whose connection was closed in an orderly way, is
+  // whole as far as this side can tell. Records if its run may have been
+  // stopped.
+  bool IsWhole();
   // Records a crash that this request may have caused, if the server closed or
   // broke the connection before the request proved harmless.
   void RecordCrashIfBroken(OutboundConnection::EndReason end);
--- a/services/gateway/exchange_placement.cc
+++ b/services/gateway/exchange_placement.cc
@@ -28,7 +28,7 @@
 
 milliseconds Exchange::TimeLeft() const {
   return std::max(milliseconds(0), std::chrono::duration_cast<milliseconds>(
-                                       request_.deadline - BootClock::now()));
+                                       request_.deadline - context_.now()));
 }
 
 milliseconds Exchange::ExpectedWait() {
--- a/services/gateway/gateway_context.h
+++ b/services/gateway/gateway_context.h
@@ -94,6 +94,8 @@
   }
 
   const Dialect& dialect;
+  // Measures how long servers work on requests.
+  std::function<BootTime()> now = BootClock::now;
   telemetry::RequestMetrics metrics{"gateway", kMaxMetricLabels};
   // Null until a configuration is known.
   std::shared_ptr<const routing::RouteTable> routes;
--- a/tests/services/gateway/exchange_fixture.h
+++ b/tests/services/gateway/exchange_fixture.h
@@ -118,6 +118,10 @@
     head.fields.Add("Request-Id", "r-1");
     head.fields.Add("Token-Usage", "100," + std::to_string(max_tokens_));
     head.fields.Add("Length-Hint", std::to_string(expected_tokens_));
+    if (client_time_left_.has_value()) {
+      head.fields.Add("Deadline-Ms",
+                      std::to_string(client_time_left_->count()));
+    }
     if (client_last_event_.has_value()) {
       head.fields.Add("Last-Event-Id", std::to_string(*client_last_event_));
     }
@@ -164,6 +168,8 @@
   // Output tokens of a request, as it states them.
   int max_tokens_ = 100;
   int expected_tokens_ = 100;
+  // How long the client waits; unlimited if unset.
+  std::optional<std::chrono::milliseconds> client_time_left_;
   // The last event that the client has from an earlier connection.
   std::optional<int> client_last_event_;
   platform::WireDialect dialect_;
