Do not take a stream that a slow engine was asked to stop for complete

Cause: the gateway asks a slow engine to stop the run just as its first event is under way. It relays the event and takes the close that follows for the end; only the stop that a migration asks for was known to cause one. Change: such an end is undecided while the call is open. A run that was stopped, or may have been, goes on elsewhere; one that the engine did not run any more, or did not stop, is whole. A move does not begin in the meantime.

--- a/libraries/retry/unframed_end.cc
+++ b/libraries/retry/unframed_end.cc
@@ -20,9 +20,13 @@
   const bool deadline_passed =
       response.time_limit.has_value() &&
       response.took >= EarliestDeadline(*response.time_limit);
-  if (response.is_stop_requested || deadline_passed) {
+  if (response.stop_request == StopRequest::kMayHaveStopped ||
+      deadline_passed) {
     return UnframedEnd::kStopped;
   }
+  if (response.stop_request == StopRequest::kPending) {
+    return UnframedEnd::kUndecided;
+  }
   return response.is_empty_stream ? UnframedEnd::kBroken : UnframedEnd::kWhole;
 }
 
--- a/libraries/retry/unframed_end.h
+++ b/libraries/retry/unframed_end.h
@@ -9,12 +9,21 @@
 
 namespace balsam::retry {
 
+// Whether the server was asked to stop the run by a call.
+enum class StopRequest {
+  // It was not, or it said that it did not stop the run.
+  kNone,
+  // It has not answered yet.
+  kPending,
+  // It stopped the run, or its answer does not tell.
+  kMayHaveStopped,
+};
+
 // What is known when such a response ends.
 struct UnframedResponse {
   // The response is a stream that has brought no event yet.
   bool is_empty_stream = false;
-  // The server was asked to stop the run, and may have done so.
-  bool is_stop_requested = false;
+  StopRequest stop_request = StopRequest::kNone;
   // How long the server was allowed to work on the request, from when it was
   // sent; unset if it was given no deadline.
   std::optional<std::chrono::nanoseconds> time_limit;
@@ -29,6 +38,8 @@
   kStopped,
   // No run ends like this.
   kBroken,
+  // The answer to the call that was to stop the run will tell.
+  kUndecided,
 };
 
 // Returns the earliest time after a request was sent at which a server may see
--- a/services/gateway/exchange.cc
+++ b/services/gateway/exchange.cc
@@ -6,7 +6,6 @@
 #include <utility>
 
 #include "libraries/base/log_event.h"
-#include "libraries/retry/unframed_end.h"
 
 namespace balsam::gateway {
 namespace {
@@ -161,8 +160,13 @@
 
 void Exchange::OnEnd(OutboundConnection::EndReason end) {
   slow_timer_.stop();
-  if (end == OutboundConnection::EndReason::kComplete && !IsWhole()) {
-    end = OutboundConnection::EndReason::kBroken;
+  if (end == OutboundConnection::EndReason::kComplete) {
+    const retry::UnframedEnd judged = JudgeEnd();
+    attempt_->is_end_undecided = judged == retry::UnframedEnd::kUndecided;
+    if (attempt_->is_end_undecided) return;
+    if (judged != retry::UnframedEnd::kWhole) {
+      end = OutboundConnection::EndReason::kBroken;
+    }
   }
   if (end == OutboundConnection::EndReason::kComplete &&
       HoldsAnotherResponse()) {
@@ -182,17 +186,19 @@
   OnAttemptEnded(ClassifyAttempt(end));
 }
 
-bool Exchange::IsWhole() {
+retry::UnframedEnd Exchange::JudgeEnd() {
   if (attempt_->streaming && attempt_->splitter.partial_bytes() > 0) {
-    return false;
+    return retry::UnframedEnd::kBroken;
   }
   // A failure is not the result of a run that could be stopped.
   if (!attempt_->is_unframed || !http1::IsSuccess(attempt_->head.status)) {
-    return true;
+    return retry::UnframedEnd::kWhole;
   }
   retry::UnframedResponse response;
   response.is_empty_stream = attempt_->streaming && !attempt_->is_relayed;
-  response.is_stop_requested = IsStopRequested();
+  response.stop_request = IsStopRequested()
+                              ? retry::StopRequest::kMayHaveStopped
+                              : attempt_->slow_stop;
   response.time_limit = attempt_->time_limit;
   response.took = context_.now() - attempt_->started;
   const retry::UnframedEnd end = retry::JudgeUnframedEnd(response);
@@ -202,12 +208,13 @@
         .With("id", metadata_.id)
         .With("server", attempt_->server_id)
         .With("events", events_.events())
-        .With("asked", response.is_stop_requested ? 1 : 0)
+        .With("asked",
+              response.stop_request == retry::StopRequest::kNone ? 0 : 1)
         .With("limit",
               response.time_limit.value_or(std::chrono::nanoseconds(0)))
         .With("took", response.took);
   }
-  return end == retry::UnframedEnd::kWhole;
+  return end;
 }
 
 void Exchange::RecordCrashIfBroken(OutboundConnection::EndReason end) {
@@ -215,7 +222,8 @@
   const bool broken = end == EndReason::kClosedWithoutResponse ||
                       (end == EndReason::kBroken && !IsStopRequested());
   if (!broken || proved_harmless_ || attempt_->is_rejected ||
-      attempt_->is_stop_asked || attempt_->is_stopped) {
+      attempt_->slow_stop != retry::StopRequest::kNone ||
+      attempt_->is_stopped) {
     return;
   }
   // An engine that is leaving breaks off its runs through no fault of the
@@ -469,7 +477,7 @@
 }
 
 void Exchange::LeaveSlowEngine() {
-  attempt_->is_stop_asked = true;
+  attempt_->slow_stop = retry::StopRequest::kPending;
   context_.run_stopper.Ask(
       RunOfAttempt(),
       [self = QPointer(this), attempt = started_attempts_](StopResult result) {
@@ -485,7 +493,13 @@
 void Exchange::OnSlowEngineAsked(StopResult result) {
   const bool may_begin_elsewhere =
       result != StopResult::kNotRunning && result != StopResult::kRefused;
-  if (!may_begin_elsewhere) attempt_->is_stop_asked = false;
+  attempt_->slow_stop = may_begin_elsewhere
+                            ? retry::StopRequest::kMayHaveStopped
+                            : retry::StopRequest::kNone;
+  if (std::exchange(attempt_->is_end_undecided, false)) {
+    OnEnd(OutboundConnection::EndReason::kComplete);
+    return;
+  }
   if (response_started_) return;
   if (!may_begin_elsewhere) {
     StartSlowTimer();
--- a/services/gateway/exchange.h
+++ b/services/gateway/exchange.h
@@ -14,6 +14,7 @@
 #include "libraries/base/boot_clock.h"
 #include "libraries/migration/event_stream_merger.h"
 #include "libraries/retry/attempt_policy.h"
+#include "libraries/retry/unframed_end.h"
 #include "services/gateway/admission.h"
 #include "services/gateway/gateway_context.h"
 #include "services/gateway/generation_migration.h"
@@ -94,8 +95,10 @@
     bool is_rejected = false;
     // The whole response has arrived: the server does not run the request.
     bool is_complete = false;
-    // The engine was asked to stop the run, because it is slow.
-    bool is_stop_asked = false;
+    // Whether the engine was asked to stop the run, because it is slow.
+    retry::StopRequest slow_stop = retry::StopRequest::kNone;
+    // The connection was closed; the answer to that call tells what it means.
+    bool is_end_undecided = false;
     // The response is a stream, whose events are relayed.
     bool streaming = false;
     migration::EventSplitter splitter;
@@ -168,10 +171,9 @@
   bool MustKeepAttempt() const;
   void StartSlowTimer();
   void OnEnd(OutboundConnection::EndReason end);
-  // Whether the response, whose connection was closed in an orderly way, is
-  // whole as far as this side can tell. Records if its run may have been
-  // stopped.
-  bool IsWhole();
+  // Returns whether the response, which has ended as its framing says, is
+  // whole. Records if its run may have been stopped.
+  retry::UnframedEnd JudgeEnd();
   // Records a crash that this request may have caused, if the server closed or
   // broke the connection before the request proved harmless.
   void RecordCrashIfBroken(OutboundConnection::EndReason end);
--- a/services/gateway/exchange_relay.cc
+++ b/services/gateway/exchange_relay.cc
@@ -262,6 +262,8 @@
                               attempt_->connection != nullptr &&
                               attempt_->server_id == server_id;
   if (!runs_on_server || migration_ != nullptr) return;
+  // Whether there is a run left to move is about to be known.
+  if (attempt_->is_end_undecided) return;
   const routing::EngineTraits* engine = request_.engine();
   if (engine == nullptr || !engine->can_migrate ||
       request_.route->kind != routing::RequestKind::kStream) {
--- a/tests/libraries/retry/unframed_end_test.cc
+++ b/tests/libraries/retry/unframed_end_test.cc
@@ -44,7 +44,17 @@
 
 TEST(UnframedEndTest, RequestedStopEndsResponseAtAnyTime) {
   UnframedResponse response = EndingAfter(milliseconds(10));
-  response.is_stop_requested = true;
+  response.stop_request = StopRequest::kMayHaveStopped;
+  EXPECT_EQ(JudgeUnframedEnd(response), UnframedEnd::kStopped);
+}
+
+// Guards against a truncated response that looks complete: the run was asked to
+// stop when the end of its response was already under way, or caused it.
+TEST(UnframedEndTest, EndIsUndecidedUntilStopCallIsAnswered) {
+  UnframedResponse response = EndingAfter(milliseconds(10));
+  response.stop_request = StopRequest::kPending;
+  EXPECT_EQ(JudgeUnframedEnd(response), UnframedEnd::kUndecided);
+  response.took = *response.time_limit;
   EXPECT_EQ(JudgeUnframedEnd(response), UnframedEnd::kStopped);
 }
 
--- a/tests/services/gateway/stopped_run_test.cc
+++ b/tests/services/gateway/stopped_run_test.cc
@@ -1,6 +1,10 @@
 // Responses with neither a length nor chunks whose runs are stopped: their
 // engines close the connection as they do after a whole response.
+#include <sys/socket.h>
+
+#include <algorithm>
 #include <string>
+#include <utility>
 
 #include "tests/services/gateway/exchange_fixture.h"
 
@@ -120,5 +124,97 @@
   EXPECT_EQ(context_.crash_ledger.trait_count(), 0U);
 }
 
+// The first engine is slow, so that the gateway asks it to stop the run. It
+// sends its first events just before it takes up the call.
+class SlowRunStoppedTest : public StoppedRunTest {
+ protected:
+  SlowRunStoppedTest() { latency_objective_ = milliseconds(50); }
+
+  // The engine closes the stream, and answers the call once the gateway has
+  // seen that.
+  void AnswerStopAfterEnd(const std::string& status, const std::string& body) {
+    first_.on_request = [this, status, body](const auto& request) {
+      if (!request.IsTo("/kv-move")) {
+        if (request.IsTo("/x")) stream_ = request.socket;
+        return;
+      }
+      QObject::connect(stream_, &QTcpSocket::disconnected, request.socket,
+                       [socket = request.socket, status, body] {
+                         Reply(socket, status, "", body);
+                       });
+      WriteUnframed(stream_, kFirstTwoEvents);
+      ::shutdown(static_cast<int>(stream_->socketDescriptor()), SHUT_WR);
+    };
+    second_.on_request = ContinuingStream();
+    Offer(routing::RequestKind::kStream, 2, /*resumable=*/true);
+    SendRequest();
+    RunUntilDone();
+  }
+
+  QTcpSocket* stream_ = nullptr;
+  QTcpSocket* call_ = nullptr;
+};
+
+// Guards against a truncated stream that looks complete: the gateway asked a
+// slow engine to stop the run, and took the close that followed for its end.
+TEST_F(SlowRunStoppedTest, StreamGoesOnElsewhere) {
+  AnswerStopAfterEnd("503 Service Unavailable", R"({"handle":"c-1"})");
+  EXPECT_EQ(sink_.text, std::string(kFirstTwoEvents) + kLastTwoEvents);
+  EXPECT_EQ(sink_.complete, true);
+}
+
+// The same if the answer to the call tells nothing.
+TEST_F(SlowRunStoppedTest, StreamGoesOnIfStopIsUnknown) {
+  AnswerStopAfterEnd("HTTP", "");
+  EXPECT_EQ(sink_.text, std::string(kFirstTwoEvents) + kLastTwoEvents);
+  EXPECT_EQ(sink_.complete, true);
+}
+
+// The run had ended by itself when the call arrived.
+TEST_F(SlowRunStoppedTest, StreamThatEndedBeforeTheCallIsComplete) {
+  AnswerStopAfterEnd("404 Not Found", "{}");
+  EXPECT_EQ(sink_.text, kFirstTwoEvents);
+  EXPECT_EQ(sink_.complete, true);
+  EXPECT_EQ(second_.heads.size(), 0U);
+}
+
+// The engine sheds load, and did not stop the run.
+TEST_F(SlowRunStoppedTest, StreamIsCompleteIfTheCallWasRefused) {
+  AnswerStopAfterEnd("503 Service Unavailable", "{}");
+  EXPECT_EQ(sink_.text, kFirstTwoEvents);
+  EXPECT_EQ(sink_.complete, true);
+}
+
+// The answer to the call arrives before the end of the stream.
+TEST_F(SlowRunStoppedTest, StreamGoesOnAfterConfirmedStop) {
+  first_.on_request = [this](const auto& request) {
+    if (!request.IsTo("/kv-move")) {
+      if (request.IsTo("/x")) stream_ = request.socket;
+      return;
+    }
+    WriteUnframed(stream_, kFirstTwoEvents);
+    call_ = request.socket;
+  };
+  sink_.on_text = [this] {
+    if (call_ == nullptr) return;
+    Reply(std::exchange(call_, nullptr), "503 Service Unavailable", "",
+          R"({"handle":"c-1"})");
+  };
+  // The gateway frees the copy that the answer names.
+  const auto is_released = [this] {
+    return std::ranges::any_of(first_.heads, [](const std::string& head) {
+      return head.starts_with("DELETE");
+    });
+  };
+  second_.on_request = ContinuingStream();
+  Offer(routing::RequestKind::kStream, 2, /*resumable=*/true);
+  SendRequest();
+  ASSERT_TRUE(RunUntil(is_released));
+  stream_->disconnectFromHost();
+  RunUntilDone();
+  EXPECT_EQ(sink_.text, std::string(kFirstTwoEvents) + kLastTwoEvents);
+  EXPECT_EQ(sink_.complete, true);
+}
+
 }  // namespace
 }  // namespace balsam::gateway
