Report a reset that a write finds, not an orderly close

Cause: the kernel reports the error of a connection once. A write got it and left it to the next read, which found an orderly close. Change: TcpStream remembers a failed write, reads what had arrived, and reports a reset. To servers it writes on after they have closed their side: whether they read the rest of the request tells a whole response from one cut off.

--- a/libraries/net/tcp_stream.cc
+++ b/libraries/net/tcp_stream.cc
@@ -105,7 +105,9 @@
     const ssize_t sent = ::send(descriptor_, bytes.data() + total,
                                 bytes.size() - total, MSG_NOSIGNAL);
     if (sent < 0 && errno == EINTR) continue;
-    // A connection error is reported by the next read.
+    if (sent < 0 && errno != EAGAIN && errno != EWOULDBLOCK) {
+      write_failed_ = true;
+    }
     if (sent <= 0) break;
     total += static_cast<std::size_t>(sent);
   }
@@ -113,9 +115,9 @@
 }
 
 void TcpStream::Write(std::string_view bytes) {
-  if (state_ != State::kConnected) return;
+  if (state_ != State::kConnected || write_failed_) return;
   if (pending() == 0) bytes.remove_prefix(Send(bytes));
-  if (bytes.empty()) return;
+  if (bytes.empty() || write_failed_) return;
   // Not with each write: that would move all that is queued every time.
   if (output_sent_ * 2 >= output_.size()) {
     output_.erase(0, std::exchange(output_sent_, 0));
@@ -128,7 +130,7 @@
 }
 
 void TcpStream::WriteShared(std::shared_ptr<const std::string> bytes) {
-  if (state_ != State::kConnected || bytes->empty()) return;
+  if (state_ != State::kConnected || write_failed_ || bytes->empty()) return;
   if (shared_ != nullptr) {
     Write(*bytes);
     return;
@@ -148,12 +150,21 @@
       if (shared_sent_ == shared_->size()) shared_.reset();
     }
   }
+  if (write_failed_) DropOutput();
   write_notifier_->setEnabled(pending() > 0);
 }
 
+void TcpStream::DropOutput() {
+  std::string().swap(output_);
+  output_sent_ = 0;
+  shared_.reset();
+}
+
 void TcpStream::SetReadEnabled(bool reading) {
   reading_ = reading;
-  if (state_ == State::kConnected) read_notifier_->setEnabled(reading);
+  if (state_ == State::kConnected) {
+    read_notifier_->setEnabled(reading && !peer_closed_);
+  }
 }
 
 void TcpStream::OnReadable() {
@@ -167,7 +178,12 @@
       return;
     }
     if (count == 0) {
-      CloseWith(CloseReason::kOrderly);
+      if (writes_after_peer_close_ && pending() > 0 && !write_failed_) {
+        peer_closed_ = true;
+        read_notifier_->setEnabled(false);
+        return;
+      }
+      CloseWith(write_failed_ ? CloseReason::kReset : CloseReason::kOrderly);
       return;
     }
     const auto size = static_cast<std::size_t>(count);
@@ -198,6 +214,10 @@
     if (pending() == 0) CloseWith(CloseReason::kOrderly);
     return;
   }
+  if (peer_closed_ && pending() == 0) {
+    CloseWith(write_failed_ ? CloseReason::kReset : CloseReason::kOrderly);
+    return;
+  }
   Q_EMIT Drained();
 }
 
@@ -212,9 +232,9 @@
 
 void TcpStream::Release() {
   state_ = State::kClosed;
-  std::string().swap(output_);
-  output_sent_ = 0;
-  shared_.reset();
+  DropOutput();
+  peer_closed_ = false;
+  write_failed_ = false;
   // This may run while a notifier's signal is being delivered, so the notifiers
   // are deleted later.
   for (auto* notifier : {&read_notifier_, &write_notifier_}) {
--- a/libraries/net/tcp_stream.h
+++ b/libraries/net/tcp_stream.h
@@ -19,7 +19,8 @@
 enum class CloseReason {
   // The peer closed its side after sending all its data.
   kOrderly,
-  // The connection was reset or timed out.
+  // The connection was reset or timed out, perhaps after the peer had closed
+  // its side.
   kReset,
   // The connection was never established.
   kNotConnected,
@@ -49,6 +50,12 @@
   // While disabled, received bytes stay in the kernel, whose full buffer slows
   // the peer down by TCP flow control.
   void SetReadEnabled(bool reading);
+  // Whether to write what is queued after the peer has closed its side, so that
+  // the reason for the close tells if the peer read on. If not, which is the
+  // default, the close is reported at once.
+  void SetWritesAfterPeerClose(bool writes) {
+    writes_after_peer_close_ = writes;
+  }
 
   // Closes once the kernel has accepted all queued bytes; emits `Closed` after
   // this call has returned.
@@ -57,6 +64,9 @@
   void Abort();
 
   bool connected() const { return state_ == State::kConnected; }
+  // Whether a write failed. What the peer sent before can still be read; the
+  // connection then ends as reset.
+  bool write_failed() const { return write_failed_; }
   // Whether bytes, or the end of the connection, arrived and were not read yet.
   bool HasUnread() const;
   // Returns "IP:PORT" of the peer; empty if unknown.
@@ -77,8 +87,9 @@
   void OnReadable();
   void OnWritable();
   void Flush();
-  // Returns how many of the bytes the kernel accepted.
+  // Returns how many of the bytes the kernel accepted. Records a failure.
   std::size_t Send(std::string_view bytes);
+  void DropOutput();
   void Release();
   void CloseWith(CloseReason reason);
 
@@ -93,6 +104,12 @@
   std::shared_ptr<const std::string> shared_;
   std::size_t shared_sent_ = 0;
   bool reading_ = true;
+  bool writes_after_peer_close_ = false;
+  // The peer closed its side, and queued bytes are still being written.
+  bool peer_closed_ = false;
+  // The kernel reports the error of a connection once only, to a write or to a
+  // read; reads that follow a failed write find an orderly close.
+  bool write_failed_ = false;
 };
 
 // Accepts connections and emits their sockets.
--- a/services/gateway/outbound_connection.cc
+++ b/services/gateway/outbound_connection.cc
@@ -45,6 +45,7 @@
           &OutboundConnection::OnClosed);
   connect(&connect_timer_, &QTimer::timeout, this,
           [this] { Finish(EndReason::kNotConnected); });
+  stream_.SetWritesAfterPeerClose(true);
   response_timer_.setSingleShot(true);
   connect(&response_timer_, &QTimer::timeout, this,
           [this] { Finish(EndReason::kTimedOut); });
@@ -225,7 +226,8 @@
 }
 
 bool OutboundConnection::reusable() const {
-  return !unusable_ && request_ == nullptr && stream_.connected();
+  return !unusable_ && request_ == nullptr && stream_.connected() &&
+         !stream_.write_failed();
 }
 
 }  // namespace balsam::gateway
--- a/tests/services/gateway/outbound_connection_test.cc
+++ b/tests/services/gateway/outbound_connection_test.cc
@@ -8,7 +8,10 @@
 #include <QCoreApplication>
 #include <QEventLoop>
 #include <QTimer>
+#include <functional>
 #include <memory>
+#include <optional>
+#include <string>
 
 #include "tests/services/gateway/event_loop.h"
 #include "tests/services/gateway/scripted_engine.h"
@@ -135,6 +138,103 @@
               response.end == EndReason::kClosedWithoutResponse);
 }
 
+// Responses to an upload that the server has not read when it responds.
+class ResponseDuringUploadTest : public OutboundConnectionTest {
+ protected:
+  static constexpr std::size_t kBodyBytes = 64 << 20;
+
+  // Uploads to a server that responds to the head of the request.
+  OutboundConnection::Response Upload(std::function<void(QTcpSocket*)> script) {
+    Script(std::move(script));
+    connection_ = std::make_unique<OutboundConnection>(
+        directory::Endpoint{"127.0.0.1", engine_.port()},
+        OutboundConnection::Timeouts{kTestLimit}, nullptr);
+    OutboundConnection::Response response;
+    std::optional<EndReason> end;
+    OutboundConnection::Request request;
+    request.bytes = "POST / HTTP/1.1\r\nHost: x\r\n\r\n";
+    request.body = std::make_shared<const std::string>(kBodyBytes, 'a');
+    request.on_head = [&](const http1::ResponseHead& head) {
+      response.head = head;
+    };
+    request.on_body = [&](std::string_view body) { response.body += body; };
+    request.on_end = [&](EndReason reason) { end = reason; };
+    connection_->Send(std::move(request));
+    EXPECT_TRUE(RunUntil([&] { return end.has_value(); }));
+    response.end = end.value_or(EndReason::kTimedOut);
+    return response;
+  }
+
+  // Sends what is written and resets the connection at once, so that both are
+  // there when this side continues.
+  static void Reset(QTcpSocket* socket) {
+    socket->flush();
+    const linger reset{1, 0};
+    setsockopt(static_cast<int>(socket->socketDescriptor()), SOL_SOCKET,
+               SO_LINGER, &reset, sizeof(reset));
+    socket->abort();
+  }
+};
+
+// Guards against a part of a response that is passed on as complete: a failed
+// write took the reset that followed it for itself, so that the next read saw
+// an orderly close.
+TEST_F(ResponseDuringUploadTest, ResetBreaksBodyWithoutLength) {
+  const auto response = Upload([](QTcpSocket* socket) {
+    socket->write("HTTP/1.1 200 OK\r\n\r\npart");
+    Reset(socket);
+  });
+  EXPECT_NE(response.end, EndReason::kComplete);
+  EXPECT_FALSE(connection_->reusable());
+}
+
+TEST_F(ResponseDuringUploadTest, ResetWithoutResponseIsNoResponse) {
+  const auto response = Upload([](QTcpSocket* socket) { Reset(socket); });
+  EXPECT_EQ(response.end, EndReason::kClosedWithoutResponse);
+}
+
+TEST_F(ResponseDuringUploadTest, ResetBreaksIncompleteBody) {
+  const auto response = Upload([](QTcpSocket* socket) {
+    socket->write("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart");
+    Reset(socket);
+  });
+  EXPECT_NE(response.end, EndReason::kComplete);
+}
+
+// What has arrived in full counts, whatever happens to the connection next.
+TEST_F(ResponseDuringUploadTest, CompleteResponseCountsBeforeReset) {
+  const auto response = Upload([](QTcpSocket* socket) {
+    socket->write("HTTP/1.1 413 Large\r\nContent-Length: 4\r\n\r\nstop");
+    Reset(socket);
+  });
+  EXPECT_EQ(response.end, EndReason::kComplete);
+  EXPECT_EQ(response.head.status, 413);
+  EXPECT_EQ(response.body, "stop");
+}
+
+// The server closes its side only, and reads on.
+TEST_F(ResponseDuringUploadTest, HalfCloseEndsBodyWithoutLength) {
+  const auto response = Upload([](QTcpSocket* socket) {
+    socket->write("HTTP/1.1 200 OK\r\n\r\nwhole");
+    socket->flush();
+    ::shutdown(static_cast<int>(socket->socketDescriptor()), SHUT_WR);
+  });
+  EXPECT_EQ(response.end, EndReason::kComplete);
+  EXPECT_EQ(response.body, "whole");
+}
+
+// The server closes its side, and resets the connection before it has read the
+// request: it may have been about to write more.
+TEST_F(ResponseDuringUploadTest, ResetAfterHalfCloseBreaksBodyWithoutLength) {
+  const auto response = Upload([](QTcpSocket* socket) {
+    socket->write("HTTP/1.1 200 OK\r\n\r\npart");
+    socket->flush();
+    ::shutdown(static_cast<int>(socket->socketDescriptor()), SHUT_WR);
+    Reset(socket);
+  });
+  EXPECT_EQ(response.end, EndReason::kBroken);
+}
+
 TEST_F(OutboundConnectionTest, TruncatedResponseIsBroken) {
   Script([](QTcpSocket* socket) {
     socket->write("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nab");
