Decide in one place what the head of a response is

Cause: what a response is was left to the parser of the library, which is lenient. The checks beside it were for requests, and missed what arrived in pieces. ResponseParser asks it; it reads all that a gateway receives: engines, health, reports, copies, peers, the store.

--- a/libraries/http1/message_parser.cc
+++ b/libraries/http1/message_parser.cc
@@ -5,8 +5,11 @@
 #include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/basic_parser.hpp>
+#include <functional>
 #include <limits>
 
+#include "libraries/http1/response_rules.h"
+
 namespace balsam::http1 {
 namespace {
 
@@ -23,19 +26,6 @@
   return end == std::string_view::npos ? end : end + kHeadEnd.size();
 }
 
-bool HasFoldedLine(std::string_view head) {
-  return head.find("\r\n ") != std::string_view::npos ||
-         head.find("\r\n\t") != std::string_view::npos;
-}
-
-bool HasAmbiguousFraming(const FieldList& fields) {
-  const std::size_t lengths = fields.Count("Content-Length");
-  const std::size_t codings = fields.Count("Transfer-Encoding");
-  if (lengths + codings > 1) return true;
-  const std::string* coding = fields.Find("Transfer-Encoding");
-  return coding != nullptr && !EqualFieldNames(*coding, "chunked");
-}
-
 ParseError ToParseError(const error_code& code) {
   if (code == http::error::header_limit) return ParseError::kHeadTooLarge;
   if (code == http::error::body_limit) return ParseError::kBodyTooLarge;
@@ -60,8 +50,23 @@
 
   // Body bytes are appended here while `put` runs.
   std::string* body = nullptr;
+  // What `put` parses.
+  std::string_view input;
 
  private:
+  // Whether the field extends over several lines. Beast then returns a copy of
+  // its value, or a value that does not begin on the line of the name.
+  bool IsFolded(string_view name, string_view value) const {
+    const std::less<const char*> is_before;
+    const char* input_end = input.data() + input.size();
+    if (is_before(value.data(), input.data()) ||
+        !is_before(value.data(), input_end)) {
+      return true;
+    }
+    const char* name_end = name.data() + name.size();
+    return std::find(name_end, value.data(), '\n') != value.data();
+  }
+
   void on_request_impl(http::verb /*verb*/, string_view method,
                        string_view target, int version,
                        error_code& error) override {
@@ -71,17 +76,23 @@
     }
     if (version != 11) error = http::error::bad_version;
   }
-  void on_response_impl(int status, string_view reason, int /*version*/,
-                        error_code& /*error*/) override {
+  void on_response_impl(int status, string_view reason, int version,
+                        error_code& error) override {
     if constexpr (!kIsRequest) {
       head_.status = status;
       head_.reason = std::string(reason);
+      if (!IsValidStatus(status)) error = http::error::bad_status;
     }
+    version_ = version;
   }
   void on_field_impl(http::field /*field*/, string_view name, string_view value,
-                     error_code& /*error*/) override {
+                     error_code& error) override {
     // Trailers are ignored; they are not trusted as header fields.
     if (head_done_) return;
+    if (IsFolded(name, value)) {
+      error = http::error::bad_obs_fold;
+      return;
+    }
     head_.fields.Add({name.data(), name.size()}, {value.data(), value.size()});
   }
   void on_header_impl(error_code& error) override {
@@ -89,6 +100,15 @@
     if (HasAmbiguousFraming(head_.fields)) {
       error = http::error::bad_transfer_encoding;
     }
+    if constexpr (!kIsRequest) {
+      // Version 1.0 has no chunks (RFC 9112, 6.1).
+      const bool has_chunks_of_old_version =
+          version_ < kHttp11 &&
+          head_.fields.Find("Transfer-Encoding") != nullptr;
+      if (has_chunks_of_old_version || !IsValidResponseHead(head_)) {
+        error = http::error::bad_field;
+      }
+    }
   }
   void on_body_init_impl(const boost::optional<std::uint64_t>& /*length*/,
                          error_code& /*error*/) override {}
@@ -105,8 +125,12 @@
   }
   void on_finish_impl(error_code& /*error*/) override {}
 
+  static constexpr int kHttp11 = 11;
+
   Head& head_;
   bool head_done_ = false;
+  // Ten times the version of HTTP; of a response only.
+  int version_ = kHttp11;
 };
 
 // Passes `input` to `parser`. Returns the number of bytes consumed, and sets
@@ -115,6 +139,7 @@
 std::size_t ParseInput(Parser& parser, std::string_view input,
                        std::string& body, ParseError& error) {
   parser.body = &body;
+  parser.input = input;
   std::size_t consumed = 0;
   while (consumed < input.size() && !parser.is_done()) {
     error_code code;
@@ -167,10 +192,6 @@
     const std::size_t length = HeadLength(input);
     if (length != std::string_view::npos) {
       const std::string_view head = input.substr(0, length);
-      if (HasFoldedLine(head)) {
-        error_ = ParseError::kMalformed;
-        return 0;
-      }
       const auto lines = std::ranges::count(head, '\r');
       head_.fields.Reserve(head_.fields.size() +
                            static_cast<std::size_t>(lines));
--- a/libraries/http1/message_parser.h
+++ b/libraries/http1/message_parser.h
@@ -2,7 +2,7 @@
 // messages that a proxy and its backend server could frame differently (request
 // smuggling, RFC 9112, 11.2): more than one length, a length together with a
 // transfer coding, transfer codings other than chunked, and folded header
-// lines.
+// lines. Responses also keep the rules of response_rules.h.
 #pragma once
 
 #include <cstdint>
--- a/tests/libraries/http1/message_parser_test.cc
+++ b/tests/libraries/http1/message_parser_test.cc
@@ -90,6 +90,9 @@
                      "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n"},
         RejectedCase{"FoldedLine",
                      "POST / HTTP/1.1\r\nHost: x\r\nA: b\r\n c\r\n\r\n"},
+        RejectedCase{"LengthsInOneField",
+                     "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 3, 3\r\n"
+                     "\r\nabc"},
         RejectedCase{"SpaceBeforeColon", "POST / HTTP/1.1\r\nHost : x\r\n\r\n"},
         RejectedCase{
             "NegativeLength",
@@ -101,6 +104,14 @@
         RejectedCase{"NotHttp", "hello there\r\n\r\n"}),
     [](const auto& info) { return std::string(info.param.name); });
 
+// Guards against a folded line that arrives in a piece of its own.
+TEST(RequestParserTest, FoldedLineIsMalformedInPiecesOfAnySize) {
+  const std::string text = "POST / HTTP/1.1\r\nA: b\r\n c\r\nHost: x\r\n\r\n";
+  for (std::size_t step = 1; step <= text.size(); ++step) {
+    EXPECT_EQ(Parse(text, step).error, ParseError::kMalformed) << step;
+  }
+}
+
 TEST(RequestParserTest, TrailersAreNotHeaderFields) {
   const Parsed parsed = Parse(
       "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -125,6 +136,112 @@
             ParseError::kBodyTooLarge);
 }
 
+// Parses a response in pieces of `step` bytes, up to an orderly close.
+ParseError ErrorOfResponse(const std::string& text, std::size_t step) {
+  ResponseParser parser({}, /*is_response_to_head=*/false);
+  std::string input;
+  std::string body;
+  for (std::size_t fed = 0; fed < text.size() && !parser.complete() &&
+                            parser.error() == ParseError::kNone;
+       fed += step) {
+    input += text.substr(fed, step);
+    input.erase(0, parser.Consume(input, body));
+  }
+  if (parser.error() == ParseError::kNone) parser.OnClosed();
+  return parser.error();
+}
+
+class RejectedResponseTest : public testing::TestWithParam<RejectedCase> {};
+
+// Guards against bytes that are no response in the protocol, passed on as one:
+// an engine in trouble sent a head whose status was 000, others one with a
+// blank or a control character in the name of a field.
+TEST_P(RejectedResponseTest, IsMalformedInPiecesOfAnySize) {
+  const std::string text = GetParam().text;
+  for (std::size_t step = 1; step <= text.size(); ++step) {
+    ASSERT_EQ(ErrorOfResponse(text, step), ParseError::kMalformed) << step;
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Heads, RejectedResponseTest,
+    testing::Values(
+        RejectedCase{"Status000", "HTTP/1.1 000 None\r\n\r\n"},
+        RejectedCase{"Status001", "HTTP/1.1 001 One\r\n\r\n"},
+        RejectedCase{"Status099", "HTTP/1.1 099 Odd\r\n\r\n"},
+        RejectedCase{"Status101", "HTTP/1.1 101 Switching\r\n\r\n"},
+        RejectedCase{"Status600", "HTTP/1.1 600 Odd\r\n\r\n"},
+        RejectedCase{"Status999", "HTTP/1.1 999 Odd\r\n\r\n"},
+        RejectedCase{"TwoDigitStatus", "HTTP/1.1 20 OK\r\n\r\n"},
+        RejectedCase{"FourDigitStatus", "HTTP/1.1 2000 OK\r\n\r\n"},
+        RejectedCase{"SignedStatus", "HTTP/1.1 +20 OK\r\n\r\n"},
+        RejectedCase{"Version2", "HTTP/2.0 200 OK\r\n\r\n"},
+        RejectedCase{"Version12", "HTTP/1.2 200 OK\r\n\r\n"},
+        RejectedCase{"LowerCaseVersion", "http/1.1 200 OK\r\n\r\n"},
+        RejectedCase{"ControlInReason", "HTTP/1.1 200 O\x01K\r\n\r\n"},
+        RejectedCase{"BareReturnInReason", "HTTP/1.1 200 O\rK\r\n\r\n"},
+        RejectedCase{"BlankInName", "HTTP/1.1 200 OK\r\nA B: c\r\n\r\n"},
+        RejectedCase{"BlankAfterName", "HTTP/1.1 200 OK\r\nA : c\r\n\r\n"},
+        RejectedCase{"TabInName", "HTTP/1.1 200 OK\r\nA\tB: c\r\n\r\n"},
+        RejectedCase{"ControlInName", "HTTP/1.1 200 OK\r\nA\x02: c\r\n\r\n"},
+        RejectedCase{"DeleteInName", "HTTP/1.1 200 OK\r\nA\x7f: c\r\n\r\n"},
+        RejectedCase{"HighByteInName", "HTTP/1.1 200 OK\r\nA\xe9: c\r\n\r\n"},
+        RejectedCase{"EmptyName", "HTTP/1.1 200 OK\r\n: c\r\n\r\n"},
+        RejectedCase{"NoColon", "HTTP/1.1 200 OK\r\nA\r\n\r\n"},
+        RejectedCase{"BlankBeforeFirstName",
+                     "HTTP/1.1 200 OK\r\n A: c\r\n\r\n"},
+        RejectedCase{"ControlInValue", "HTTP/1.1 200 OK\r\nA: b\x03\r\n\r\n"},
+        RejectedCase{"BareReturnInValue", "HTTP/1.1 200 OK\r\nA: b\rc\r\n\r\n"},
+        RejectedCase{"FoldedValue", "HTTP/1.1 200 OK\r\nA: b\r\n c\r\n\r\n"},
+        RejectedCase{"FoldedValueBeforeOtherFields",
+                     "HTTP/1.1 200 OK\r\nA: b\r\n\tc\r\nD: e\r\n\r\n"},
+        RejectedCase{"FoldedEmptyValue",
+                     "HTTP/1.1 200 OK\r\nA:\r\n c\r\nD: e\r\n\r\n"},
+        RejectedCase{"FoldedBlankValue",
+                     "HTTP/1.1 200 OK\r\nA:\r\n \r\nD: e\r\n\r\n"},
+        RejectedCase{"TwoLengths",
+                     "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n"
+                     "Content-Length: 2\r\n\r\nab"},
+        RejectedCase{"LengthsInOneField",
+                     "HTTP/1.1 200 OK\r\nContent-Length: 1, 1\r\n\r\na"},
+        RejectedCase{"SignedLength",
+                     "HTTP/1.1 200 OK\r\nContent-Length: +1\r\n\r\na"},
+        RejectedCase{"EmptyLength",
+                     "HTTP/1.1 200 OK\r\nContent-Length:\r\n\r\na"},
+        RejectedCase{"HugeLength",
+                     "HTTP/1.1 200 OK\r\nContent-Length: "
+                     "18446744073709551617\r\n\r\na"},
+        RejectedCase{"LengthAndChunks",
+                     "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n"
+                     "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"},
+        RejectedCase{"OtherCoding",
+                     "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\na"},
+        RejectedCase{"ChunksOfOldVersion",
+                     "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                     "0\r\n\r\n"},
+        RejectedCase{"BodyOfNoContent",
+                     "HTTP/1.1 204 None\r\nContent-Length: 1\r\n\r\na"},
+        RejectedCase{"BodyOfInterimResponse",
+                     "HTTP/1.1 100 Continue\r\nTransfer-Encoding: chunked\r\n"
+                     "\r\n"}),
+    [](const auto& info) { return std::string(info.param.name); });
+
+// The protocol allows these.
+TEST(ResponseParserTest, AcceptsUnusualResponses) {
+  const std::string texts[] = {
+      "HTTP/1.0 200 OK\r\n\r\nbody",
+      "HTTP/1.1 200 \r\n\r\n",
+      "HTTP/1.1 299 Odd\r\nA:\r\nB: \t b c \r\n\r\n",
+      "HTTP/1.1 200 OK\r\n!#$%&'*+-.^_`|~9aZ: \xe9\r\n\r\n",
+      "HTTP/1.1 204 None\r\nContent-Length: 0\r\n\r\n",
+      "HTTP/1.1 304 Same\r\nContent-Length: 7\r\n\r\n"};
+  for (const std::string& text : texts) {
+    for (std::size_t step = 1; step <= text.size(); ++step) {
+      EXPECT_EQ(ErrorOfResponse(text, step), ParseError::kNone) << text;
+    }
+  }
+}
+
 TEST(ResponseParserTest, BodyWithoutLengthEndsWithAnOrderlyClose) {
   ResponseParser parser({}, false);
   std::string body;
--- a/tests/services/gateway/outbound_connection_test.cc
+++ b/tests/services/gateway/outbound_connection_test.cc
@@ -259,6 +259,23 @@
   EXPECT_EQ(Call(engine_.port()).end, EndReason::kBroken);
 }
 
+// Guards against heads that are no response in the protocol. Engines, health
+// checks, reports, copies, peers and the store are all read by this class.
+TEST_F(OutboundConnectionTest, HeadThatBreaksTheRulesIsBroken) {
+  for (const std::string head :
+       {"HTTP/1.1 000 None\r\n", "HTTP/1.1 099 Odd\r\n",
+        "HTTP/1.1 101 Switching\r\n", "HTTP/1.1 200 OK\r\nA B: c\r\n",
+        "HTTP/1.1 200 OK\r\nA\x01: c\r\n",
+        "HTTP/1.1 200 OK\r\nA: b\r\n c\r\n"}) {
+    Script([head](QTcpSocket* socket) {
+      const std::string text = head + "Content-Length: 1\r\n\r\na";
+      socket->write(text.data(), static_cast<qint64>(text.size()));
+    });
+    EXPECT_EQ(Call(engine_.port()).end, EndReason::kBroken) << head;
+    EXPECT_FALSE(connection_->reusable());
+  }
+}
+
 TEST_F(OutboundConnectionTest, InterimResponseIsFollowedByFinalOne) {
   Script([](QTcpSocket* socket) {
     socket->write(
