Read all responses of the daemons with one caller and one parser

Seen: the readers of the product's own daemons take heads for responses that are none: blanks and control characters in names and values, folded values, any status, and a length that the body does not have; an engine's cancel was confirmed by them. Cause: streams, orders, cancels, state reads, watches of the configuration service and balsamctl read with Qt's network access, calls with libcurl, each lenient in its own way. Change: HttpCaller, now in libraries/http, makes all these calls, gives each head to http1::ResponseParser, and hands out bodies as they arrive. OneShotBody and the managers with six connections each are gone.

--- a/libraries/backend/backend_client.h
+++ b/libraries/backend/backend_client.h
@@ -3,24 +3,19 @@
 // once, and every failure reports whether the request may have arrived.
 #pragma once
 
-#include <QNetworkAccessManager>
 #include <QObject>
-#include <QPointer>
 #include <QUrl>
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
-#include <memory>
 #include <string>
 #include <vector>
 
 #include "libraries/backend/engine_stream.h"
-#include "libraries/backend/http_caller.h"
 #include "libraries/execution/work_record.h"
-
-class QNetworkReply;
+#include "libraries/http/http_caller.h"
 
 namespace balsam::backend {
 
@@ -35,7 +30,6 @@
 
  public:
   explicit BackendClient(BackendSettings settings, QObject* parent = nullptr);
-  ~BackendClient() override;
 
   // Sends a generation's request. `stream` identifies it at the engine.
   void StartGeneration(execution::LocalId local_id, const std::string& stream,
@@ -69,42 +63,33 @@
 
  private:
   struct Exchange {
-    QPointer<QNetworkReply> reply;
-    QNetworkAccessManager* manager = nullptr;
+    http::HttpCaller::Id call = 0;
     EngineStream stream;
     bool is_resume = false;
     std::uint64_t next = 0;
   };
 
-  // Returns a manager that can open one more connection to the backend server.
-  QNetworkAccessManager* ManagerForStream();
-  // Returns a request on a connection of its own.
-  QNetworkRequest RequestFor(const QString& path, const std::string& stream,
-                             const execution::WorkItem* work);
-  QNetworkReply* SendWithoutRetry(QNetworkAccessManager* manager,
-                                  QNetworkRequest request,
-                                  const std::string& method,
-                                  const std::string& body);
-  void Track(execution::LocalId local_id, Exchange exchange);
-  void ReadEvents(execution::LocalId local_id);
-  void OnReplyFinished(execution::LocalId local_id, QNetworkReply* reply);
-  void FinishCall(execution::LocalId local_id, HttpCaller::Response response);
-  void FinishStream(execution::LocalId local_id, const Exchange& exchange,
-                    QNetworkReply* reply);
+  http::HttpCaller::Request RequestFor(const std::string& method,
+                                       const QString& path,
+                                       const std::string& stream) const;
+  // The same with the body and fields of `work`.
+  http::HttpCaller::Request RequestFor(const execution::WorkItem& work,
+                                       const std::string& stream) const;
+  // Sends the request of a stream and keeps the exchange.
+  void Track(execution::LocalId local_id, http::HttpCaller::Request request,
+             Exchange exchange);
+  void ReadEvents(execution::LocalId local_id, std::string_view bytes);
+  void OnStreamEnded(execution::LocalId local_id,
+                     const http::HttpCaller::Response& response);
+  void FinishCall(execution::LocalId local_id,
+                  http::HttpCaller::Response response);
   void Abort(execution::LocalId local_id);
   void SendCancel(const std::string& stream, std::size_t calls_left);
 
   BackendSettings settings_;
-  std::vector<std::unique_ptr<QNetworkAccessManager>> managers_;
-  // Number of streams of each manager. Qt opens at most six connections per
-  // manager and host.
-  std::map<QNetworkAccessManager*, int> streams_per_manager_;
-  std::uint64_t connections_ = 0;
-  QNetworkAccessManager control_manager_;
   // Generations.
   std::map<execution::LocalId, Exchange> exchanges_;
-  // Calls to plain services, which a break must not complete.
-  HttpCaller caller_;
+  http::HttpCaller caller_;
 };
 
 }  // namespace balsam::backend
--- a/libraries/backend/engine_controller.cc
+++ b/libraries/backend/engine_controller.cc
@@ -1,10 +1,8 @@
 // Orders and state reads over HTTP.
 #include "libraries/backend/engine_controller.h"
 
-#include <QNetworkReply>
 #include <nlohmann/json.hpp>
 
-#include "libraries/backend/one_shot_body.h"
 #include "libraries/base/log_event.h"
 #include "libraries/decoding/bounded_json.h"
 
@@ -33,8 +31,10 @@
   }
 }
 
-int StatusOf(const QNetworkReply& reply) {
-  return reply.attribute(QNetworkRequest::HttpStatusCodeAttribute).toInt();
+// Zero if the call was not answered in full.
+int StatusOf(const http::HttpCaller::Response& response) {
+  return response.end == http::HttpCaller::End::kComplete ? response.head.status
+                                                          : 0;
 }
 
 // Returns the member's text; empty if it is absent or not a string.
@@ -60,12 +60,15 @@
   if (const auto order = reconciler_.TakeOrder(now)) SendOrder(*order);
 }
 
-QNetworkRequest EngineController::RequestFor(const QString& path) const {
+http::HttpCaller::Request EngineController::RequestFor(
+    const std::string& method, const QString& path) const {
   QUrl url = base_url_;
   url.setPath(path);
-  QNetworkRequest request(url);
-  request.setTransferTimeout(static_cast<int>(response_timeout_.count()));
-  request.setHeader(QNetworkRequest::ContentTypeHeader, "application/json");
+  http::HttpCaller::Request request;
+  request.url = url.toEncoded().toStdString();
+  request.method = method;
+  request.fields = {"Content-Type: application/json"};
+  request.silence_limit = response_timeout_;
   return request;
 }
 
@@ -75,17 +78,11 @@
                      {"adapter", order.state.adapter},
                      {"version", order.state.version},
                      {"role", order.state.role}};
-  const QByteArray bytes = QByteArray::fromStdString(body.dump());
-  QNetworkRequest request = RequestFor("/engine/orders");
-  request.setHeader(QNetworkRequest::ContentLengthHeader, bytes.size());
-  // Qt repeats a request when a kept-alive connection closes, unless its body
-  // can be read only once. A repeated order could be outdated when it is sent.
-  auto* content = new OneShotBody(bytes, this);
-  QNetworkReply* reply = manager_.post(request, content);
-  content->setParent(reply);
-  connect(reply, &QNetworkReply::finished, this, [this, reply, order] {
-    reply->deleteLater();
-    const int status = StatusOf(*reply);
+  http::HttpCaller::Request request = RequestFor("POST", "/engine/orders");
+  request.body = body.dump();
+  const auto on_response = [this,
+                            order](const http::HttpCaller::Response& response) {
+    const int status = StatusOf(response);
     reconciler_.OnOrderResult(OrderResultOf(status), BootClock::now());
     LogEvent("order")
         .With("number", order.fencing_number)
@@ -94,15 +91,14 @@
         .With("version", order.state.version)
         .With("role", order.state.role)
         .With("status", status);
-  });
+  };
+  caller_.Send(std::move(request), on_response);
 }
 
 void EngineController::ReadState() {
-  QNetworkReply* reply = manager_.get(RequestFor("/engine/state"));
-  connect(reply, &QNetworkReply::finished, this, [this, reply] {
-    reply->deleteLater();
-    const json state = decoding::ParseJson(reply->readAll().toStdString());
-    if (StatusOf(*reply) != kHttpOk || !state.is_object()) return;
+  const auto on_response = [this](const http::HttpCaller::Response& response) {
+    const json state = decoding::ParseJson(response.body);
+    if (StatusOf(response) != kHttpOk || !state.is_object()) return;
     const auto number = state.find("fencing_number");
     const bool has_number =
         number != state.end() && number->is_number_unsigned();
@@ -110,7 +106,8 @@
         {MemberText(state, "model"), MemberText(state, "adapter"),
          MemberText(state, "version"), MemberText(state, "role")},
         has_number ? number->get<std::uint64_t>() : 0, BootClock::now());
-  });
+  };
+  caller_.Send(RequestFor("GET", "/engine/state"), on_response);
 }
 
 }  // namespace balsam::backend
--- a/libraries/backend/engine_controller.h
+++ b/libraries/backend/engine_controller.h
@@ -3,16 +3,14 @@
 // that the engine must load.
 #pragma once
 
-#include <QNetworkAccessManager>
 #include <QObject>
 #include <QUrl>
 #include <chrono>
 
 #include "libraries/base/boot_clock.h"
+#include "libraries/http/http_caller.h"
 #include "libraries/orders/engine_reconciler.h"
 
-class QNetworkReply;
-
 namespace balsam::backend {
 
 class EngineController : public QObject {
@@ -39,12 +37,13 @@
  private:
   void SendOrder(const orders::Order& order);
   void ReadState();
-  QNetworkRequest RequestFor(const QString& path) const;
+  http::HttpCaller::Request RequestFor(const std::string& method,
+                                       const QString& path) const;
 
   QUrl base_url_;
   std::chrono::milliseconds response_timeout_;
   orders::EngineReconciler reconciler_;
-  QNetworkAccessManager manager_;
+  http::HttpCaller caller_;
 };
 
 }  // namespace balsam::backend
--- a/libraries/config_service/value_watcher.cc
+++ b/libraries/config_service/value_watcher.cc
@@ -1,8 +1,6 @@
-// Long polling with QNetworkAccessManager and exponential backoff.
+// Long polling with exponential backoff.
 #include "libraries/config_service/value_watcher.h"
 
-#include <QNetworkReply>
-#include <QNetworkRequest>
 #include <QUrlQuery>
 #include <algorithm>
 #include <nlohmann/json.hpp>
@@ -32,7 +30,6 @@
       settings_(std::move(settings)),
       backoff_(settings_.min_backoff),
       random_(std::random_device{}()) {
-  manager_.setAutoDeleteReplies(true);
   retry_timer_.setSingleShot(true);
   connect(&retry_timer_, &QTimer::timeout, this, [this] {
     if (watching_) SendRequest(settings_.long_poll_timeout);
@@ -42,13 +39,13 @@
 void ValueWatcher::SetWatching(bool watching) {
   if (watching_ == watching) return;
   watching_ = watching;
-  if (watching_ && !reply_ && !retry_timer_.isActive()) {
+  if (watching_ && !request_in_progress_ && !retry_timer_.isActive()) {
     SendRequest(settings_.long_poll_timeout);
   }
 }
 
 void ValueWatcher::ReadOnce() {
-  if (!reply_) SendRequest(milliseconds(0));
+  if (!request_in_progress_) SendRequest(milliseconds(0));
 }
 
 void ValueWatcher::SetKnownRevision(std::uint64_t revision) {
@@ -62,30 +59,32 @@
   query.addQueryItem("after", QString::number(known_revision_));
   query.addQueryItem("wait_ms", QString::number(wait.count()));
   url.setQuery(query);
-  QNetworkRequest request(url);
-  request.setTransferTimeout(
-      static_cast<int>((wait + kResponseMargin).count()));
+  http::HttpCaller::Request request;
+  request.url = url.toEncoded().toStdString();
+  request.method = "GET";
+  request.silence_limit = wait + kResponseMargin;
   ++calls_;
-  reply_ = manager_.get(request);
-  connect(reply_, &QNetworkReply::finished, this,
-          [this, reply = reply_.data()] { OnReply(reply); });
+  request_in_progress_ = true;
+  caller_.Send(std::move(request),
+               [this](const http::HttpCaller::Response& response) {
+                 OnResponse(response);
+               });
 }
 
-void ValueWatcher::OnReply(QNetworkReply* reply) {
-  reply_ = nullptr;
-  const int status =
-      reply->attribute(QNetworkRequest::HttpStatusCodeAttribute).toInt();
-  const QByteArray body = reply->readAll();
-  const json response =
-      decoding::ParseJson({body.data(), static_cast<std::size_t>(body.size())});
-  const bool has_value = status == kHttpOk && response.is_object() &&
-                         response.contains("revision") &&
-                         response["revision"].is_number_unsigned() &&
-                         response.contains("value") &&
-                         response["value"].is_string();
+void ValueWatcher::OnResponse(const http::HttpCaller::Response& response) {
+  request_in_progress_ = false;
+  const bool is_complete = response.end == http::HttpCaller::End::kComplete;
+  const int status = is_complete ? response.head.status : 0;
+  const json item = decoding::ParseJson(response.body);
+  const bool has_value = status == kHttpOk && item.is_object() &&
+                         item.contains("revision") &&
+                         item["revision"].is_number_unsigned() &&
+                         item.contains("value") && item["value"].is_string();
   if (!has_value && status != kHttpNoContent) {
     if (std::exchange(available_, false) && on_unavailable) {
-      on_unavailable(name_ + ": " + reply->errorString().toStdString());
+      on_unavailable(name_ + ": " +
+                     (is_complete ? "HTTP status " + std::to_string(status)
+                                  : response.reason));
     }
     ScheduleRetry();
     return;
@@ -93,14 +92,14 @@
   available_ = true;
   backoff_ = settings_.min_backoff;
   if (has_value && on_value) {
-    const auto revision = response["revision"].get<std::uint64_t>();
+    const auto revision = item["revision"].get<std::uint64_t>();
     // Advance even if the value is rejected; otherwise each watch would return
     // it again immediately.
     SetKnownRevision(revision);
-    on_value(revision, response["value"].get<std::string>());
+    on_value(revision, item["value"].get<std::string>());
   }
   if (on_response) on_response();
-  if (!watching_ || reply_) return;
+  if (!watching_ || request_in_progress_) return;
   // Avoids a tight loop if the service responds to watches immediately with a
   // value that is already known.
   retry_timer_.start(settings_.min_backoff);
--- a/libraries/config_service/value_watcher.h
+++ b/libraries/config_service/value_watcher.h
@@ -3,9 +3,7 @@
 // reads otherwise.
 #pragma once
 
-#include <QNetworkAccessManager>
 #include <QObject>
-#include <QPointer>
 #include <QTimer>
 #include <QUrl>
 #include <chrono>
@@ -14,7 +12,7 @@
 #include <random>
 #include <string>
 
-class QNetworkReply;
+#include "libraries/http/http_caller.h"
 
 namespace balsam::config_service {
 
@@ -58,13 +56,13 @@
 
  private:
   void SendRequest(std::chrono::milliseconds wait);
-  void OnReply(QNetworkReply* reply);
+  void OnResponse(const http::HttpCaller::Response& response);
   void ScheduleRetry();
 
   std::string name_;
   WatcherSettings settings_;
-  QNetworkAccessManager manager_;
-  QPointer<QNetworkReply> reply_;
+  http::HttpCaller caller_;
+  bool request_in_progress_ = false;
   QTimer retry_timer_;
   bool watching_ = false;
   bool available_ = false;
--- a/libraries/backend/http_caller.cc
+++ b/libraries/http/http_caller.cc
@@ -1,13 +1,16 @@
 // Drives libcurl's multi interface with socket notifiers and a timer.
-#include "libraries/backend/http_caller.h"
+#include "libraries/http/http_caller.h"
 
 #include <curl/curl.h>
 
 #include <QSocketNotifier>
+#include <optional>
 #include <string_view>
 #include <utility>
 
-namespace balsam::backend {
+#include "libraries/http1/message_parser.h"
+
+namespace balsam::http {
 namespace {
 
 using std::chrono::milliseconds;
@@ -26,10 +29,16 @@
 // Those below are of interim responses.
 constexpr int kFirstFinalStatus = 200;
 
-int StatusOf(CURL* handle) {
-  long status = 0;  // NOLINT(google-runtime-int): libcurl's type
-  curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &status);
-  return static_cast<int>(status);
+// Returns nothing if the text, which ends with an empty line, is no head of a
+// response.
+std::optional<http1::ResponseHead> ParseHead(std::string_view text) {
+  http1::ResponseParser parser({}, /*is_response_to_head=*/true);
+  std::string body;
+  parser.Consume(text, body);
+  if (parser.error() != http1::ParseError::kNone || !parser.head_complete()) {
+    return std::nullopt;
+  }
+  return parser.head();
 }
 
 }  // namespace
@@ -40,13 +49,28 @@
   OnResponse on_response;
   std::unique_ptr<curl_slist, ListDeleter> fields;
   std::unique_ptr<CURL, HandleDeleter> handle{curl_easy_init()};
-  std::string body;
   QTimer silence;
+  HttpCaller* caller = nullptr;
+  // The lines of the head that is being received.
+  std::string head_text;
+  // Unset until a final head was received in full. libcurl takes one that is
+  // broken off for that of a response without a body.
+  std::optional<http1::ResponseHead> head;
+  // Received and not handed out.
+  std::string body;
+
+  // libcurl ends a call whose callback returns this.
+  static constexpr std::size_t kRejected = 0;
 
   // Signature of CURLOPT_WRITEFUNCTION.
   static std::size_t OnBody(char* data, std::size_t size, std::size_t count,
                             void* call) {
-    static_cast<Call*>(call)->body.append(data, size * count);
+    auto& self = *static_cast<Call*>(call);
+    if (!self.head.has_value()) return kRejected;
+    if (self.body.empty() && self.request.on_body) {
+      self.caller->with_new_body_.push_back(self.id);
+    }
+    self.body.append(data, size * count);
     return size * count;
   }
   // Signature of CURLOPT_HEADERFUNCTION, which gets line by line.
@@ -54,8 +78,13 @@
                                 void* call) {
     const std::string_view line(data, size * count);
     auto& self = *static_cast<Call*>(call);
-    if (line.starts_with("HTTP/")) self.has_whole_head = false;
-    if (line == "\r\n" || line == "\n") self.has_whole_head = true;
+    // Trailers follow the body.
+    if (self.head.has_value()) return line.size();
+    self.head_text += line;
+    if (line != "\r\n" && line != "\n") return line.size();
+    auto head = ParseHead(std::exchange(self.head_text, {}));
+    if (!head.has_value()) return kRejected;
+    if (head->status >= kFirstFinalStatus) self.head = std::move(head);
     return line.size();
   }
   // Signature of CURLOPT_XFERINFOFUNCTION.
@@ -71,9 +100,6 @@
 
   void SetOptions();
 
-  // The head of the last response has ended. libcurl takes one that is broken
-  // off for that of a response without a body.
-  bool has_whole_head = false;
   curl_off_t downloaded = 0;
 };
 
@@ -85,15 +111,20 @@
   fields.reset(curl_slist_append(fields.release(), "Expect:"));
   CURL* curl = handle.get();
   curl_easy_setopt(curl, CURLOPT_URL, request.url.c_str());
-  curl_easy_setopt(curl, CURLOPT_CUSTOMREQUEST, request.method.c_str());
-  curl_easy_setopt(curl, CURLOPT_HTTPHEADER, fields.get());
+  const bool is_without_body =
+      request.body.empty() &&
+      (request.method == "GET" || request.method == "DELETE");
   if (request.method == "HEAD") {
     curl_easy_setopt(curl, CURLOPT_NOBODY, 1L);
+  } else if (is_without_body) {
+    curl_easy_setopt(curl, CURLOPT_HTTPGET, 1L);
   } else {
     curl_easy_setopt(curl, CURLOPT_POSTFIELDSIZE_LARGE,
                      static_cast<curl_off_t>(request.body.size()));
     curl_easy_setopt(curl, CURLOPT_POSTFIELDS, request.body.c_str());
   }
+  curl_easy_setopt(curl, CURLOPT_CUSTOMREQUEST, request.method.c_str());
+  curl_easy_setopt(curl, CURLOPT_HTTPHEADER, fields.get());
   curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, &Call::OnBody);
   curl_easy_setopt(curl, CURLOPT_WRITEDATA, this);
   curl_easy_setopt(curl, CURLOPT_HEADERFUNCTION, &Call::OnHeadLine);
@@ -157,6 +188,7 @@
   const Id id = ++last_id_;
   auto call = std::make_unique<Call>();
   call->id = id;
+  call->caller = this;
   call->request = std::move(request);
   call->on_response = std::move(on_response);
   call->SetOptions();
@@ -206,9 +238,22 @@
 void HttpCaller::OnSocketReady(int socket, int events) {
   int running = 0;
   curl_multi_socket_action(multi_->handle, socket, events, &running);
+  DeliverBodies();
   ReportFinished();
 }
 
+void HttpCaller::DeliverBodies() {
+  // A callback may abort any call.
+  for (const Id id : std::exchange(with_new_body_, {})) {
+    const auto found = calls_.find(id);
+    if (found == calls_.end()) continue;
+    const Call& call = *found->second;
+    const auto on_body = call.request.on_body;
+    const http1::ResponseHead head = *call.head;
+    on_body(head, std::exchange(found->second->body, {}));
+  }
+}
+
 void HttpCaller::ReportFinished() {
   std::vector<std::pair<Id, Response>> finished;
   int remaining = 0;
@@ -223,16 +268,13 @@
     if (code != CURLE_OK) {
       response.end = WasNeverConnected(code) ? End::kNotSent : End::kBroken;
       response.reason = curl_easy_strerror(code);
-    } else if (StatusOf(handle) < kFirstFinalStatus || !call->has_whole_head) {
+    } else if (!call->head.has_value()) {
       response.reason = "the head of the response was broken off";
     } else {
-      const char* content_type = nullptr;
-      curl_easy_getinfo(handle, CURLINFO_CONTENT_TYPE, &content_type);
       response.end = End::kComplete;
-      response.status = StatusOf(handle);
-      if (content_type != nullptr) response.content_type = content_type;
-      response.body = std::move(call->body);
     }
+    if (call->head.has_value()) response.head = std::move(*call->head);
+    response.body = std::move(call->body);
     finished.emplace_back(call->id, std::move(response));
   }
   // A callback may abort other calls.
@@ -253,4 +295,4 @@
   on_response(std::move(response));
 }
 
-}  // namespace balsam::backend
+}  // namespace balsam::http
--- a/libraries/backend/http_caller.h
+++ b/libraries/http/http_caller.h
@@ -1,6 +1,7 @@
 // Makes single HTTP calls with libcurl on Qt's event loop. Unlike
 // QNetworkAccessManager it tells a connection that was reset from one that was
-// closed, and only the latter ends a response without a length.
+// closed, and only the latter ends a response without a length. What is a
+// response is decided by http1::ResponseParser, which reads each head.
 #pragma once
 
 #include <QObject>
@@ -11,11 +12,14 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
+#include "libraries/http1/message_head.h"
+
 class QSocketNotifier;
 
-namespace balsam::backend {
+namespace balsam::http {
 
 class HttpCaller : public QObject {
   Q_OBJECT
@@ -29,6 +33,9 @@
     std::string body;
     // A call without received data for this long is broken.
     std::chrono::milliseconds silence_limit{0};
+    // If set, receives the body as it arrives; `Response::body` stays empty.
+    // Called from the event loop, and may abort any call.
+    std::function<void(const http1::ResponseHead&, std::string_view)> on_body;
   };
 
   enum class End {
@@ -41,8 +48,9 @@
 
   struct Response {
     End end = End::kBroken;
-    int status = 0;
-    std::string content_type;
+    // Its status is zero if no valid head was received in full.
+    http1::ResponseHead head;
+    // What was received of the body.
     std::string body;
     // Why the call did not complete.
     std::string reason;
@@ -67,6 +75,8 @@
   void WatchSocket(int socket, int events);
   void OnSocketReady(int socket, int events);
   void OnSilence(Id id);
+  // Hands out the bodies that have arrived.
+  void DeliverBodies();
   // Reports the calls that libcurl has finished.
   void ReportFinished();
   void Finish(Id id, Response response);
@@ -74,9 +84,11 @@
   std::unique_ptr<Multi> multi_;
   std::map<Id, std::unique_ptr<Call>> calls_;
   Id last_id_ = 0;
+  // Calls with a part of a body to hand out.
+  std::vector<Id> with_new_body_;
   // Notifiers of a socket, for reading and writing.
   std::map<int, std::vector<std::unique_ptr<QSocketNotifier>>> notifiers_;
   QTimer timer_;
 };
 
-}  // namespace balsam::backend
+}  // namespace balsam::http
--- a/tests/libraries/backend/backend_client_test.cc
+++ b/tests/libraries/backend/backend_client_test.cc
@@ -135,7 +135,7 @@
   ClientEvent Wait() {
     WaitUntil([this] { return last_event_ != ClientEvent::kNone; },
               seconds(20));
-    // Leaves time for a repeated request by Qt, which would follow soon.
+    // Leaves time for a repeated request, which would follow soon.
     WaitUntil([] { return false; }, milliseconds(200));
     return last_event_;
   }
@@ -225,6 +225,52 @@
   EXPECT_EQ(server.requests(), 1);
 }
 
+// Guards against heads that are no response in the protocol, taken for one.
+class RejectedHeadTest : public BackendClientTest,
+                         public testing::WithParamInterface<std::string> {
+ protected:
+  QByteArray Response(const QByteArray& body) const {
+    return ToBytes(GetParam()) +
+           "Content-Type: text/event-stream\r\nContent-Length: " +
+           QByteArray::number(body.size()) + "\r\n\r\n" + body;
+  }
+};
+
+TEST_P(RejectedHeadTest, BreaksACall) {
+  FixedServer server(Response("body"), true);
+  CreateClient(server.url());
+  EXPECT_EQ(Call("door"), ClientEvent::kBroken);
+  EXPECT_EQ(server.requests(), 1);
+}
+
+TEST_P(RejectedHeadTest, BreaksAStream) {
+  FixedServer server(
+      Response("data: {\"choices\":[{\"text\":\"a\"}]}\n\ndata: [DONE]\n\n"),
+      true);
+  CreateClient(server.url());
+  EXPECT_EQ(Generate(), ClientEvent::kBroken);
+  EXPECT_TRUE(tokens_.empty());
+}
+
+TEST_P(RejectedHeadTest, DoesNotConfirmACancel) {
+  FixedServer server(Response(""), true);
+  CreateClient(server.url());
+  client_->CancelGeneration(1, "a~1~1");
+  EXPECT_TRUE(WaitUntil([&] { return server.requests() > 1; }, seconds(20)));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Heads, RejectedHeadTest,
+    testing::Values("HTTP/1.1 000 None\r\n", "HTTP/1.1 042 Odd\r\n",
+                    "HTTP/1.1 200 OK\r\nA B: c\r\n",
+                    "HTTP/1.1 200 OK\r\nA : c\r\n",
+                    "HTTP/1.1 200 OK\r\nA\x01: c\r\n",
+                    "HTTP/1.1 200 OK\r\nA: b\x02\r\n",
+                    "HTTP/1.1 200 OK\r\nA: b\r\n c\r\n",
+                    "HTTP/1.1 200 OK\r\nContent-Length: 99\r\n",
+                    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"),
+    [](const auto& info) { return std::to_string(info.index); });
+
 TEST_F(BackendClientTest, AStreamCompletesOnlyWithItsDoneEvent) {
   const QByteArray head =
       "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
--- a/utilities/balsamctl/main.cc
+++ b/utilities/balsamctl/main.cc
@@ -3,11 +3,10 @@
 #include <QCoreApplication>
 #include <QEventLoop>
 #include <QFile>
-#include <QNetworkAccessManager>
-#include <QNetworkReply>
-#include <QNetworkRequest>
+#include <QUrl>
 #include <QUrlQuery>
 #include <algorithm>
+#include <chrono>
 #include <cxxopts.hpp>
 #include <iomanip>
 #include <iostream>
@@ -15,6 +14,7 @@
 #include <set>
 
 #include "libraries/decoding/bounded_json.h"
+#include "libraries/http/http_caller.h"
 #include "libraries/membership/vm_list.h"
 #include "libraries/templates/template_set.h"
 #include "services/entry/entry_settings.h"
@@ -23,13 +23,14 @@
 
 namespace {
 
+using balsam::http::HttpCaller;
 using nlohmann::json;
 using Strings = std::vector<std::string>;
 
 constexpr int kExitOk = 0;
 constexpr int kExitFailure = 1;
 constexpr int kExitBadUsage = 2;
-constexpr int kTimeoutMilliseconds = 5000;
+constexpr std::chrono::milliseconds kTimeout{5000};
 constexpr int kColumnWidth = 16;
 
 constexpr char kCommands[] =
@@ -104,24 +105,28 @@
 OperatorResponse QueryProcess(const std::string& process,
                               const std::string& key, const std::string& method,
                               const QString& path) {
-  QNetworkAccessManager manager;
-  QNetworkRequest request(
-      QUrl(QString::fromStdString("http://" + process)).resolved(QUrl(path)));
-  request.setRawHeader("Authorization",
-                       QByteArray::fromStdString("Bearer " + key));
-  request.setTransferTimeout(kTimeoutMilliseconds);
-  QNetworkReply* reply =
-      manager.sendCustomRequest(request, QByteArray::fromStdString(method));
+  HttpCaller caller;
+  HttpCaller::Request request;
+  request.url = QUrl(QString::fromStdString("http://" + process))
+                    .resolved(QUrl(path))
+                    .toEncoded()
+                    .toStdString();
+  request.method = method;
+  request.fields = {"Authorization: Bearer " + key};
+  request.silence_limit = kTimeout;
+  OperatorResponse response{process, nullptr, ""};
   QEventLoop loop;
-  QObject::connect(reply, &QNetworkReply::finished, &loop, &QEventLoop::quit);
+  caller.Send(std::move(request), [&](const HttpCaller::Response& answer) {
+    if (answer.end != HttpCaller::End::kComplete) {
+      response.failure = answer.reason;
+    } else if (!balsam::http1::IsSuccess(answer.head.status)) {
+      response.failure = "HTTP status " + std::to_string(answer.head.status);
+    } else {
+      response.body = balsam::decoding::ParseJson(answer.body);
+    }
+    loop.quit();
+  });
   loop.exec();
-  OperatorResponse response{process, nullptr, ""};
-  if (reply->error() != QNetworkReply::NoError) {
-    response.failure = reply->errorString().toStdString();
-  } else {
-    response.body = balsam::decoding::ParseJson(reply->readAll().toStdString());
-  }
-  delete reply;
   return response;
 }
 
