Search relayed bodies for another response

Cause: the search looked at what was held back when the body had ended; a success of more than 256 KB is relayed before that. Change: http1::ResponseFinder searches as the body arrives and keeps back what may begin another response.

--- a/services/gateway/exchange.cc
+++ b/services/gateway/exchange.cc
@@ -170,9 +170,13 @@
     }
   }
   if (end == OutboundConnection::EndReason::kComplete &&
-      HoldsAnotherResponse()) {
-    RejectResponse("followed_by_another");
-    return;
+      attempt_->finder.has_value()) {
+    const int attempt = started_attempts_;
+    HoldOrRelay(attempt_->finder->TakeRest());
+    // The response may have been rejected, and the request sent elsewhere.
+    if (finished_ || started_attempts_ != attempt || attempt_->is_rejected) {
+      return;
+    }
   }
   attempt_->is_complete = end == OutboundConnection::EndReason::kComplete;
   RecordCrashIfBroken(end);
--- a/services/gateway/exchange.h
+++ b/services/gateway/exchange.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "libraries/base/boot_clock.h"
+#include "libraries/http1/response_finder.h"
 #include "libraries/migration/event_stream_merger.h"
 #include "libraries/retry/attempt_policy.h"
 #include "libraries/retry/unframed_end.h"
@@ -106,6 +107,9 @@
     // beginning of a body that is too long to be held back until it is
     // complete.
     bool is_relayed = false;
+    // Looks for another response in a body without a length or chunks that is
+    // no stream; unset for others.
+    std::optional<http1::ResponseFinder> finder;
     // What is held back of a response that is no stream.
     std::string body;
     // Memory of `body`, or of an incomplete event.
@@ -216,10 +220,8 @@
   // Relaying; see exchange_relay.cc.
   void OnHead(const http1::ResponseHead& head);
   void OnBody(std::string_view bytes);
-  // Whether the body, which only its connection ended, holds the head of
-  // another response: the server sent one more, and nothing says where its own
-  // ended.
-  bool HoldsAnotherResponse() const;
+  // Holds back a part of a body, or relays it.
+  void HoldOrRelay(std::string_view bytes);
   // The response cannot belong to this request, or is unusable.
   void RejectResponse(std::string_view reason);
   void RelayEvents(std::string_view bytes);
--- a/services/gateway/exchange_relay.cc
+++ b/services/gateway/exchange_relay.cc
@@ -60,6 +60,12 @@
     attempt_->splitter =
         migration::EventSplitter(migration::EventSplitter::Framing::kUnframed);
   }
+  if (!attempt_->streaming && attempt_->is_unframed) {
+    // A body may be about HTTP, but not name a request.
+    attempt_->finder.emplace([this](const http1::ResponseHead& other) {
+      return !context_.dialect.ParseResponse(other).request_id.empty();
+    });
+  }
   if (!attempt_->streaming || !attempt_->is_resumed) return;
   migration_->OnResumeResult(true);
   // The engine that resumes the run may have started leaving in the meantime.
@@ -77,29 +83,25 @@
   OnEnd(OutboundConnection::EndReason::kBroken);
 }
 
-bool Exchange::HoldsAnotherResponse() const {
-  if (attempt_->streaming || !attempt_->is_unframed) return false;
-  const std::string_view body = attempt_->body;
-  for (std::size_t at = body.find(http1::kStatusLineStart);
-       at != std::string::npos;
-       at = body.find(http1::kStatusLineStart, at + 1)) {
-    http1::ResponseParser parser({}, /*is_response_to_head=*/false);
-    std::string rest;
-    parser.Consume(body.substr(at), rest);
-    // A body may be about HTTP, but not name a request.
-    if (parser.head_complete() &&
-        !context_.dialect.ParseResponse(parser.head()).request_id.empty()) {
-      return true;
-    }
-  }
-  return false;
-}
-
 void Exchange::OnBody(std::string_view bytes) {
   if (attempt_->streaming) {
     RelayEvents(bytes);
     return;
   }
+  if (!attempt_->finder.has_value()) {
+    HoldOrRelay(bytes);
+    return;
+  }
+  const std::string own = attempt_->finder->Append(bytes);
+  if (attempt_->finder->found()) {
+    RejectResponse("followed_by_another");
+    return;
+  }
+  HoldOrRelay(own);
+}
+
+void Exchange::HoldOrRelay(std::string_view bytes) {
+  if (bytes.empty()) return;
   if (attempt_->is_relayed) {
     sink_.WriteBody(bytes);
   } else {
--- a/tests/services/gateway/stream_continuation_test.cc
+++ b/tests/services/gateway/stream_continuation_test.cc
@@ -364,6 +364,40 @@
   EXPECT_EQ(sink_.status, 502);
 }
 
+// The same behind a response that is too long to be held back as a whole, so
+// that the beginning has been relayed.
+TEST_F(StreamContinuationTest, ResponseBehindALongOneIsNotDelivered) {
+  const std::string own(300 << 10, 'a');
+  first_.on_request = [&](const auto& request) {
+    Write(
+        request.socket,
+        "HTTP/1.1 200 OK\r\nRequest-Id: r-1\r\nResponse-Seal: s\r\n\r\n" + own);
+    Write(request.socket,
+          "HTTP/1.1 200 OK\r\nRequest-Id: r-0\r\nResponse-Seal: s\r\n"
+          "Content-Length: 5\r\n\r\nother");
+    request.socket->flush();
+    request.socket->disconnectFromHost();
+  };
+  Send(routing::RequestKind::kNonIdempotent, 1);
+  RunUntilDone();
+  EXPECT_EQ(sink_.complete, false);
+  EXPECT_EQ(sink_.text.find("HTTP/1."), std::string::npos);
+}
+
+TEST_F(StreamContinuationTest, LongResponseWithoutLengthIsDelivered) {
+  const std::string own = std::string(300 << 10, 'a') + "HTTP/1";
+  first_.on_request = [&](const auto& request) {
+    Write(
+        request.socket,
+        "HTTP/1.1 200 OK\r\nRequest-Id: r-1\r\nResponse-Seal: s\r\n\r\n" + own);
+    request.socket->disconnectFromHost();
+  };
+  Send(routing::RequestKind::kNonIdempotent, 1);
+  RunUntilDone();
+  EXPECT_EQ(sink_.complete, true);
+  EXPECT_TRUE(sink_.text == own);
+}
+
 // A body may be about HTTP.
 TEST_F(StreamContinuationTest, StatusLineInBodyIsDelivered) {
   const std::string body = "Send HTTP/1.1 200 OK\r\nAge: 1\r\n\r\n and stop.";
