Create the parser of a call when its method is known

Seen: a HEAD call of a sidecar to a plain service counts as broken. Cause: the parser was created before the request was stored, so that it waited for the body that the length announces. Evidence: AResponseToHeadHasNoBody (failed before).

--- a/libraries/http/http_caller.cc
+++ b/libraries/http/http_caller.cc
@@ -28,7 +28,7 @@
 
 // Those below are of interim responses.
 constexpr int kFirstFinalStatus = 200;
-// Of all heads of a call, interim ones too, and of the trailers.
+// Of all heads of a call, interim ones too.
 constexpr std::size_t kMaxHeadBytes = 64 << 10;
 constexpr http1::ParseLimits kLimits{.head_bytes = kMaxHeadBytes,
                                      .body_bytes = std::uint64_t{1} << 40,
@@ -208,9 +208,9 @@
   auto call = std::make_unique<Call>();
   call->id = id;
   call->caller = this;
-  call->CreateParser();
   call->request = std::move(request);
   call->on_response = std::move(on_response);
+  call->CreateParser();
   call->SetOptions();
   call->silence.setSingleShot(true);
   call->silence.setInterval(call->request.silence_limit);
--- a/tests/libraries/backend/backend_client_test.cc
+++ b/tests/libraries/backend/backend_client_test.cc
@@ -249,6 +249,19 @@
   EXPECT_EQ(Wait(), ClientEvent::kBroken);
 }
 
+// Guards against waiting for the body of a response that has none.
+TEST_F(BackendClientTest, AResponseToHeadHasNoBody) {
+  FixedServer server("HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n", true);
+  CreateClient(server.url());
+  execution::WorkItem work = execution::Call();
+  work.method = "HEAD";
+  work.path = "/release";
+  client_->StartCall(1, "s", work);
+  EXPECT_EQ(Wait(), ClientEvent::kCompleted);
+  EXPECT_EQ(outcome_.http_status, 200);
+  EXPECT_EQ(outcome_.body, "");
+}
+
 TEST_F(BackendClientTest, ATruncatedResponseIsABrokenCall) {
   FixedServer server("HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\npart",
                      true);
