Send long texts between gateways as changes that resume, limited by progress

Cause: a gateway that does not watch the store fetched all changes in one response, with the whole configuration in it, and gave up after a fixed second whatever had arrived. Nothing of it was kept, the next fetch began from nothing, all of them loaded the links that they were short of, and nothing kept a gateway from serving twenty at once.

Why this works: the limit of a long response grows with what has arrived (net::ProgressLimit), for peers and for the store. A long text crosses by itself (TextExchange), as the change since the text that the receiver has or the whole, compressed (revisions::RevisionedText, as between the product's entries); what arrived of a response that ended is kept and another peer goes on from there; a gateway sends texts with half of its link and refers others to its peers; and short changes no longer wait for a long one. A gateway that has lacked what its peers have for a second asks the store itself. One that knows of a newer configuration answers 503 where it would say 404 or 401, and after two seconds, if most gateways have it, takes no requests. Gateways of the version before still get whole texts, and may send them.

--- a/libraries/explanation/cause.cc
+++ b/libraries/explanation/cause.cc
@@ -45,6 +45,11 @@
       {"no_configuration",
        "the process had just started and had no configuration "
        "yet"},
+      {"newer_configuration",
+       "its route or key was unknown, but a newer configuration was on its way "
+       "from another gateway"},
+      {"outdated_configuration",
+       "the process still lacked a configuration that most gateways had"},
       {"stopping",
        "the process was stopping and would have exited before the "
        "request's deadline"},
--- a/libraries/gossip/change_set.cc
+++ b/libraries/gossip/change_set.cc
@@ -1,5 +1,6 @@
-// Encoded as an array of the revision, the changes, and whether they are a
-// snapshot. A change that deletes its key has no value.
+// Encoded as an array of the revision, the changes, whether they are a
+// snapshot, and the references to long texts if there are any. A change that
+// deletes its key has no value.
 #include "libraries/gossip/change_set.h"
 
 #include <nlohmann/json.hpp>
@@ -19,10 +20,17 @@
     if (entry.value.has_value()) item.push_back(*entry.value);
     changes.push_back(std::move(item));
   }
+  json message = json::array(
+      {change_set.revision, std::move(changes), change_set.is_snapshot});
+  if (!change_set.texts.empty()) {
+    json texts = json::array();
+    for (const TextReference& text : change_set.texts) {
+      texts.push_back(json::array({text.key, text.revision}));
+    }
+    message.push_back(std::move(texts));
+  }
   std::string bytes;
-  json::to_cbor(json::array({change_set.revision, std::move(changes),
-                             change_set.is_snapshot}),
-                bytes);
+  json::to_cbor(message, bytes);
   return bytes;
 }
 
@@ -38,6 +46,12 @@
       if (item.size() > 2) entry.value = item.at(2).get<std::string>();
       change_set.changes.push_back(std::move(entry));
     }
+    if (message.size() > 3) {
+      for (const json& item : message.at(3)) {
+        change_set.texts.push_back(
+            {item.at(0).get<std::string>(), item.at(1).get<std::uint64_t>()});
+      }
+    }
     return change_set;
   } catch (const json::exception& error) {
     return Fail(ResultCode::kInvalidPeerMessage, error.what());
--- a/libraries/gossip/send_rate_limiter.h
+++ b/libraries/gossip/send_rate_limiter.h
@@ -32,10 +32,14 @@
     available_bytes_ -= static_cast<double>(bytes);
   }
 
-  // Consumes the bytes of one message if it may be sent now.
+  // Consumes the bytes of one message if it may be sent now. A message larger
+  // than the largest burst may be sent when nothing was sent for a while.
   bool TryConsume(std::size_t bytes, BootTime now) {
     Refill(now);
-    if (available_bytes_ < static_cast<double>(bytes)) return false;
+    if (available_bytes_ <
+        std::min(static_cast<double>(bytes), bytes_per_second_)) {
+      return false;
+    }
     available_bytes_ -= static_cast<double>(bytes);
     return true;
   }
--- a/libraries/revisions/revisioned_map.cc
+++ b/libraries/revisions/revisioned_map.cc
@@ -67,6 +67,11 @@
   return &*found->second.value;
 }
 
+std::uint64_t RevisionedMap::RevisionOf(std::string_view key) const {
+  const auto found = entries_.find(key);
+  return found == entries_.end() ? 0 : found->second.revision;
+}
+
 void RevisionedMap::AdvanceTo(std::uint64_t revision) {
   revision_ = std::max(revision_, revision);
 }
--- a/libraries/revisions/revisioned_map.h
+++ b/libraries/revisions/revisioned_map.h
@@ -48,6 +48,9 @@
   std::vector<RevisionedEntry> LiveEntries() const;
   // Returns null if the key is unknown or deleted.
   const std::string* Find(std::string_view key) const;
+  // Returns the revision of the last change of the key, also if that deleted
+  // it; zero if the key is unknown.
+  std::uint64_t RevisionOf(std::string_view key) const;
   // All changes up to this revision are known, so that a watch or a peer can go
   // on from here. Some later ones may be known, too.
   std::uint64_t revision() const { return revision_; }
--- a/libraries/revisions/revisioned_text.cc
+++ b/libraries/revisions/revisioned_text.cc
@@ -10,11 +10,9 @@
 namespace balsam::revisions {
 namespace {
 
-// Peers that request a delta are a few revisions behind at most; a peer with an
-// older revision gets the full text.
-constexpr std::size_t kRetainedRevisions = 8;
 // The window holds both base and text.
-constexpr int kWindowLog = 22;
+constexpr int kWindowLog = 23;
+static_assert(std::size_t{1} << kWindowLog >= 2 * kMaxTextBytes);
 
 leaf::error_id InvalidDelta(const std::string& reason) {
   return Fail(ResultCode::kInvalidPeerMessage, "invalid text delta: " + reason);
@@ -63,7 +61,7 @@
   const std::lock_guard lock(mutex_);
   if (revision <= NewestRevision()) return;
   revisions_.push_back({revision, std::move(text)});
-  if (revisions_.size() > kRetainedRevisions) revisions_.pop_front();
+  if (revisions_.size() > retained_) revisions_.pop_front();
   delta_cache_.clear();
 }
 
@@ -94,6 +92,14 @@
   return delta;
 }
 
+void RevisionedText::KeepReceivedDelta(std::uint64_t revision,
+                                       const TextDelta& delta) {
+  const std::lock_guard lock(mutex_);
+  const bool is_usable = revision == NewestRevision() &&
+                         (delta.base == 0 || Find(delta.base) != nullptr);
+  if (is_usable) delta_cache_.try_emplace(delta.base, delta);
+}
+
 Result<std::string> RevisionedText::Read(const TextDelta& delta) const {
   if (delta.base == 0) return DecompressDelta({}, delta.frame);
   const std::lock_guard lock(mutex_);
--- a/libraries/revisions/revisioned_text.h
+++ b/libraries/revisions/revisioned_text.h
@@ -16,7 +16,7 @@
 namespace balsam::revisions {
 
 // Maximum length of a published text; longer frames are not decompressed.
-inline constexpr std::size_t kMaxTextBytes = 2U << 20;
+inline constexpr std::size_t kMaxTextBytes = 4U << 20;
 
 struct TextDelta {
   // The revision whose text is the dictionary of the frame; zero if the frame
@@ -38,6 +38,14 @@
 // Thread-safe.
 class RevisionedText {
  public:
+  // Peers that request a delta are a few revisions behind at most; a peer with
+  // a revision that is not retained gets the full text.
+  static constexpr std::size_t kDefaultRetained = 8;
+
+  // `retained`: how many revisions are kept, the current one included.
+  explicit RevisionedText(std::size_t retained = kDefaultRetained)
+      : retained_(retained) {}
+
   // Sets the current text; ignored if the revision is not higher.
   void SetCurrent(std::uint64_t revision, std::string text);
   std::uint64_t revision() const;
@@ -45,6 +53,9 @@
   // Returns the delta from a peer's revision to the current one; empty if the
   // peer is up to date.
   TextDelta DeltaFrom(std::uint64_t known_revision) const;
+  // Keeps a delta to the current revision that was received from a peer, so
+  // that it is passed on without being computed again.
+  void KeepReceivedDelta(std::uint64_t revision, const TextDelta& delta);
   // Returns the text of a delta received from a peer. Fails with
   // kInvalidPeerMessage if its base is not retained here or does not match the
   // frame.
@@ -60,6 +71,7 @@
 
   std::uint64_t NewestRevision() const;
 
+  std::size_t retained_;
   mutable std::mutex mutex_;
   // The last few revisions in ascending order; the current one is at the back.
   std::deque<Revision> revisions_;
--- a/services/gateway/admission.cc
+++ b/services/gateway/admission.cc
@@ -23,6 +23,8 @@
 // Retry delay while no configuration is known: reading the store takes some
 // milliseconds.
 constexpr milliseconds kUnconfiguredRetry{500};
+// Retry delay while a newer configuration is on its way from a peer.
+constexpr milliseconds kNewerConfigurationRetry{200};
 // Gateways to a data centre, on average, from which on a client's retry most
 // likely reaches another one, to which the load balancer forwards it.
 constexpr std::size_t kGatewaysToReachAnother = 2;
@@ -113,16 +115,26 @@
   if (context.routes == nullptr) {
     return Rejection{503, "no_configuration", kUnconfiguredRetry};
   }
+  if (context.configuration_state == ConfigurationState::kOutdated) {
+    return Rejection{503, "outdated_configuration", kNewerConfigurationRetry};
+  }
+  // What this configuration lacks, the newer one may have.
+  const bool newer_exists =
+      context.configuration_state == ConfigurationState::kNewerExists;
+  const Rejection newer_decides{503, "newer_configuration",
+                                kNewerConfigurationRetry};
   AdmittedRequest request;
   request.routes = context.routes;
   request.route = request.routes->FindRoute(metadata.host, head.Path());
-  if (request.route == nullptr) return Rejection{404, "no_route", {}};
+  if (request.route == nullptr) {
+    return newer_exists ? newer_decides : Rejection{404, "no_route", {}};
+  }
   if (request.routes->has_workspaces()) {
     if (!metadata.key.empty()) {
       request.workspace = request.routes->FindWorkspace(metadata.key);
     }
     if (!request.route->is_public && request.workspace == nullptr) {
-      return Rejection{401, "unknown_key", {}};
+      return newer_exists ? newer_decides : Rejection{401, "unknown_key", {}};
     }
   }
   request.service = request.routes->FindService(
--- a/services/gateway/gateway_context.h
+++ b/services/gateway/gateway_context.h
@@ -61,6 +61,15 @@
 
 using PermitCallback = std::function<void(bool is_granted)>;
 
+enum class ConfigurationState {
+  // No newer one is known to exist.
+  kNewest,
+  // Peers have a newer one, which is being fetched.
+  kNewerExists,
+  // The same, and most of them have had it for too long.
+  kOutdated,
+};
+
 struct GatewayContext {
   GatewayContext(const Dialect& dialect, ConnectionPool::Limits pool_limits,
                  retry::SharedRetryBudget::Limits retry_limits,
@@ -100,6 +109,7 @@
   telemetry::RequestMetrics metrics{"gateway", kMaxMetricLabels};
   // Null until a configuration is known.
   std::shared_ptr<const routing::RouteTable> routes;
+  ConfigurationState configuration_state = ConfigurationState::kNewest;
   directory::BackendDirectory directory;
   dispatch::ServerSelector selector;
   // The limits that servers name, as received here or by peers, and the rates
--- a/services/gateway/gateway_node.cc
+++ b/services/gateway/gateway_node.cc
@@ -1,6 +1,7 @@
 // Process-wide logic of the gateway.
 #include "services/gateway/gateway_node.h"
 
+#include <algorithm>
 #include <random>
 #include <utility>
 
@@ -17,6 +18,9 @@
 // of servers: two per urgent report (ReportPoller::Limits).
 constexpr milliseconds kDirectoryRefreshInterval{125};
 constexpr char kMetricsPath[] = "/metrics";
+// A gateway that has waited for a newer configuration for this long takes no
+// requests while most others have it.
+constexpr milliseconds kMaxConfigurationLag{2000};
 // How long a leaving report holds if it is not repeated.
 constexpr milliseconds kLeavingReportLifetime{5000};
 // How long engines are polled more often after one reported what the store had
@@ -47,8 +51,9 @@
         }
         return HttpResponse{200, "text/plain; version=0.0.4", CollectMetrics()};
       }),
-      peers_({settings_.ip, settings_.peers, settings_.gossip_port}, context_,
-             replica_, RandomNumber()) {
+      peers_({settings_.ip, settings_.peers, settings_.gossip_port,
+              settings_.link_bytes_per_second},
+             context_, replica_, RandomNumber()) {
   context_.data_center = settings_.data_center;
   context_.data_centers = settings_.data_centers;
   context_.client_account.SetLimits(
@@ -178,7 +183,8 @@
 }
 
 bool GatewayNode::IsReady() const {
-  return !context_.stop.has_value() && context_.routes != nullptr;
+  return !context_.stop.has_value() && context_.routes != nullptr &&
+         context_.configuration_state != ConfigurationState::kOutdated;
 }
 
 void GatewayNode::OnClient(int descriptor) {
@@ -347,8 +353,32 @@
   });
 }
 
+void GatewayNode::UpdateConfigurationState(BootTime now) {
+  const auto& texts = peers_.newer_texts();
+  const auto newer = std::ranges::find_if(texts, [this](const auto& item) {
+    return context_.dialect.IsConfigurationKey(item.first);
+  });
+  ConfigurationState state = ConfigurationState::kNewest;
+  if (newer != texts.end()) {
+    const bool is_outdated = now - newer->second > kMaxConfigurationLag &&
+                             peers_.MostPeersAreAhead();
+    state = is_outdated ? ConfigurationState::kOutdated
+                        : ConfigurationState::kNewerExists;
+  }
+  const ConfigurationState before =
+      std::exchange(context_.configuration_state, state);
+  if ((state == ConfigurationState::kOutdated) ==
+      (before == ConfigurationState::kOutdated)) {
+    return;
+  }
+  LogEvent("configuration_outdated", LogEvent::Level::kWarning)
+      .With("outdated", state == ConfigurationState::kOutdated ? 1 : 0)
+      .With("lag", peers_.Lag(now));
+}
+
 void GatewayNode::OnTick() {
   const BootTime now = BootClock::now();
+  UpdateConfigurationState(now);
   if (now - refreshed_at_ >= kDirectoryRefreshInterval) RefreshDirectory(now);
   DispatchWaiting();
   context_.pool.CloseExpired(now);
--- a/services/gateway/gateway_node.h
+++ b/services/gateway/gateway_node.h
@@ -130,6 +130,8 @@
   std::string CollectMetrics();
   void ListenForMetrics();
 
+  // Whether peers have a newer configuration, and for how long.
+  void UpdateConfigurationState(BootTime now);
   void OnTick();
   // Periodic work on every server that does not need a short interval.
   void RefreshDirectory(BootTime now);
--- a/services/gateway/gateway_node_store.cc
+++ b/services/gateway/gateway_node_store.cc
@@ -28,6 +28,11 @@
 // Well within the time in which a configuration must take effect (platform: 2 s
 // and more), and a small part of an engine's leave notice.
 constexpr milliseconds kMaxWatchDelay{200};
+// A gateway that has lacked what peers have for this long asks the store
+// itself, since they serve it too slowly. Not all gateways do at the same
+// moment.
+constexpr milliseconds kMaxPeerLag{1000};
+constexpr milliseconds kPeerLagPerGateway{10};
 // The entry of a server has some hundred bytes. A longer one is not one, and
 // peers would be sent it each time that they lack a change.
 constexpr std::size_t kMaxServerEntryBytes = 64 << 10;
@@ -116,9 +121,13 @@
 }
 
 bool GatewayNode::ShouldWatchStore() {
+  const BootTime now = BootClock::now();
+  const auto max_lag =
+      kMaxPeerLag + kPeerLagPerGateway * static_cast<std::int64_t>(
+                                             peers_.HigherRankedGateways());
+  if (peers_.Lag(now) > max_lag) return true;
   return watcher_selection_.ShouldWatch(peers_.HigherRankedWatchers(),
-                                        peers_.HigherRankedGateways(),
-                                        BootClock::now());
+                                        peers_.HigherRankedGateways(), now);
 }
 
 bool GatewayNode::ReachesStore() const {
@@ -131,6 +140,7 @@
 }
 
 void GatewayNode::OnEntry(const RevisionedEntry& entry, bool is_restored) {
+  if (TextExchange::IsLong(entry)) peers_.OnText(entry.key);
   if (context_.dialect.IsConfigurationKey(entry.key)) {
     if (entry.value.has_value()) OnConfiguration(*entry.value);
     return;
--- a/services/gateway/gateway_settings.h
+++ b/services/gateway/gateway_settings.h
@@ -34,6 +34,8 @@
   std::chrono::milliseconds stop_grace{8000};
   // Memory of the process's machine, in bytes.
   std::size_t memory_bytes = std::size_t{512} << 20;
+  // What the machine's link carries, in bytes a second.
+  double link_bytes_per_second = 125e6;
   // Number of sockets that the process may open.
   std::size_t sockets = 16'000;
   // Retry budget, shared by all gateways.
--- a/services/gateway/outbound_connection.cc
+++ b/services/gateway/outbound_connection.cc
@@ -51,7 +51,7 @@
   stream_.SetWritesAfterPeerClose(true);
   response_timer_.setSingleShot(true);
   connect(&response_timer_, &QTimer::timeout, this,
-          [this] { Finish(EndReason::kTimedOut); });
+          &OutboundConnection::OnResponseTimeout);
 }
 
 OutboundConnection::~OutboundConnection() { stream_.Abort(); }
@@ -63,6 +63,8 @@
   head_reported_ = false;
   interim_responses_ = 0;
   written_ = false;
+  progress_.reset();
+  if (bulk_limits_.has_value()) progress_.emplace(*bulk_limits_);
   if (request_->response_timeout.has_value()) {
     response_timer_.start(*request_->response_timeout);
   }
@@ -93,7 +95,9 @@
   };
   request.on_body = [this, response](std::string_view body) {
     response->body += body;
-    if (response->body.size() > max_call_response_) Finish(EndReason::kBroken);
+    const std::size_t limit =
+        bulk_limits_.has_value() ? kMaxBulkResponse : kMaxCallResponse;
+    if (response->body.size() > limit) Finish(EndReason::kBroken);
   };
   request.on_end = [response,
                     on_response = std::move(on_response)](EndReason end) {
@@ -125,10 +129,24 @@
     ReportIdleClosed();
     return;
   }
+  if (progress_.has_value()) {
+    const BootTime now = BootClock::now();
+    progress_->OnBytes(bytes.size(), now);
+    response_timer_.start(progress_->TimeLeft(now));
+  }
   input_ += bytes;
   Parse();
 }
 
+void OutboundConnection::OnResponseTimeout() {
+  // While this process was busy or suspended, bytes may have arrived in time.
+  if (progress_.has_value() && stream_.connected() && stream_.HasUnread()) {
+    response_timer_.start(std::chrono::milliseconds(0));
+    return;
+  }
+  Finish(EndReason::kTimedOut);
+}
+
 void OutboundConnection::Parse() {
   const QPointer<OutboundConnection> self(this);
   const std::shared_ptr<Request> request = request_;
--- a/services/gateway/outbound_connection.h
+++ b/services/gateway/outbound_connection.h
@@ -13,6 +13,7 @@
 
 #include "libraries/directory/backend_directory.h"
 #include "libraries/http1/message_parser.h"
+#include "libraries/net/progress_limit.h"
 #include "libraries/net/tcp_stream.h"
 
 namespace balsam::gateway {
@@ -30,7 +31,8 @@
     kClosedWithoutResponse,
     // The connection ended within the response, or invalid bytes arrived.
     kBroken,
-    // The response was not complete within the request's `response_timeout`.
+    // The response was not complete within the request's `response_timeout`, or
+    // a bulk response made too little progress.
     kTimedOut,
   };
 
@@ -91,13 +93,19 @@
   void Send(Request request);
   // Sends a request without an id and returns its response as a whole. A
   // response that names a request, or is too long, counts as broken.
-  // `on_response` is called once, unless the call is aborted.
+  // `on_response` is called once, unless the call is aborted. With bulk limits,
+  // `response_timeout` is that of the first byte.
   void Call(std::string bytes, std::chrono::milliseconds response_timeout,
             std::function<void(const Response&)> on_response);
   // Ends the request in progress without a callback and closes the connection.
   void Abort();
-  // Allows responses of up to `kMaxBulkResponse` bytes to calls.
-  void AllowBulkResponses() { max_call_response_ = kMaxBulkResponse; }
+  // Ends the request in progress as timed out.
+  void GiveUp() { Finish(EndReason::kTimedOut); }
+  // Allows responses of up to `kMaxBulkResponse` bytes to calls, which may take
+  // as long as they make progress.
+  void AllowBulkResponses(net::ProgressLimit::Limits limits) {
+    bulk_limits_ = limits;
+  }
   // While paused, no more of the response is read. Its end resumes reading.
   void SetPaused(bool paused);
 
@@ -137,6 +145,7 @@
   void OnClosed(net::CloseReason reason);
   void WriteRequest();
   void Parse();
+  void OnResponseTimeout();
   void Finish(EndReason end);
   void ReportIdleClosed();
 
@@ -152,7 +161,9 @@
   // Received and not yet parsed.
   std::string input_;
   bool head_reported_ = false;
-  std::size_t max_call_response_ = kMaxCallResponse;
+  std::optional<net::ProgressLimit::Limits> bulk_limits_;
+  // Of the response in progress; unset if it is limited as a whole.
+  std::optional<net::ProgressLimit> progress_;
   // Number of interim responses to this request.
   int interim_responses_ = 0;
   bool written_ = false;
--- a/services/gateway/peer_exchange.cc
+++ b/services/gateway/peer_exchange.cc
@@ -10,6 +10,7 @@
 
 #include "libraries/base/log_event.h"
 #include "libraries/gossip/change_set.h"
+#include "libraries/revisions/revision.h"
 
 namespace balsam::gateway {
 namespace {
@@ -28,8 +29,14 @@
 // A leaving server is announced to the other gateways until this much time has
 // passed since its last report.
 constexpr milliseconds kLeavingAnnounceTime{1000};
-// A peer that does not respond within this time is given up for another one.
+// A peer that does not begin to respond within this time is given up for
+// another one.
 constexpr milliseconds kFetchTimeout{1000};
+// What follows may take as long as it makes progress.
+constexpr net::ProgressLimit::Limits kFetchProgress{milliseconds(1000),
+                                                    32 << 10};
+// Part of the link that texts for peers may take; the rest is the clients'.
+constexpr double kTextShareOfLink = 0.5;
 // Connect timeout of a fetch: gateways are milliseconds apart, and another peer
 // is used instead of one that does not respond.
 constexpr milliseconds kFetchConnectTimeout{200};
@@ -41,6 +48,10 @@
 constexpr std::size_t kMaxStatements = 8;
 constexpr std::string_view kChangesTarget = "/changes?after=";
 constexpr std::string_view kListTarget = "/gateways";
+// A field of a request for changes: the receiver fetches long texts by itself.
+// Gateways of earlier versions do not send it and get whole texts.
+constexpr char kLongTexts[] = "Long-Texts";
+constexpr char kByReference[] = "reference";
 // Key by which gateways are ranked for watching the store.
 constexpr std::string_view kWatcherRank = "store";
 
@@ -70,8 +81,22 @@
                  digest_rate_limiter_.Consume(bytes.size(), BootClock::now());
                  Send(ip, bytes);
                }),
+      texts_(identity_.changes.port,
+             {.sent_bytes_per_second =
+                  kTextShareOfLink * identity_.link_bytes_per_second},
+             replica),
       // Zero denotes a peer from which no digest has been received.
       incarnation_(seed | 1) {
+  texts_.sources = [this](std::uint64_t revision) {
+    std::vector<std::string> peers = PeersWith(revision);
+    std::ranges::shuffle(peers, context_.random);
+    return peers;
+  };
+  texts_.on_text = [this](const revisions::RevisionedEntry& entry) {
+    on_changes({entry}, 0);
+    OnText(entry.key);
+    ApplyWaitingSet();
+  };
   connect(&socket_, &QUdpSocket::readyRead, this, &PeerExchange::OnDatagrams);
   connect(&digest_timer_, &QTimer::timeout, this, &PeerExchange::OnGossipRound);
   evidence_timer_.setSingleShot(true);
@@ -117,7 +142,46 @@
   return peers_.CountPeersRankedBefore(kWatcherRank);
 }
 
+void PeerExchange::OnText(const std::string& key) {
+  texts_.Keep(key);
+  DropKnownTexts();
+}
+
+void PeerExchange::DropKnownTexts() {
+  texts_.DropKnown();
+  std::erase_if(newer_texts_, [this](const auto& item) {
+    return !texts_.IsFetching(item.first);
+  });
+}
+
+milliseconds PeerExchange::Lag(BootTime now) const {
+  if (replica_.revision() >= lacking_revision_) return milliseconds(0);
+  return std::chrono::duration_cast<milliseconds>(now - lacking_since_);
+}
+
+bool PeerExchange::MostPeersAreAhead() const {
+  const std::size_t gateways = peers_.AlivePeers().size() + 1;
+  return replica_.revision() < lacking_revision_ &&
+         2 * PeersWith(lacking_revision_).size() >= gateways;
+}
+
+std::vector<std::string> PeerExchange::PeersWith(std::uint64_t revision) const {
+  std::vector<std::string> peers;
+  for (const auto& [ip, announced] : peer_revisions_) {
+    if (announced >= revision && peers_.IsAlive(ip)) peers.push_back(ip);
+  }
+  return peers;
+}
+
+void PeerExchange::OnNewerRevision(std::uint64_t revision) {
+  if (replica_.revision() < lacking_revision_) return;
+  lacking_revision_ = revision;
+  lacking_since_ = BootClock::now();
+}
+
 void PeerExchange::AnnounceRevision() {
+  DropKnownTexts();
+  ApplyWaitingSet();
   SendDigest(peers_.SelectAliveTargets(kAnnounceFanout), false);
 }
 
@@ -151,6 +215,7 @@
         .With("peer", ip)
         .With("alive", peers_.AlivePeers().size());
     loads_.ForgetPeer(ip);
+    peer_revisions_.erase(ip);
   }
   loads_.OnGossipRound();
   permits_.OnGossipRound();
@@ -237,7 +302,16 @@
     if (change.is_news) on_evidence(change, ip);
   }
   if (digest.reply_requested) SendDigest({ip}, false);
-  if (digest.revision > replica_.revision()) FetchChanges(ip);
+  std::uint64_t& announced = peer_revisions_[ip];
+  announced = event == gossip::PeerTable::PeerEvent::kNone
+                  ? std::max(announced, digest.revision)
+                  : digest.revision;
+  if (digest.revision <= replica_.revision()) return;
+  OnNewerRevision(digest.revision);
+  // What a set that waits for texts has need not be fetched again.
+  const bool is_waited_for =
+      waiting_set_.has_value() && digest.revision <= waiting_set_->revision;
+  if (!is_waited_for) FetchChanges(ip);
 }
 
 OutboundConnection* PeerExchange::Fetch(
@@ -246,11 +320,12 @@
     std::function<void()> on_end) {
   auto* connection = new OutboundConnection({ip, identity_.changes.port},
                                             {kFetchConnectTimeout}, this);
-  connection->AllowBulkResponses();
+  connection->AllowBulkResponses(kFetchProgress);
   http1::RequestHead head;
   head.method = "GET";
   head.target = target;
   head.fields.Add("Host", identity_.changes.ToString());
+  head.fields.Add(kLongTexts, kByReference);
   head.fields.Add("Connection", "close");
   connection->Call(
       http1::Serialize(head, {}), kFetchTimeout,
@@ -265,7 +340,8 @@
         }
         LogEvent("pull_failed", LogEvent::Level::kWarning)
             .With("peer", ip)
-            .With("end", OutboundConnection::NameOf(response.end));
+            .With("end", OutboundConnection::NameOf(response.end))
+            .With("bytes", response.body.size());
       });
   return connection;
 }
@@ -308,32 +384,79 @@
       [this, ip](const std::string& body) {
         HandleOrLog(ip, "changes_refused", [&]() -> Result<void> {
           BOOST_LEAF_AUTO(set, gossip::DecodeChangeSet(body));
-          OnChanges(ip, set);
+          OnChanges(ip, std::move(set));
           return {};
         });
       },
       [this] { changes_fetch_ = nullptr; });
 }
 
-void PeerExchange::OnChanges(const std::string& ip,
-                             const gossip::ChangeSet& set) {
+void PeerExchange::OnChanges(const std::string& ip, gossip::ChangeSet set) {
   LogEvent("changes_from_peer")
       .With("peer", ip)
       .With("changes", set.changes.size())
+      .With("texts", set.texts.size())
       .With("whole", set.is_snapshot ? 1 : 0)
       .With("revision", set.revision);
-  if (set.is_snapshot) {
-    on_snapshot(set.changes, set.revision);
-  } else {
+  if (HasTexts(set)) {
+    Apply(set);
+    return;
+  }
+  // The short changes take effect now. In a new era of the store, though, an
+  // entry does not mean what it meant before until all are known.
+  const bool is_same_era =
+      revisions::EraOf(set.revision) == revisions::EraOf(replica_.revision());
+  if (!set.is_snapshot || is_same_era || replica_.revision() == 0) {
+    on_changes(set.changes, 0);
+  }
+  const BootTime now = BootClock::now();
+  const std::vector<gossip::TextReference> texts = set.texts;
+  if (!waiting_set_.has_value() || waiting_set_->revision <= set.revision) {
+    waiting_set_ = std::move(set);
+  }
+  for (const gossip::TextReference& text : texts) {
+    if (replica_.RevisionOf(text.key) >= text.revision) continue;
+    newer_texts_.try_emplace(text.key, now);
+    texts_.Fetch(text, ip);
+  }
+}
+
+bool PeerExchange::HasTexts(const gossip::ChangeSet& set) const {
+  return std::ranges::all_of(set.texts, [this](const auto& text) {
+    return replica_.RevisionOf(text.key) >= text.revision;
+  });
+}
+
+void PeerExchange::Apply(const gossip::ChangeSet& set) {
+  if (!set.is_snapshot) {
     on_changes(set.changes, set.revision);
+    return;
+  }
+  std::vector<revisions::RevisionedEntry> entries = set.changes;
+  for (const gossip::TextReference& text : set.texts) {
+    const std::string* known = replica_.Find(text.key);
+    if (known == nullptr) continue;
+    entries.push_back({text.key, replica_.RevisionOf(text.key), *known});
   }
+  on_snapshot(entries, set.revision);
+}
+
+void PeerExchange::ApplyWaitingSet() {
+  if (!waiting_set_.has_value() || !HasTexts(*waiting_set_)) return;
+  const gossip::ChangeSet set = *std::exchange(waiting_set_, std::nullopt);
+  if (set.revision > replica_.revision()) Apply(set);
 }
 
-HttpResponse PeerExchange::ServeFetch(const http1::RequestHead& head) const {
+HttpResponse PeerExchange::ServeFetch(const http1::RequestHead& head) {
   if (head.target == kListTarget) {
     return {200, "application/cbor", gossip::Encode(peers_.PeerList())};
   }
-  if (!head.target.starts_with(kChangesTarget)) return {404, "text/plain", {}};
+  if (TextExchange::IsTarget(head.target)) return texts_.Serve(head);
+  if (head.target.starts_with(kChangesTarget)) return ServeChanges(head);
+  return {404, "text/plain", {}};
+}
+
+HttpResponse PeerExchange::ServeChanges(const http1::RequestHead& head) {
   const std::string_view number =
       std::string_view(head.target).substr(kChangesTarget.size());
   std::uint64_t after = 0;
@@ -347,6 +470,14 @@
   set.is_snapshot = !replica_.HasCompleteHistoryAfter(after);
   set.changes =
       set.is_snapshot ? replica_.LiveEntries() : replica_.ChangesAfter(after);
+  const std::string* long_texts = head.fields.Find(kLongTexts);
+  if (long_texts != nullptr && *long_texts == kByReference) {
+    std::erase_if(set.changes, [&](const revisions::RevisionedEntry& entry) {
+      if (!TextExchange::IsLong(entry)) return false;
+      set.texts.push_back({entry.key, entry.revision});
+      return true;
+    });
+  }
   return {200, "application/cbor", gossip::Encode(set)};
 }
 
--- a/services/gateway/peer_exchange.h
+++ b/services/gateway/peer_exchange.h
@@ -1,6 +1,7 @@
 // Communication between gateways: digests sent to some peers several times a
 // second, load updates as load changes, and changes of the configuration and
-// the directory sent to a peer that lacks them.
+// the directory sent to a peer that lacks them. Long texts are fetched by
+// themselves (TextExchange), and changes that need one wait for it.
 #pragma once
 
 #include <QTimer>
@@ -22,6 +23,7 @@
 #include "services/gateway/load_exchange.h"
 #include "services/gateway/permit_exchange.h"
 #include "services/gateway/simple_http_server.h"
+#include "services/gateway/text_exchange.h"
 
 namespace balsam::gateway {
 
@@ -36,6 +38,8 @@
     directory::Endpoint changes;
     // Where datagrams arrive; the same port on every VM.
     std::uint16_t gossip_port = 0;
+    // What the link carries, in bytes a second.
+    double link_bytes_per_second = 125e6;
   };
 
   // `context` and `replica` must outlive this.
@@ -64,6 +68,19 @@
   // The replica has a new revision: announces it to a few gateways, which
   // announce it to others.
   void AnnounceRevision();
+  // The replica has a new text of `key`.
+  void OnText(const std::string& key);
+  // How long peers have had changes that this gateway lacks; zero if it has all
+  // that it has heard of.
+  std::chrono::milliseconds Lag(BootTime now) const;
+  // The keys of which newer texts than the replica's are known to exist, and
+  // since when.
+  const std::map<std::string, BootTime>& newer_texts() const {
+    return newer_texts_;
+  }
+  // Whether at least half of the gateways that are alive, this one included,
+  // have every change that it lacks.
+  bool MostPeersAreAhead() const;
   // `GatewayContext::crash_ledger` has news: sends them to a few gateways,
   // which send them to others.
   void AnnounceEvidence();
@@ -114,6 +131,8 @@
   void FetchPeerList(const std::string& ip);
   // Fetches the changes that the replica lacks from `ip`.
   void FetchChanges(const std::string& ip);
+  // Records that a peer has changes that the replica lacks.
+  void OnNewerRevision(std::uint64_t revision);
   // Sends a request to a peer; `on_body` receives the body of a complete
   // response.
   OutboundConnection* Fetch(
@@ -125,8 +144,18 @@
   template <typename Handler>
   static void HandleOrLog(const std::string& ip, std::string_view error_event,
                           Handler&& handler);
-  void OnChanges(const std::string& ip, const gossip::ChangeSet& set);
-  HttpResponse ServeFetch(const http1::RequestHead& head) const;
+  void OnChanges(const std::string& ip, gossip::ChangeSet set);
+  // Applies a set whose texts the replica has.
+  void Apply(const gossip::ChangeSet& set);
+  // Applies `waiting_set_` if the replica has its texts.
+  void ApplyWaitingSet();
+  bool HasTexts(const gossip::ChangeSet& set) const;
+  // Ends the fetches of texts that the replica has.
+  void DropKnownTexts();
+  HttpResponse ServeFetch(const http1::RequestHead& head);
+  HttpResponse ServeChanges(const http1::RequestHead& head);
+  // Returns the peers that have announced at least this revision.
+  std::vector<std::string> PeersWith(std::uint64_t revision) const;
 
   struct LeavingAnnouncement {
     gossip::LeavingServer server;
@@ -145,6 +174,17 @@
   gossip::SendRateLimiter digest_rate_limiter_;
   LoadExchange loads_;
   PermitExchange permits_;
+  TextExchange texts_;
+  // The newest changes that wait for texts; their short ones are applied, but
+  // the replica's revision is not theirs yet.
+  std::optional<gossip::ChangeSet> waiting_set_;
+  std::map<std::string, BootTime> newer_texts_;
+  // The first revision that the replica lacks, as far as it has been announced,
+  // and since when; meaningless while the replica has it.
+  std::uint64_t lacking_revision_ = 0;
+  BootTime lacking_since_;
+  // The newest revision that each peer has announced.
+  std::map<std::string, std::uint64_t> peer_revisions_;
   std::uint64_t incarnation_;
   std::uint64_t sequence_ = 0;
   // Servers that reported to this gateway that they are leaving, and when they
--- a/tests/services/gateway/explanation_test.cc
+++ b/tests/services/gateway/explanation_test.cc
@@ -258,6 +258,31 @@
   EXPECT_EQ(Explain().name, "no_configuration");
 }
 
+// Guards against a refusal for good by a gateway that knows that it is behind
+// (review/10, DENIED).
+TEST_F(ExplanationTest, UnknownPathWhileNewerConfigurationExists) {
+  Offer(RequestKind::kNonIdempotent, 1);
+  context_.configuration_state = ConfigurationState::kNewerExists;
+  http1::RequestHead head;
+  head.method = "GET";
+  head.target = "/x";
+  head.fields.Add("Host", "elsewhere");
+  head.fields.Add("Request-Id", "r-1");
+  Exchange exchange(context_, sink_, std::move(head), "", BootClock::now());
+  exchange.Start();
+  RunUntilDone();
+  EXPECT_EQ(Explain().name, "newer_configuration");
+  EXPECT_EQ(sink_.status, 503);
+}
+
+TEST_F(ExplanationTest, OutdatedConfiguration) {
+  Offer(RequestKind::kNonIdempotent, 1);
+  context_.configuration_state = ConfigurationState::kOutdated;
+  SendRequest();
+  RunUntilDone();
+  EXPECT_EQ(Explain().name, "outdated_configuration");
+}
+
 TEST_F(ExplanationTest, UnknownPath) {
   Offer(RequestKind::kNonIdempotent, 1);
   http1::RequestHead head;
--- a/tests/services/gateway/peer_exchange_test.cc
+++ b/tests/services/gateway/peer_exchange_test.cc
@@ -4,6 +4,8 @@
 #include <gtest/gtest.h>
 
 #include <QCoreApplication>
+#include <QTcpServer>
+#include <QTcpSocket>
 #include <map>
 #include <memory>
 #include <set>
@@ -21,7 +23,8 @@
 // One of the two gateways.
 struct Gateway {
   Gateway(const std::string& ip, std::uint16_t changes, std::uint16_t gossip)
-      : context(dialect, {}, {0.2, 50.0, milliseconds(10000)}, 1),
+      : ip(ip),
+        context(dialect, {}, {0.2, 50.0, milliseconds(10000)}, 1),
         exchange({ip, {ip, changes}, gossip}, context, replica,
                  std::hash<std::string>()(ip)) {
     exchange.reaches_store = [this] { return reaches_store; };
@@ -34,13 +37,17 @@
     };
     exchange.on_changes = [this](const auto& changes, std::uint64_t revision) {
       for (const RevisionedEntry& entry : changes) replica.Apply(entry);
+      if (revision <= replica.revision()) return;
       replica.AdvanceTo(revision);
+      exchange.AnnounceRevision();
     };
     exchange.on_snapshot = [this](const auto& entries, std::uint64_t revision) {
       replica.ApplySnapshot({}, entries, revision);
+      exchange.AnnounceRevision();
     };
   }
 
+  std::string ip;
   platform::WireDialect dialect;
   GatewayContext context;
   revisions::RevisionedMap replica;
@@ -57,8 +64,8 @@
   }
 
   bool StartBoth() {
-    const std::uint16_t changes = FreePort();
-    const std::uint16_t gossip = FreePort();
+    const std::uint16_t changes = changes_port_ = FreePort();
+    const std::uint16_t gossip = gossip_port_ = FreePort();
     first_ = std::make_unique<Gateway>("127.0.0.1", changes, gossip);
     second_ = std::make_unique<Gateway>("127.0.0.2", changes, gossip);
     if (Start(*first_) && Start(*second_)) return true;
@@ -82,6 +89,8 @@
     }));
   }
 
+  std::uint16_t changes_port_ = 0;
+  std::uint16_t gossip_port_ = 0;
   std::unique_ptr<Gateway> first_;
   std::unique_ptr<Gateway> second_;
 };
@@ -120,6 +129,127 @@
   EXPECT_NE(second_->replica.Find("kept"), nullptr);
 }
 
+// A configuration of a megabyte.
+const std::string kLongText(1 << 20, 'x');
+
+TEST_F(PeerExchangeTest, FetchesLongTextWithChanges) {
+  first_->replica.Apply({"k", 7, "value"});
+  first_->replica.Apply({"op/config", 8, kLongText});
+  first_->replica.AdvanceTo(8);
+  RunUntilChangesArrive();
+  ASSERT_NE(second_->replica.Find("op/config"), nullptr);
+  EXPECT_TRUE(*second_->replica.Find("op/config") == kLongText);
+  EXPECT_NE(second_->replica.Find("k"), nullptr);
+  EXPECT_TRUE(second_->exchange.newer_texts().empty());
+  EXPECT_EQ(second_->exchange.Lag(BootClock::now()), milliseconds(0));
+}
+
+TEST_F(PeerExchangeTest, FetchesLongTextOfSnapshot) {
+  second_->replica.Apply({"left", 5, "server"});
+  second_->replica.AdvanceTo(8);
+  first_->replica.ApplySnapshot({}, {{"op/config", 9, kLongText}}, 10);
+  RunUntilChangesArrive();
+  ASSERT_NE(second_->replica.Find("op/config"), nullptr);
+  EXPECT_EQ(second_->replica.Find("left"), nullptr);
+}
+
+// Responds to all requests for changes, as a gateway of another version or one
+// that is too slow.
+class ScriptedPeer : public QObject {
+ public:
+  // Announces `set` to the gateway, from an address of its own.
+  bool Start(const Gateway& gateway, std::uint16_t changes,
+             std::uint16_t gossip, gossip::ChangeSet set) {
+    const QHostAddress address("127.0.0.3");
+    QObject::connect(&server_, &QTcpServer::newConnection, this, [this] {
+      QTcpSocket* socket = server_.nextPendingConnection();
+      QObject::connect(socket, &QTcpSocket::readyRead, this, [this, socket] {
+        const std::string head = socket->readAll().toStdString();
+        targets.push_back(head.substr(0, head.find("\r\n")));
+        if (head.find("/changes") == std::string::npos) return;
+        const std::string text = "HTTP/1.1 200 OK\r\nContent-Length: " +
+                                 std::to_string(bytes_.size()) + "\r\n\r\n" +
+                                 bytes_;
+        socket->write(text.data(), static_cast<qint64>(text.size()));
+      });
+    });
+    bytes_ = gossip::Encode(set);
+    if (!server_.listen(address, changes) || !socket_.bind(address, gossip)) {
+      return false;
+    }
+    gossip::Digest digest;
+    digest.incarnation = 1;
+    digest.sequence = 1;
+    digest.state_version = 1;
+    digest.revision = set.revision;
+    const std::string message = gossip::Encode(digest);
+    socket_.writeDatagram(message.data(), static_cast<qint64>(message.size()),
+                          QHostAddress(QString::fromStdString(gateway.ip)),
+                          gossip);
+    return true;
+  }
+
+  std::vector<std::string> targets;
+
+ private:
+  QTcpServer server_;
+  QUdpSocket socket_;
+  std::string bytes_;
+};
+
+// Guards against a server that leaves while a long text is on its way: nothing
+// was known of it until the text had arrived.
+TEST_F(PeerExchangeTest, ShortChangesDoNotWaitForLongText) {
+  second_->replica.Apply({"left", 5, "server"});
+  second_->replica.AdvanceTo(8);
+  ScriptedPeer peer;
+  ASSERT_TRUE(peer.Start(
+      *second_, changes_port_, gossip_port_,
+      {12, {{"left", 11, std::nullopt}}, false, {{"op/config", 12}}}));
+  ASSERT_TRUE(
+      RunUntil([this] { return second_->replica.Find("left") == nullptr; }));
+  // Not all changes up to there are known.
+  EXPECT_EQ(second_->replica.revision(), 8U);
+  EXPECT_TRUE(second_->exchange.newer_texts().contains("op/config"));
+  EXPECT_GT(second_->exchange.Lag(BootClock::now() + milliseconds(1)),
+            milliseconds(0));
+  // The store has it, too.
+  second_->replica.Apply({"op/config", 12, kLongText});
+  second_->replica.AdvanceTo(12);
+  second_->exchange.AnnounceRevision();
+  EXPECT_TRUE(second_->exchange.newer_texts().empty());
+  EXPECT_EQ(second_->exchange.Lag(BootClock::now()), milliseconds(0));
+}
+
+// A gateway of an earlier version, during a rolling restart.
+TEST_F(PeerExchangeTest, WholeTextAmongChangesIsApplied) {
+  ScriptedPeer peer;
+  ASSERT_TRUE(peer.Start(*second_, changes_port_, gossip_port_,
+                         {12, {{"op/config", 12, kLongText}}, false, {}}));
+  ASSERT_TRUE(RunUntil([this] { return second_->replica.revision() == 12U; }));
+  EXPECT_TRUE(*second_->replica.Find("op/config") == kLongText);
+}
+
+TEST_F(PeerExchangeTest, EarlierVersionIsSentWholeText) {
+  first_->replica.Apply({"op/config", 8, kLongText});
+  first_->replica.AdvanceTo(8);
+  OutboundConnection connection({"127.0.0.1", changes_port_}, {kTestLimit},
+                                nullptr);
+  connection.AllowBulkResponses({});
+  std::string body;
+  connection.Call("GET /changes?after=0 HTTP/1.1\r\nHost: h\r\n\r\n",
+                  kTestLimit,
+                  [&](const OutboundConnection::Response& response) {
+                    body = response.body;
+                  });
+  ASSERT_TRUE(RunUntil([&] { return !body.empty(); }));
+  const auto set = TryOr([&] { return gossip::DecodeChangeSet(body); },
+                         [](const Error&) { return gossip::ChangeSet{}; });
+  ASSERT_EQ(set.changes.size(), 1U);
+  EXPECT_TRUE(set.changes[0].value == kLongText);
+  EXPECT_TRUE(set.texts.empty());
+}
+
 // Incident inc-3489: gateways that the store refused mistook the removal of an
 // engine, which their peers had seen while the store was available, for an
 // expired entry, and did not migrate its runs.
