Leave to peers what they have provided, and end transfers that trickle

A gateway that starts read everything from the store, 1.3 MB behind 10 Mbit/s, though its peers had sent it the same in some kilobytes; and one that watches read the rest of a long response for a text that it had by then. Both end such a response now and go on from what peers provided.

The product's watchers of values had a limit on silence only, which a service that trickles never reaches; they ask again below 32 KB/s, by the same limit as the gateways (net::ProgressLimit).

--- a/libraries/config_service/value_watcher.cc
+++ b/libraries/config_service/value_watcher.cc
@@ -18,6 +18,9 @@
 // A request without a response this long after the time that the service may
 // hold it is aborted.
 constexpr milliseconds kResponseMargin{1000};
+// A value that arrives more slowly is asked for again; a sender that trickles
+// would hold the watch for ever.
+constexpr std::size_t kMinBytesPerSecond = 32 << 10;
 constexpr int kHttpOk = 200;
 constexpr int kHttpNoContent = 204;
 
@@ -63,6 +66,7 @@
   request.url = url.toEncoded().toStdString();
   request.method = "GET";
   request.silence_limit = wait + kResponseMargin;
+  request.min_bytes_per_second = kMinBytesPerSecond;
   ++calls_;
   request_in_progress_ = true;
   caller_.Send(std::move(request),
--- a/libraries/http/http_caller.cc
+++ b/libraries/http/http_caller.cc
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "libraries/http1/message_parser.h"
+#include "libraries/net/progress_limit.h"
 
 namespace balsam::http {
 namespace {
@@ -105,9 +106,15 @@
                         curl_off_t downloaded, curl_off_t /*upload_total*/,
                         curl_off_t /*uploaded*/) {
     auto& self = *static_cast<Call*>(call);
-    if (std::exchange(self.downloaded, downloaded) != downloaded) {
-      self.silence.start();
+    const curl_off_t before = std::exchange(self.downloaded, downloaded);
+    if (downloaded <= before) return 0;
+    if (self.progress.has_value()) {
+      const BootTime now = BootClock::now();
+      self.progress->OnBytes(static_cast<std::size_t>(downloaded - before),
+                             now);
+      self.silence.setInterval(self.progress->TimeLeft(now));
     }
+    self.silence.start();
     return 0;
   }
 
@@ -118,6 +125,7 @@
   void SetOptions();
 
   curl_off_t downloaded = 0;
+  std::optional<net::ProgressLimit> progress;
 };
 
 void HttpCaller::Call::SetOptions() {
@@ -214,6 +222,10 @@
   call->SetOptions();
   call->silence.setSingleShot(true);
   call->silence.setInterval(call->request.silence_limit);
+  if (const auto rate = call->request.min_bytes_per_second) {
+    call->progress.emplace(
+        net::ProgressLimit::Limits{call->request.silence_limit, *rate});
+  }
   connect(&call->silence, &QTimer::timeout, this,
           [this, id] { OnSilence(id); });
   call->silence.start();
@@ -306,7 +318,7 @@
 
 void HttpCaller::OnSilence(Id id) {
   Response response;
-  response.reason = "no data within the silence limit";
+  response.reason = "no data, or too little, within the limit";
   Finish(id, std::move(response));
 }
 
--- a/libraries/http/http_caller.h
+++ b/libraries/http/http_caller.h
@@ -12,6 +12,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -34,6 +35,9 @@
     std::string body;
     // A call without received data for this long is broken.
     std::chrono::milliseconds silence_limit{0};
+    // If set, one that receives less is broken, too (`net::ProgressLimit`). Not
+    // for streams, which may pause.
+    std::optional<std::size_t> min_bytes_per_second;
     // A longer body breaks the call, in bytes. Not for `on_body`, whose owner
     // ends the call itself.
     std::size_t max_body_bytes = std::size_t{8} << 20;
--- a/libraries/net/progress_limit.h
+++ b/libraries/net/progress_limit.h
@@ -29,6 +29,8 @@
     last_received_at_ = now;
   }
 
+  std::size_t bytes() const { return bytes_; }
+
   // How long the transfer may go on without another byte; zero once it is too
   // slow. Before the first byte the limit does not hold, and this is `silence`.
   std::chrono::milliseconds TimeLeft(BootTime now) const {
--- a/services/gateway/gateway_node.cc
+++ b/services/gateway/gateway_node.cc
@@ -76,9 +76,11 @@
   };
   peers_.on_changes = [this](const auto& changes, std::uint64_t revision) {
     OnStoreChanges(changes, revision);
+    if (on_peer_changes) on_peer_changes();
   };
   peers_.on_snapshot = [this](const auto& entries, std::uint64_t revision) {
     OnStoreSnapshot(entries, revision);
+    if (on_peer_changes) on_peer_changes();
   };
   peers_.reaches_store = [this] { return ReachesStore(); };
   peers_.on_evidence = [this](const quarantine::Change& change,
--- a/services/gateway/gateway_node.h
+++ b/services/gateway/gateway_node.h
@@ -59,6 +59,8 @@
   std::chrono::milliseconds WatchDelay() const;
 
   std::function<void()> on_stopped;
+  // Changes that peers provided were applied; may be unset.
+  std::function<void()> on_peer_changes;
   // Number of calls made to the store, for the metrics; may be unset.
   std::function<std::uint64_t()> store_calls;
 
--- a/services/gateway/outbound_connection.h
+++ b/services/gateway/outbound_connection.h
@@ -109,6 +109,11 @@
   // While paused, no more of the response is read. Its end resumes reading.
   void SetPaused(bool paused);
 
+  // Bytes that have arrived of the bulk response in progress.
+  std::size_t received_bytes() const {
+    return request_ != nullptr && progress_.has_value() ? progress_->bytes()
+                                                        : 0;
+  }
   // Connected, idle and able to send another request.
   bool reusable() const;
   // Whether the peer, while the connection is idle, wrote bytes or closed it,
--- a/tests/platform/store_client_test.cc
+++ b/tests/platform/store_client_test.cc
@@ -51,6 +51,7 @@
   StoreClientTest()
       : store_([this](const http1::RequestHead& head, const std::string&) {
           targets_.push_back(head.target);
+          if (store_hook_) store_hook_();
           if (responses_.empty()) return HttpResponse{503, "text/plain", {}};
           HttpResponse response = responses_.front();
           responses_.pop_front();
@@ -103,6 +104,8 @@
   SimpleHttpServer store_;
   std::deque<HttpResponse> responses_;
   std::vector<std::string> targets_;
+  // Called for each request; may be unset.
+  std::function<void()> store_hook_;
   std::unique_ptr<StoreClient> client_;
   std::vector<StoreClient::Entries> snapshots_;
   std::vector<StoreClient::Entries> changes_;
@@ -236,6 +239,59 @@
 
 // What this process itself knew when the store dropped its history is not
 // newer.
+// Guards against a gateway that starts behind a slow link and reads a megabyte
+// from the store that its peers have sent it in a few kilobytes.
+TEST_F(StoreClientTest, ReadInProgressEndsWhenPeersHaveProvidedAll) {
+  bool was_called = false;
+  store_hook_ = [&] {
+    if (std::exchange(was_called, true)) return;
+    known_revision_ = 9;
+    // The response is not read yet.
+    client_->OnPeerChanges();
+  };
+  StartWithResponses({Page(Item("a", 3), 7, false), Events("", 9)});
+  ASSERT_TRUE(RunUntil([this] { return targets_.size() >= 2; }));
+  EXPECT_TRUE(snapshots_.empty());
+  EXPECT_NE(targets_[1].find("/kv-watch"), std::string::npos);
+  EXPECT_NE(targets_[1].find("after=9"), std::string::npos);
+}
+
+TEST_F(StoreClientTest, WatchGoesOnWhenPeersProvideChanges) {
+  store_hook_ = [&] {
+    if (targets_.back().find("/kv-watch") == std::string::npos) return;
+    known_revision_ = 8;
+    // Nothing long has arrived, and the response may tell more.
+    client_->OnPeerChanges();
+  };
+  StartWithResponses({Page(Item("a", 3), 7, false), Events("", 8)});
+  ASSERT_TRUE(RunUntil([this] { return revision_ == 8U; }));
+  EXPECT_EQ(snapshots_.size(), 1U);
+}
+
+// Long texts are taken out of a response before it is parsed. Keys may have
+// what stands for them meanwhile.
+TEST_F(StoreClientTest, LongTextsAreRead) {
+  const std::string text = "{\"a\":\"" + std::string(100'000, 'x') + "\"}";
+  const std::string base64 =
+      QByteArray::fromStdString(text).toBase64().toStdString();
+  const auto page = [&](const std::string& key, int revision, bool truncated) {
+    const std::string item = R"({"key":"long-)" + std::to_string(revision) +
+                             R"(","value":")" + base64 + R"(","rev":)" +
+                             std::to_string(revision) + "}";
+    return Page(item + "," + Item(key, revision + 1), 9, truncated);
+  };
+  StartWithResponses({page("k", 1, true), page("#text-0", 3, true),
+                      page("\\u0023text-0", 5, false)});
+  ASSERT_TRUE(RunUntil([this] { return !snapshots_.empty(); }));
+  const std::vector<std::string> keys = {"long-1",  "k",      "long-3",
+                                         "#text-0", "long-5", "#text-0"};
+  ASSERT_EQ(snapshots_[0].size(), keys.size());
+  for (std::size_t i = 0; i < keys.size(); ++i) {
+    EXPECT_EQ(snapshots_[0][i].key, keys[i]);
+    EXPECT_TRUE(snapshots_[0][i].value == (i % 2 == 0 ? text : "v")) << i;
+  }
+}
+
 TEST_F(StoreClientTest, AfterLostHistoryOnlyNewerPeerRevisionIsAdopted) {
   known_revision_ = 7;
   StartWithResponses(
