Pass long texts on without copies

A version of a megabyte was copied six times on its way from a peer's response into the replica, each time into fresh pages, and once for each peer that asked for changes. Entries are moved now, and the changes for a peer are collected without their long texts. A newer text counts as late only since the last one arrived, so that a gateway that keeps up with a storm of versions serves.

--- a/libraries/decoding/bounded_json.cc
+++ b/libraries/decoding/bounded_json.cc
@@ -60,8 +60,9 @@
   std::size_t values = 1;
   const auto exceeds = [&](std::size_t i, std::size_t depth) {
     const char c = text[i];
-    if (c == '[' || c == '{')
+    if (c == '[' || c == '{') {
       return depth >= kMaxDepth || ++values > kMaxValues;
+    }
     return c == ',' && ++values > kMaxValues;
   };
   return ScanJson(text, 0, exceeds) == text.size();
--- a/libraries/revisions/revisioned_map.cc
+++ b/libraries/revisions/revisioned_map.cc
@@ -4,15 +4,16 @@
 #include <algorithm>
 #include <iterator>
 #include <set>
+#include <utility>
 
 namespace balsam::revisions {
 
-bool RevisionedMap::Apply(const RevisionedEntry& entry) {
+bool RevisionedMap::Apply(RevisionedEntry entry) {
   const auto found = entries_.find(entry.key);
   if (found == entries_.end() && entry.revision <= revision_) return false;
   Entry& known = entries_[entry.key];
   if (entry.revision <= known.revision) return false;
-  known = {entry.revision, entry.value};
+  known = {entry.revision, std::move(entry.value)};
   return true;
 }
 
@@ -43,11 +44,12 @@
 std::vector<RevisionedEntry> RevisionedMap::ChangesAfter(
     std::uint64_t revision) const {
   std::vector<RevisionedEntry> changes;
-  for (const auto& [key, entry] : entries_) {
-    if (entry.revision > revision) {
-      changes.push_back({key, entry.revision, entry.value});
-    }
-  }
+  VisitChangesAfter(revision,
+                    [&](const std::string& key, std::uint64_t changed_at,
+                        const std::string* value) {
+                      changes.push_back({key, changed_at, std::nullopt});
+                      if (value != nullptr) changes.back().value = *value;
+                    });
   return changes;
 }
 
--- a/libraries/revisions/revisioned_map.h
+++ b/libraries/revisions/revisioned_map.h
@@ -27,7 +27,7 @@
   // may still be unknown. Returns false if it is not newer than the known
   // state. That includes a change of an unknown key at a revision up to which
   // all changes are known: the key has been deleted since.
-  bool Apply(const RevisionedEntry& entry);
+  bool Apply(RevisionedEntry entry);
   // Applies a complete read of all keys that begin with `prefix`, made when the
   // store was at `store_revision`: keys that it does not contain were deleted.
   // Returns the resulting changes.
@@ -35,6 +35,18 @@
       std::string_view prefix, const std::vector<RevisionedEntry>& entries,
       std::uint64_t store_revision);
 
+  // Calls `visitor` with the key, revision and value of each entry that
+  // `ChangesAfter` returns, without a copy. The value is null if the key was
+  // deleted.
+  template <typename Visitor>
+  void VisitChangesAfter(std::uint64_t revision, Visitor&& visitor) const {
+    for (const auto& [key, entry] : entries_) {
+      if (entry.revision <= revision) continue;
+      visitor(key, entry.revision,
+              entry.value.has_value() ? &*entry.value : nullptr);
+    }
+  }
+
   // Returns the entries, including deleted ones, with a revision greater than
   // `revision`. Deletions may be missing unless `HasCompleteHistoryAfter`
   // returns true.
--- a/services/gateway/gateway_node.cc
+++ b/services/gateway/gateway_node.cc
@@ -74,12 +74,12 @@
   peers_.on_leaving = [this](const gossip::LeavingServer& server) {
     OnReportedLeaving(server, true);
   };
-  peers_.on_changes = [this](const auto& changes, std::uint64_t revision) {
-    OnStoreChanges(changes, revision);
+  peers_.on_changes = [this](auto changes, std::uint64_t revision) {
+    OnStoreChanges(std::move(changes), revision);
     if (on_peer_changes) on_peer_changes();
   };
-  peers_.on_snapshot = [this](const auto& entries, std::uint64_t revision) {
-    OnStoreSnapshot(entries, revision);
+  peers_.on_snapshot = [this](auto entries, std::uint64_t revision) {
+    OnStoreSnapshot(std::move(entries), revision);
     if (on_peer_changes) on_peer_changes();
   };
   peers_.reaches_store = [this] { return ReachesStore(); };
--- a/services/gateway/gateway_node.h
+++ b/services/gateway/gateway_node.h
@@ -67,12 +67,13 @@
  private:
   bool IsReady() const;
   void OnClient(int descriptor);
-  // `is_restored`: the entry is part of an older copy from which the store was
-  // restored.
-  void OnEntry(const revisions::RevisionedEntry& entry, bool is_restored);
+  // The replica has a new state of `key`. `is_restored`: the entry is part of
+  // an older copy from which the store was restored.
+  void OnEntry(const std::string& key, bool is_restored);
   void OnConfiguration(const std::string& text);
-  void OnServerEntry(const std::string& id,
-                     const std::optional<std::string>& text, bool is_restored);
+  // `text` is null if the entry was removed.
+  void OnServerEntry(const std::string& id, const std::string* text,
+                     bool is_restored);
   // `exists`: operators evacuate the data centre; otherwise they have withdrawn
   // that.
   void OnEvacuationEntry(const std::string& data_center, bool exists,
--- a/services/gateway/gateway_node_store.cc
+++ b/services/gateway/gateway_node_store.cc
@@ -72,8 +72,9 @@
                                  std::uint64_t store_revision) {
   const std::uint64_t before = replica_.revision();
   changes = WithoutUnusableTexts(std::move(changes));
-  for (const RevisionedEntry& entry : changes) {
-    if (replica_.Apply(entry)) OnEntry(entry, false);
+  for (RevisionedEntry& entry : changes) {
+    const std::string key = entry.key;
+    if (replica_.Apply(std::move(entry))) OnEntry(key, false);
   }
   replica_.AdvanceTo(store_revision);
   if (replica_.revision() > before) peers_.AnnounceRevision();
@@ -96,7 +97,7 @@
         .With("revision", store_revision)
         .With("changes", changes.size());
   }
-  for (const RevisionedEntry& entry : changes) OnEntry(entry, is_restored);
+  for (const RevisionedEntry& entry : changes) OnEntry(entry.key, is_restored);
   if (store_revision > before) peers_.AnnounceRevision();
 }
 
@@ -139,19 +140,19 @@
   return !ReachesStore() && !peers_.AnyReachesStore();
 }
 
-void GatewayNode::OnEntry(const RevisionedEntry& entry, bool is_restored) {
-  if (TextExchange::IsLong(entry)) peers_.OnText(entry.key);
-  if (context_.dialect.IsConfigurationKey(entry.key)) {
-    if (entry.value.has_value()) OnConfiguration(*entry.value);
+void GatewayNode::OnEntry(const std::string& key, bool is_restored) {
+  const std::string* text = replica_.Find(key);
+  if (text != nullptr && TextExchange::IsLong(*text)) peers_.OnText(key);
+  if (context_.dialect.IsConfigurationKey(key)) {
+    if (text != nullptr) OnConfiguration(*text);
     return;
   }
-  if (const auto data_center =
-          context_.dialect.EvacuatedDataCenterOf(entry.key)) {
-    OnEvacuationEntry(*data_center, entry.value.has_value(), is_restored);
+  if (const auto data_center = context_.dialect.EvacuatedDataCenterOf(key)) {
+    OnEvacuationEntry(*data_center, text != nullptr, is_restored);
     return;
   }
-  const auto id = context_.dialect.ServerIdOf(entry.key);
-  if (id.has_value()) OnServerEntry(*id, entry.value, is_restored);
+  const auto id = context_.dialect.ServerIdOf(key);
+  if (id.has_value()) OnServerEntry(*id, text, is_restored);
 }
 
 void GatewayNode::OnEvacuationEntry(const std::string& data_center, bool exists,
@@ -222,12 +223,11 @@
       .With("revision", replica_.revision());
 }
 
-void GatewayNode::OnServerEntry(const std::string& id,
-                                const std::optional<std::string>& text,
+void GatewayNode::OnServerEntry(const std::string& id, const std::string* text,
                                 bool is_restored) {
   const BootTime now = BootClock::now();
   std::optional<directory::ServerChange> change;
-  if (text.has_value()) {
+  if (text != nullptr) {
     change = TryOr(
         [&]() -> Result<std::optional<directory::ServerChange>> {
           BOOST_LEAF_AUTO(server, context_.dialect.ParseServer(id, *text));
--- a/services/gateway/outbound_connection.cc
+++ b/services/gateway/outbound_connection.cc
@@ -34,6 +34,18 @@
   return std::min(std::chrono::seconds(seconds), kMaxKeepAlive);
 }
 
+// The length of the body as far as it is announced, and accepted.
+std::size_t AnnouncedBytes(const http1::FieldList& fields) {
+  const std::string* value = fields.Find("Content-Length");
+  if (value == nullptr) return 0;
+  std::size_t bytes = 0;
+  const char* last = value->data() + value->size();
+  const auto [end, error] = std::from_chars(value->data(), last, bytes);
+  return error == std::errc() && end == last
+             ? std::min(bytes, OutboundConnection::kMaxBulkResponse)
+             : 0;
+}
+
 }  // namespace
 
 OutboundConnection::OutboundConnection(directory::Endpoint endpoint,
@@ -86,6 +98,10 @@
   request.on_head = [this, response](const http1::ResponseHead& head) {
     if (!names_request || !names_request(head)) {
       response->head = head;
+      // A long body would be copied each time that its memory grows.
+      if (progress_.has_value()) {
+        response->body.reserve(AnnouncedBytes(head.fields));
+      }
       return;
     }
     LogEvent("call_answer_rejected", LogEvent::Level::kWarning)
--- a/services/gateway/peer_exchange.cc
+++ b/services/gateway/peer_exchange.cc
@@ -92,9 +92,12 @@
     std::ranges::shuffle(peers, context_.random);
     return peers;
   };
-  texts_.on_text = [this](const revisions::RevisionedEntry& entry) {
-    on_changes({entry}, 0);
-    OnText(entry.key);
+  texts_.on_text = [this](revisions::RevisionedEntry entry) {
+    const std::string key = entry.key;
+    std::vector<revisions::RevisionedEntry> changes;
+    changes.push_back(std::move(entry));
+    on_changes(std::move(changes), 0);
+    OnText(key);
     ApplyWaitingSet();
   };
   connect(&socket_, &QUdpSocket::readyRead, this, &PeerExchange::OnDatagrams);
@@ -145,6 +148,9 @@
 void PeerExchange::OnText(const std::string& key) {
   texts_.Keep(key);
   DropKnownTexts();
+  // If there is a still newer one, texts change often, but do arrive.
+  const auto newer = newer_texts_.find(key);
+  if (newer != newer_texts_.end()) newer->second = BootClock::now();
 }
 
 void PeerExchange::DropKnownTexts() {
@@ -399,7 +405,7 @@
       .With("whole", set.is_snapshot ? 1 : 0)
       .With("revision", set.revision);
   if (HasTexts(set)) {
-    Apply(set);
+    Apply(std::move(set));
     return;
   }
   // The short changes take effect now. In a new era of the store, though, an
@@ -427,24 +433,24 @@
   });
 }
 
-void PeerExchange::Apply(const gossip::ChangeSet& set) {
+void PeerExchange::Apply(gossip::ChangeSet set) {
+  std::vector<revisions::RevisionedEntry>& entries = set.changes;
   if (!set.is_snapshot) {
-    on_changes(set.changes, set.revision);
+    on_changes(std::move(entries), set.revision);
     return;
   }
-  std::vector<revisions::RevisionedEntry> entries = set.changes;
   for (const gossip::TextReference& text : set.texts) {
     const std::string* known = replica_.Find(text.key);
     if (known == nullptr) continue;
     entries.push_back({text.key, replica_.RevisionOf(text.key), *known});
   }
-  on_snapshot(entries, set.revision);
+  on_snapshot(std::move(entries), set.revision);
 }
 
 void PeerExchange::ApplyWaitingSet() {
   if (!waiting_set_.has_value() || !HasTexts(*waiting_set_)) return;
-  const gossip::ChangeSet set = *std::exchange(waiting_set_, std::nullopt);
-  if (set.revision > replica_.revision()) Apply(set);
+  gossip::ChangeSet set = *std::exchange(waiting_set_, std::nullopt);
+  if (set.revision > replica_.revision()) Apply(std::move(set));
 }
 
 HttpResponse PeerExchange::ServeFetch(const http1::RequestHead& head) {
@@ -468,16 +474,23 @@
   gossip::ChangeSet set;
   set.revision = replica_.revision();
   set.is_snapshot = !replica_.HasCompleteHistoryAfter(after);
-  set.changes =
-      set.is_snapshot ? replica_.LiveEntries() : replica_.ChangesAfter(after);
   const std::string* long_texts = head.fields.Find(kLongTexts);
-  if (long_texts != nullptr && *long_texts == kByReference) {
-    std::erase_if(set.changes, [&](const revisions::RevisionedEntry& entry) {
-      if (!TextExchange::IsLong(entry)) return false;
-      set.texts.push_back({entry.key, entry.revision});
-      return true;
-    });
-  }
+  const bool by_reference =
+      long_texts != nullptr && *long_texts == kByReference;
+  replica_.VisitChangesAfter(
+      set.is_snapshot ? 0 : after,
+      [&](const std::string& key, std::uint64_t revision,
+          const std::string* value) {
+        if (value == nullptr) {
+          if (!set.is_snapshot) {
+            set.changes.push_back({key, revision, std::nullopt});
+          }
+        } else if (by_reference && TextExchange::IsLong(*value)) {
+          set.texts.push_back({key, revision});
+        } else {
+          set.changes.push_back({key, revision, *value});
+        }
+      });
   return {200, "application/cbor", gossip::Encode(set)};
 }
 
--- a/services/gateway/peer_exchange.h
+++ b/services/gateway/peer_exchange.h
@@ -74,7 +74,7 @@
   // that it has heard of.
   std::chrono::milliseconds Lag(BootTime now) const;
   // The keys of which newer texts than the replica's are known to exist, and
-  // since when.
+  // since when, or since the last one arrived.
   const std::map<std::string, BootTime>& newer_texts() const {
     return newer_texts_;
   }
@@ -92,11 +92,11 @@
   std::function<void(const quarantine::Change& change, const std::string& ip)>
       on_evidence;
   // A peer sent changes that the replica lacks.
-  std::function<void(const std::vector<revisions::RevisionedEntry>& changes,
+  std::function<void(std::vector<revisions::RevisionedEntry> changes,
                      std::uint64_t revision)>
       on_changes;
   // A peer sent a snapshot of all entries instead.
-  std::function<void(const std::vector<revisions::RevisionedEntry>& entries,
+  std::function<void(std::vector<revisions::RevisionedEntry> entries,
                      std::uint64_t revision)>
       on_snapshot;
   // Whether this gateway has had uninterrupted access to the store recently.
@@ -146,7 +146,7 @@
                           Handler&& handler);
   void OnChanges(const std::string& ip, gossip::ChangeSet set);
   // Applies a set whose texts the replica has.
-  void Apply(const gossip::ChangeSet& set);
+  void Apply(gossip::ChangeSet set);
   // Applies `waiting_set_` if the replica has its texts.
   void ApplyWaitingSet();
   bool HasTexts(const gossip::ChangeSet& set) const;
--- a/services/gateway/text_exchange.cc
+++ b/services/gateway/text_exchange.cc
@@ -87,21 +87,13 @@
   });
 }
 
-bool TextExchange::IsLong(const RevisionedEntry& entry) {
-  return entry.value.has_value() && entry.value->size() > kMinLongText &&
-         entry.value->size() <= revisions::kMaxTextBytes;
-}
-
 bool TextExchange::IsTarget(const std::string& target) {
   return target.starts_with(kPath) && target[sizeof(kPath) - 1] == '?';
 }
 
 void TextExchange::Keep(const std::string& key) {
   const std::string* text = replica_.Find(key);
-  if (text == nullptr || text->size() <= kMinLongText ||
-      text->size() > revisions::kMaxTextBytes) {
-    return;
-  }
+  if (text == nullptr || !IsLong(*text)) return;
   const std::uint64_t revision = replica_.RevisionOf(key);
   revisions::RevisionedText& kept =
       texts_.try_emplace(key, kKeptTexts).first->second;
@@ -299,7 +291,7 @@
                            const http1::ResponseHead& head,
                            const std::string& frame) {
   partial_.reset();
-  const auto entry = TryOr(
+  auto entry = TryOr(
       [&]() -> Result<std::optional<RevisionedEntry>> {
         BOOST_LEAF_AUTO(decoded, Decode(request.key, head, frame));
         return std::optional(std::move(decoded));
@@ -330,7 +322,7 @@
   if (wanted != wanted_.end() && wanted->second <= entry->revision) {
     wanted_.erase(wanted);
   }
-  on_text(*entry);
+  on_text(*std::move(entry));
 }
 
 }  // namespace balsam::gateway
--- a/services/gateway/text_exchange.h
+++ b/services/gateway/text_exchange.h
@@ -49,8 +49,11 @@
   TextExchange(std::uint16_t port, Limits limits,
                const revisions::RevisionedMap& replica);
 
-  // Whether the entry's text is sent by itself.
-  static bool IsLong(const revisions::RevisionedEntry& entry);
+  // Whether the text is sent by itself.
+  static bool IsLong(const std::string& text) {
+    return text.size() > kMinLongText &&
+           text.size() <= revisions::kMaxTextBytes;
+  }
   static bool IsTarget(const std::string& target);
 
   // The replica may have changed: keeps the text of `key` if it is long, so
@@ -73,7 +76,7 @@
   std::function<std::vector<std::string>(std::uint64_t revision)> sources;
   // A text arrived. It is not less than the revision asked for, unless a later
   // one was asked for meanwhile.
-  std::function<void(const revisions::RevisionedEntry& entry)> on_text;
+  std::function<void(revisions::RevisionedEntry entry)> on_text;
 
  private:
   // The one request in progress.
--- a/tests/platform/wire_dialect_test.cc
+++ b/tests/platform/wire_dialect_test.cc
@@ -525,10 +525,11 @@
   const std::string route = RouteItem(0, 10);
   ASSERT_TRUE(ParseText(ConfigurationOf(1, {route}), {}).has_value());
   ASSERT_TRUE(ParseText(ConfigurationOf(1, {}), {}).has_value());
-  for (const std::string& routes :
-       {route + ",", "," + route, route + ",," + route, route + route,
-        route + "]", "[" + route, route + "}", "{" + route, std::string("7"),
-        route + ",null", std::string("{\"name\":\"r"), route + ",[]"}) {
+  const std::vector<std::string> invalid = {
+      route + ",", "," + route,     route + ",," + route, route + route,
+      route + "]", "[" + route,     route + "}",          "{" + route,
+      "7",         route + ",null", "{\"name\":\"r",      route + ",[]"};
+  for (const std::string& routes : invalid) {
     EXPECT_FALSE(ParseText(ConfigurationOf(1, {routes}), {}).has_value())
         << routes;
   }
--- a/tests/services/gateway/peer_exchange_test.cc
+++ b/tests/services/gateway/peer_exchange_test.cc
@@ -159,7 +159,7 @@
  public:
   // Announces `set` to the gateway, from an address of its own.
   bool Start(const Gateway& gateway, std::uint16_t changes,
-             std::uint16_t gossip, gossip::ChangeSet set) {
+             std::uint16_t gossip, const gossip::ChangeSet& set) {
     const QHostAddress address("127.0.0.3");
     QObject::connect(&server_, &QTcpServer::newConnection, this, [this] {
       QTcpSocket* socket = server_.nextPendingConnection();
