--- a/tests/platform/node_settings_test.cc
+++ b/tests/platform/node_settings_test.cc
@@ -51,8 +51,10 @@
 
 TEST(NodeSettingsTest, ReadsTheLimitsOfTheMachine) {
   const auto settings =
-      Load(SettingsWith(R"("limits": {"memoryMb": 88, "maxFds": 4100}, )"));
+      Load(SettingsWith(R"("limits": {"memoryMb": 88, "maxFds": 4100, )"
+                        R"("linkMbps": 10.0}, )"));
   ASSERT_TRUE(settings.has_value());
+  EXPECT_EQ(settings->link_bytes_per_second, 1'250'000.0);
   EXPECT_EQ(settings->memory_bytes, std::size_t{88} << 20);
   EXPECT_EQ(settings->sockets, 3900U);
 }
@@ -62,11 +64,15 @@
   for (const char* limits :
        {"", R"("limits": 3, )", R"("limits": {"memoryMb": 0, "maxFds": 200}, )",
         R"("limits": {"memoryMb": -1, "maxFds": "many"}, )",
-        R"("limits": {"memoryMb": 18446744073709551615}, )"}) {
+        R"("limits": {"memoryMb": 18446744073709551615}, )",
+        R"("limits": {"linkMbps": 0}, )", R"("limits": {"linkMbps": -1}, )",
+        R"("limits": {"linkMbps": "fast"}, )"}) {
     const auto settings = Load(SettingsWith(limits));
     ASSERT_TRUE(settings.has_value()) << limits;
     EXPECT_EQ(settings->memory_bytes, defaults.memory_bytes) << limits;
     EXPECT_EQ(settings->sockets, defaults.sockets) << limits;
+    EXPECT_EQ(settings->link_bytes_per_second, defaults.link_bytes_per_second)
+        << limits;
   }
 }
 
