--- a/tests/services/gateway/peer_exchange_test.cc
+++ b/tests/services/gateway/peer_exchange_test.cc
@@ -6,8 +6,10 @@
 #include <QCoreApplication>
 #include <QTcpServer>
 #include <QTcpSocket>
+#include <algorithm>
 #include <map>
 #include <memory>
+#include <random>
 #include <set>
 
 #include "libraries/revisions/revision.h"
@@ -369,6 +371,74 @@
   EXPECT_TRUE(RunUntil([this] { return IsQuarantined(*second_); }));
 }
 
+// Forwards connections to another gateway, and cuts each one after a part of
+// the response: what a slow link carries until a limit is reached.
+class CuttingProxy : public QObject {
+ public:
+  bool Listen(const std::string& ip, std::uint16_t port,
+              const std::string& target_ip, std::size_t max_bytes) {
+    QObject::connect(&server_, &QTcpServer::newConnection, this, [=, this] {
+      QTcpSocket* client = server_.nextPendingConnection();
+      auto* target = new QTcpSocket(client);
+      target->connectToHost(QString::fromStdString(target_ip), port);
+      auto sent = std::make_shared<std::size_t>(0);
+      QObject::connect(client, &QTcpSocket::readyRead, target, [=] {
+        const QByteArray request = client->readAll();
+        // A list would name the target, which is then asked
+        // directly.
+        if (!request.contains("/gateways")) {
+          target->write(request);
+        }
+      });
+      QObject::connect(target, &QTcpSocket::readyRead, client, [=] {
+        const QByteArray part =
+            target->readAll().left(static_cast<qsizetype>(max_bytes - *sent));
+        *sent += static_cast<std::size_t>(part.size());
+        client->write(part);
+        if (*sent >= max_bytes) client->disconnectFromHost();
+      });
+      QObject::connect(target, &QTcpSocket::disconnected, client,
+                       [=] { client->disconnectFromHost(); });
+    });
+    return server_.listen(QHostAddress(QString::fromStdString(ip)), port);
+  }
+
+ private:
+  QTcpServer server_;
+};
+
+// Guards against a long text of which no fetch ever gets the whole, since each
+// one ends before and begins from nothing (review/10).
+TEST_F(PeerExchangeTest, LongTextArrivesThoughEachFetchIsCutOff) {
+  constexpr std::size_t kTextBytes = 64 << 10;
+  constexpr std::size_t kFetchedBytes = 16 << 10;
+  std::minstd_rand random(1);
+  std::string text(kTextBytes, ' ');
+  std::ranges::generate(text,
+                        [&] { return static_cast<char>('!' + random() % 90); });
+  Gateway origin("127.0.0.4", changes_port_, gossip_port_);
+  ASSERT_TRUE(Start(origin));
+  origin.replica.Apply({"op/config", 12, text});
+  origin.replica.AdvanceTo(12);
+  CuttingProxy proxy;
+  ASSERT_TRUE(
+      proxy.Listen("127.0.0.3", changes_port_, "127.0.0.4", kFetchedBytes));
+  QUdpSocket socket;
+  ASSERT_TRUE(socket.bind(QHostAddress("127.0.0.3"), gossip_port_));
+  gossip::Digest digest;
+  digest.incarnation = 1;
+  digest.state_version = 1;
+  digest.revision = 12;
+  ASSERT_TRUE(RunUntil([&] {
+    ++digest.sequence;
+    const std::string message = gossip::Encode(digest);
+    socket.writeDatagram(message.data(), static_cast<qint64>(message.size()),
+                         QHostAddress("127.0.0.2"), gossip_port_);
+    return second_->replica.revision() == 12U;
+  }));
+  EXPECT_TRUE(*second_->replica.Find("op/config") == text);
+}
+
 TEST_F(PeerExchangeTest, LeavingServerIsAnnounced) {
   const gossip::LeavingServer server{"i-1", milliseconds(1700)};
   first_->exchange.AnnounceLeaving(server);
