--- a/review/rig-3/engine.h
+++ b/review/rig-3/engine.h
@@ -49,6 +49,16 @@
     return all;
   }
 
+  // Requests that wait for their first token.
+  int waiting() {
+    const std::lock_guard lock(mutex_);
+    int count = 0;
+    for (const auto& run : runs_) {
+      count += !run->done() && run->first_token < 0 ? 1 : 0;
+    }
+    return count;
+  }
+
   // Called when a request has been read, before it waits for its turn; may
   // write to the connection. The second argument is the last answer there.
   std::function<void(Connection&, const std::string& last_answer,
--- a/review/rig-3/rig.h
+++ b/review/rig-3/rig.h
@@ -12,6 +12,7 @@
 #include <poll.h>
 #include <signal.h>
 #include <sys/prctl.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -45,7 +46,7 @@
 // Writes lines with the milliseconds since the start to record.txt.
 class Record {
  public:
-  explicit Record(const std::string& path) : file_(fopen(path.c_str(), "w")) {}
+  explicit Record(const std::string& path) : file_(fopen(path.c_str(), "we")) {}
   void Line(const char* format, ...) __attribute__((format(printf, 2, 3))) {
     char text[2000];
     va_list arguments;
@@ -392,9 +393,14 @@
 // One process of the deploy file's role, on an address of its own.
 class Gateway {
  public:
+  // `sockets`: how many the machine allows; of its descriptors, 200 more are for
+  // files.
   Gateway(std::string ip, const std::string& store, std::string zone,
-          std::string folder)
-      : ip_(std::move(ip)), zone_(std::move(zone)), folder_(std::move(folder)) {
+          std::string folder, int sockets = 3900)
+      : ip_(std::move(ip)),
+        zone_(std::move(zone)),
+        folder_(std::move(folder)),
+        sockets_(sockets) {
     All().push_back(this);
     front_ = FreePort(ip_);
     ready_ = FreePort(ip_);
@@ -412,8 +418,9 @@
         << control_ << "\"},\"portRange\":[" << gossip_ << "," << gossip_ + 15
         << "],\"seeds\":[\"" << at << control_
         << "\"],\"bootstrap\":true,\"countsAsLoss\":false,\"limits\":{"
-           "\"cpuShare\":0.19,\"cores\":1,\"memoryMb\":260,\"maxFds\":4100,"
-           "\"linkMbps\":1000.0,\"diskMb\":0},\"dataDir\":null,\"discovery\":"
+           "\"cpuShare\":0.19,\"cores\":1,\"memoryMb\":260,\"maxFds\":"
+        << sockets_ + 200
+        << ",\"linkMbps\":1000.0,\"diskMb\":0},\"dataDir\":null,\"discovery\":"
            "\"platform\",\"entry\":\"vip\",\"heartbeatMs\":1200,\"bounds\":{"
            "\"stableMs\":3000,\"drainMs\":2000,\"graceS\":8,\"lostMs\":200,"
            "\"configMs\":2000,\"retryRatio\":0.2,\"retryWindowS\":10,"
@@ -433,6 +440,10 @@
     pid_ = fork();
     if (pid_ == 0) {
       prctl(PR_SET_PDEATHSIG, SIGKILL);
+      // The process has some 15 descriptors that are no sockets.
+      const auto descriptors = static_cast<rlim_t>(sockets_ + 20);
+      const rlimit limit{descriptors, descriptors};
+      setrlimit(RLIMIT_NOFILE, &limit);
       const int out = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
       dup2(out, 1);
       dup2(out, 2);
@@ -476,12 +487,15 @@
   const std::string& ip() const { return ip_; }
   int front() const { return front_; }
   int control() const { return control_; }
+  int ready() const { return ready_; }
+  pid_t pid() const { return pid_; }
   const std::string& settings() const { return settings_; }
   int exit_status = 0;
 
  private:
   static constexpr const char* kProgram = "target/platform/balsam-gateway";
   std::string ip_, zone_, folder_, settings_;
+  int sockets_;
   int front_, ready_, control_, gossip_;
   pid_t pid_ = -1;
 };
