Review case 11: three lost runs make the gateway refuse all requests that share a part

Cause: a connection that ends without a response counts as a crash of its server; three in a row quarantine the part that the requests share.

--- a/review/rig-3/engine.h
+++ b/review/rig-3/engine.h
@@ -64,6 +64,9 @@
   std::function<void(Connection&, const std::string& last_answer,
                      const Message&)>
       on_request;
+  // What becomes of a run that begins to write its answer.
+  enum class Fate { kServed, kAnswerLost, kCrash };
+  std::function<Fate(const Message&)> on_begin;
   // Called when a call of the engine's own interface has been read; returns
   // true if it has dealt with it.
   std::function<bool(Connection&, const Message&)> on_call;
@@ -80,6 +83,10 @@
  private:
   void Serve(const std::shared_ptr<Connection>& connection) {
     if (on_connection && !on_connection(*connection)) return;
+    {
+      const std::lock_guard lock(mutex_);
+      all_.push_back(connection);
+    }
     Message request;
     std::string last_answer;
     while (connection->ReadHead(request, 600000) &&
@@ -147,6 +154,26 @@
     return connection.Write(Text(200, "Instance-Id: " + id_ + "\r\n", ""));
   }
 
+  // Resets all connections; the engine is back after two seconds.
+  void Crash() {
+    const std::lock_guard lock(mutex_);
+    listener_.Close();
+    for (const auto& connection : all_) {
+      if (const auto open = connection.lock()) open->ResetQuietly();
+    }
+    all_.clear();
+    for (const auto& run : runs_) {
+      if (run->done()) continue;
+      run->stopped = true;
+      run->ended = record->Now();
+    }
+    std::thread([this] {
+      Sleep(2000);
+      listener_.Open();
+      record->Line("engine %s: is back", name_.c_str());
+    }).detach();
+  }
+
   bool Generate(Connection& connection, const Message& request,
                 std::string& last_answer) {
     const std::string id = request.Field("request-id");
@@ -190,11 +217,18 @@
       run->first_token = record->Now();
     }
     record->Line("engine %s: the run of %s begins", name_.c_str(), id.c_str());
+    const Fate fate = on_begin ? on_begin(request) : Fate::kServed;
+    if (fate == Fate::kCrash) {
+      record->Line("engine %s: crashes, as it begins to answer %s",
+                   name_.c_str(), id.c_str());
+      Crash();
+      return false;
+    }
     std::string answer = "HTTP/1.1 200 OK\r\nRequest-Id: " + id +
                          "\r\nResponse-Seal: seal." + name_ + "." + id +
                          "\r\nContent-Type: text/event-stream\r\n"
                          "Transfer-Encoding: chunked\r\n\r\n";
-    bool open = connection.Write(answer);
+    bool open = fate == Fate::kServed && connection.Write(answer);
     for (int event = after + 1; event <= events; ++event) {
       Sleep(static_cast<int>(4 * options_.step_ms * slower));
       const std::string text = "id: " + std::to_string(event) + "\ndata: " +
@@ -221,6 +255,12 @@
     if (stopped) return false;
     record->Line("engine %s: the run of %s ends after %d events", name_.c_str(),
                  id.c_str(), run->events);
+    if (fate == Fate::kAnswerLost) {
+      record->Line("engine %s: the answer to %s is lost, the connection reset",
+                   name_.c_str(), id.c_str());
+      connection.ResetQuietly();
+      return false;
+    }
     answer += "0\r\n\r\n";
     last_answer = answer;
     return open && connection.Write("0\r\n\r\n");
@@ -233,6 +273,7 @@
   std::mutex prefill_;
   std::vector<std::shared_ptr<Run>> runs_;
   int handles_ = 0;
+  std::vector<std::weak_ptr<Connection>> all_;
   // By request.
   std::map<std::string, Connection*> connections_;
   Listener listener_;
--- a/review/rig-3/rig.h
+++ b/review/rig-3/rig.h
@@ -239,39 +239,49 @@
 class Listener {
  public:
   using Serve = std::function<void(std::shared_ptr<Connection>)>;
-  Listener(const std::string& ip, int port, Serve serve, int backlog = 512)
-      : serve_(std::move(serve)) {
+  Listener(std::string ip, int port, Serve serve)
+      : ip_(std::move(ip)), port_(port), serve_(std::move(serve)) {
+    Open();
+  }
+  int port() const { return port_; }
+  // Connections are refused until `Open`.
+  void Close() {
+    shutdown(fd_, SHUT_RDWR);
+    close(fd_);
+  }
+  void Open() {
     fd_ = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     const int on = 1;
     setsockopt(fd_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
     sockaddr_in at{};
     at.sin_family = AF_INET;
-    at.sin_port = htons(static_cast<uint16_t>(port));
-    inet_pton(AF_INET, ip.c_str(), &at.sin_addr);
-    if (bind(fd_, reinterpret_cast<sockaddr*>(&at), sizeof(at)) != 0 ||
-        listen(fd_, backlog) != 0) {
-      fprintf(stderr, "cannot listen on %s:%d\n", ip.c_str(), port);
+    at.sin_port = htons(static_cast<uint16_t>(port_));
+    inet_pton(AF_INET, ip_.c_str(), &at.sin_addr);
+    if (::bind(fd_, reinterpret_cast<sockaddr*>(&at), sizeof(at)) != 0 ||
+        listen(fd_, 512) != 0) {
+      fprintf(stderr, "cannot listen on %s:%d\n", ip_.c_str(), port_);
       _exit(2);
     }
     socklen_t size = sizeof(at);
     getsockname(fd_, reinterpret_cast<sockaddr*>(&at), &size);
     port_ = ntohs(at.sin_port);
-    std::thread([this] { Run(); }).detach();
+    std::thread([this, fd = fd_] { Run(fd); }).detach();
   }
-  int port() const { return port_; }
 
  private:
-  void Run() {
+  void Run(int listener) {
     while (true) {
-      const int fd = accept4(fd_, nullptr, nullptr, SOCK_CLOEXEC);
+      const int fd = accept4(listener, nullptr, nullptr, SOCK_CLOEXEC);
+      if (fd < 0 && (errno == EBADF || errno == EINVAL)) return;
       if (fd < 0) continue;
       std::thread([this, connection = std::make_shared<Connection>(fd)] {
         serve_(connection);
       }).detach();
     }
   }
-  int fd_ = -1;
+  std::string ip_;
   int port_ = 0;
+  int fd_ = -1;
   Serve serve_;
 };
 
