--- a/review/11/case.cc
+++ b/review/11/case.cc
@@ -3,8 +3,7 @@
 // engine is still open, and ends by itself when that closes.
 #include "../rig-3/engine.h"
 
-using namespace rig;
-
+namespace rig {
 namespace {
 
 constexpr int kClients = 72;
@@ -67,10 +66,11 @@
       const std::string id = "abc" + std::to_string(100 + i);
       const Answer first = Ask(*connection, Request(id + "0", 8), 5000);
       const Answer answer = Ask(*connection, Request(id, 800), 20000);
-      record->Line("client: %s is answered %d, %s, after a request answered %d "
-                   "on the same connection",
-                   id.c_str(), answer.status,
-                   answer.complete ? "whole" : "cut", first.status);
+      record->Line(
+          "client: %s is answered %d, %s, after a request answered %d "
+          "on the same connection",
+          id.c_str(), answer.status, answer.complete ? "whole" : "cut",
+          first.status);
       const std::lock_guard lock(mutex);
       seen.push_back({id, answer.status, answer.complete});
     });
@@ -93,13 +93,15 @@
     cut += !client.whole && !at_leaving.contains(client.id) ? 1 : 0;
   }
   const bool runs = gateway.Runs();
-  record->Line("the gateway %s (status %d); %d requests at engines "
-               "that stay were cut",
-               runs ? "runs" : "has ended by itself", gateway.exit_status, cut);
+  record->Line(
+      "the gateway %s (status %d); %d requests at engines "
+      "that stay were cut",
+      runs ? "runs" : "has ended by itself", gateway.exit_status, cut);
   record->Line("LOST %s", cut > 3 ? "is broken" : "holds");
   return cut > 3 ? 1 : 0;
 }
 
 }  // namespace
+}  // namespace rig
 
-int main() { End(Run()); }
+int main() { rig::End(rig::Run()); }
--- a/review/12/case.cc
+++ b/review/12/case.cc
@@ -1,9 +1,8 @@
-// A part of prompts crashes the engines that answer it, and two answers beside it
-// are lost: the gateway refuses all requests that share the first part.
+// A part of prompts crashes the engines that answer it, and two answers beside
+// it are lost: the gateway refuses all requests that share the first part.
 #include "../rig-3/engine.h"
 
-using namespace rig;
-
+namespace rig {
 namespace {
 
 constexpr int kStableMs = 3000;
@@ -28,8 +27,8 @@
   Client* client = nullptr;
   {
     const std::lock_guard lock(clients_mutex);
-    clients.push_back(std::make_unique<Client>(
-        Client{id, part, deadly, record->Now(), 0}));
+    clients.push_back(
+        std::make_unique<Client>(Client{id, part, deadly, record->Now(), 0}));
     client = clients.back().get();
   }
   const auto connection = Connection::Open(gateway.ip(), gateway.front());
@@ -38,7 +37,8 @@
       Ask(*connection,
           "POST /d/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: " + id +
               "\r\nCredential: k1\r\nModel: m\r\nToken-Usage: 1400,48\r\n"
-              "Prefix-Hash: " + part + ":79," + second + ":100," + id +
+              "Prefix-Hash: " +
+              part + ":79," + second + ":100," + id +
               ":1221\r\nDeadline-Ms: 39000\r\nContent-Length: " +
               std::to_string(id.size()) + "\r\n\r\n" + id,
           8000);
@@ -136,7 +136,6 @@
 
   std::set<std::string> begun;
   int crashes = 0;
-  int crashes_before = 0;
   for (const auto& engine : engines) {
     for (const auto& run : engine->runs()) {
       if (run.first_token < 0) continue;
@@ -145,7 +144,6 @@
         ++crashes;
         if (crashes <= 5) last_crash = std::max(last_crash, run.first_token);
       }
-      crashes_before += run.id == "dd001" ? 1 : 0;
     }
   }
   int calm = 0, calm_begun = 0, late = 0, late_begun = 0;
@@ -160,9 +158,10 @@
       late_begun += has_begun ? 1 : 0;
     }
   }
-  record->Line("%d crashes; in calm %d of %d sound requests began; later than "
-               "%d ms after the last crash %d of %d",
-               crashes, calm_begun, calm, 2 * kStableMs, late_begun, late);
+  record->Line(
+      "%d crashes; in calm %d of %d sound requests began; later than "
+      "%d ms after the last crash %d of %d",
+      crashes, calm_begun, calm, 2 * kStableMs, late_begun, late);
   const bool broken = calm >= 20 && late >= 20 &&
                       2.0 * late_begun / late < 1.0 * calm_begun / calm;
   record->Line("LOST %s", broken ? "is broken" : "holds");
@@ -170,5 +169,6 @@
 }
 
 }  // namespace
+}  // namespace rig
 
-int main() { End(Run()); }
+int main() { rig::End(rig::Run()); }
--- a/review/13/case.cc
+++ b/review/13/case.cc
@@ -3,8 +3,7 @@
 // first one still works on it.
 #include "../rig-3/engine.h"
 
-using namespace rig;
-
+namespace rig {
 namespace {
 
 // What the stand-ins' threads use lives until the process ends.
@@ -47,8 +46,8 @@
         *connection,
         "POST /d/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: " + id +
             "\r\nCredential: k1\r\nModel: m\r\nToken-Usage: 3000,932\r\n"
-            "Prefix-Hash: 5c1e07a2:79," + id +
-            ":2921\r\nDeadline-Ms: 39000\r\nContent-Length: 2\r\n\r\nhi",
+            "Prefix-Hash: 5c1e07a2:79," +
+            id + ":2921\r\nDeadline-Ms: 39000\r\nContent-Length: 2\r\n\r\nhi",
         15000);
     record->Line("client: %s is answered %d, %s, seal %s", id.c_str(),
                  answer.status, answer.complete ? "whole" : "cut",
@@ -63,7 +62,8 @@
   if (trouble) {
     // It fails two calls that stop a run, and the stream between them. What
     // others send it, it serves.
-    source->on_call = [source, id](Connection& connection, const Message& call) {
+    source->on_call = [source, id](Connection& connection,
+                                   const Message& call) {
       if (call.second != "/kv-move" || stop_calls == 2 ||
           call.body.find("\"last\":true") == std::string::npos) {
         return false;
@@ -90,13 +90,13 @@
         Connection::Open(source->address().substr(0, colon),
                          stoi(source->address().substr(colon + 1)));
     const std::string other = "def10" + std::to_string(i);
-    const Answer answer = Ask(
-        *connection,
-        "POST /d/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: " + other +
-            "\r\nExpect-Instance: " + source->id() +
-            "\r\nModel: m\r\nToken-Usage: 300,8\r\nContent-Length: "
-            "2\r\n\r\nhi",
-        5000);
+    const Answer answer =
+        Ask(*connection,
+            "POST /d/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: " + other +
+                "\r\nExpect-Instance: " + source->id() +
+                "\r\nModel: m\r\nToken-Usage: 300,8\r\nContent-Length: "
+                "2\r\n\r\nhi",
+            5000);
     record->Line("another machine: %s is answered %d, %s", other.c_str(),
                  answer.status, answer.complete ? "whole" : "cut");
   }
@@ -111,10 +111,11 @@
     for (const auto& run : engine->runs()) {
       moved = true;
       const double overlap = before.ended - run.received;
-      record->Line("%s went on at engine %s at %.1f ms; engine %s worked on it "
-                   "until %.1f ms, %.1f ms later",
-                   id.c_str(), engine->name().c_str(), run.received,
-                   source->name().c_str(), before.ended, overlap);
+      record->Line(
+          "%s went on at engine %s at %.1f ms; engine %s worked on it "
+          "until %.1f ms, %.1f ms later",
+          id.c_str(), engine->name().c_str(), run.received,
+          source->name().c_str(), before.ended, overlap);
       broken = broken || overlap > 400;
     }
   }
@@ -124,5 +125,6 @@
 }
 
 }  // namespace
+}  // namespace rig
 
-int main() { End(Run()); }
+int main() { rig::End(rig::Run()); }
--- a/review/rig-3/engine.h
+++ b/review/rig-3/engine.h
@@ -111,23 +111,21 @@
     const std::string& target = request.second;
     const std::string json = "Content-Type: application/json\r\n";
     if (target == "/report") {
-      return connection.Write(Text(
-          200, json,
-          "{\"stage\":\"hybrid\",\"models\":[],\"busy\":false,\"seq\":1,"
-          "\"waiting\":0,\"running\":0,\"kvUsed\":0,\"kvTotal\":34161,"
-          "\"handles\":0,\"state\":\"ready\",\"born\":" +
-              std::to_string(born_) + "}"));
+      return connection.Write(
+          Text(200, json,
+               "{\"stage\":\"hybrid\",\"models\":[],\"busy\":false,\"seq\":1,"
+               "\"waiting\":0,\"running\":0,\"kvUsed\":0,\"kvTotal\":34161,"
+               "\"handles\":0,\"state\":\"ready\",\"born\":" +
+                   std::to_string(born_) + "}"));
     }
     if (target == "/kv-move" &&
         request.body.find("\"last\":false") != std::string::npos) {
       const std::lock_guard lock(mutex_);
       record->Line("engine %s: copies a run to another engine", name_.c_str());
-      return connection.Write(
-          Text(200, json,
-               "{\"handle\":\"h" + std::to_string(++handles_) +
-                   "\",\"created\":" +
-                   std::to_string(runs_.empty() ? 0 : runs_.back()->events) +
-                   "}"));
+      return connection.Write(Text(
+          200, json,
+          "{\"handle\":\"h" + std::to_string(++handles_) + "\",\"created\":" +
+              std::to_string(runs_.empty() ? 0 : runs_.back()->events) + "}"));
     }
     if (target == "/kv-move") {
       const size_t begin = request.body.find("\"id\":\"") + 6;
@@ -235,9 +233,9 @@
     bool open = fate == Fate::kServed && connection.Write(answer);
     for (int event = after + 1; event <= events; ++event) {
       Sleep(static_cast<int>(4 * options_.step_ms * slower));
-      const std::string text = "id: " + std::to_string(event) + "\ndata: " +
-                               name_ + " " + id + " " + std::to_string(event) +
-                               "\n\n";
+      const std::string text = "id: " + std::to_string(event) +
+                               "\ndata: " + name_ + " " + id + " " +
+                               std::to_string(event) + "\n\n";
       char size[16];
       snprintf(size, sizeof(size), "%zx\r\n", text.size());
       const std::string chunk = size + text + "\r\n";
--- a/review/rig-3/rig.h
+++ b/review/rig-3/rig.h
@@ -292,8 +292,9 @@
   for (size_t i = 0; i < text.size(); i += 3) {
     unsigned value = 0;
     for (size_t j = 0; j < 3; ++j) {
-      value = value << 8 |
-              (i + j < text.size() ? static_cast<unsigned char>(text[i + j]) : 0);
+      value =
+          value << 8 |
+          (i + j < text.size() ? static_cast<unsigned char>(text[i + j]) : 0);
     }
     for (size_t j = 0; j < 4; ++j) {
       out += i + j > text.size() ? '=' : kDigits[value >> (18 - 6 * j) & 63];
@@ -342,8 +343,8 @@
     return "";
   }
   static std::string Json(const std::string& key, const Item& item) {
-    std::string text = "{\"key\":\"" + key +
-                       "\",\"rev\":" + std::to_string(item.revision);
+    std::string text =
+        "{\"key\":\"" + key + "\",\"rev\":" + std::to_string(item.revision);
     if (item.deleted) return text + ",\"deleted\":true}";
     return text + ",\"created\":1,\"lease\":0,\"value\":\"" +
            Base64(item.value) + "\"}";
@@ -355,8 +356,8 @@
       std::string body;
       std::unique_lock lock(mutex_);
       if (request.second.rfind("/kv-watch", 0) == 0) {
-        const auto after = strtoul(Query(request.second, "after").c_str(),
-                                   nullptr, 10);
+        const auto after =
+            strtoul(Query(request.second, "after").c_str(), nullptr, 10);
         const int wait = atoi(Query(request.second, "waitMs").c_str());
         changed_.wait_for(lock, milliseconds(wait),
                           [&] { return revision_ > after; });
@@ -367,11 +368,12 @@
         for (const auto& [revision, text] : events) {
           body += (body.empty() ? "" : ",") + text;
         }
-        body = "{\"events\":[" + body + "],\"storeRevision\":" +
-               std::to_string(revision_) + "}";
+        body = "{\"events\":[" + body +
+               "],\"storeRevision\":" + std::to_string(revision_) + "}";
       } else {
         for (const auto& [key, item] : items_) {
-          if (!item.deleted) body += (body.empty() ? "" : ",") + Json(key, item);
+          if (!item.deleted)
+            body += (body.empty() ? "" : ",") + Json(key, item);
         }
         body = "{\"items\":[" + body + "],\"truncated\":false," +
                "\"storeRevision\":" + std::to_string(revision_) + "}";
@@ -408,8 +410,8 @@
 // One process of the deploy file's role, on an address of its own.
 class Gateway {
  public:
-  // `sockets`: how many the machine allows; of its descriptors, 200 more are for
-  // files.
+  // `sockets`: how many the machine allows; of its descriptors, 200 more are
+  // for files.
   Gateway(std::string ip, const std::string& store, std::string zone,
           std::string folder, int sockets = 3900)
       : ip_(std::move(ip)),
@@ -426,7 +428,8 @@
     std::ofstream(settings_)
         << "{\"node\":\"front-" << ip_
         << "\",\"role\":\"entry\",\"class\":\"front\",\"serves\":[\"front\","
-           "\"control\"],\"ip\":\"" << ip_ << "\",\"zone\":\"" << zone_
+           "\"control\"],\"ip\":\""
+        << ip_ << "\",\"zone\":\"" << zone_
         << "\",\"region\":\"slavonija\",\"zones\":{\"" << zone_
         << "\":\"slavonija\"},\"listen\":{\"front\":\"" << at << front_
         << "\",\"ready\":\"" << at << ready_ << "\",\"control\":\"" << at
@@ -546,8 +549,9 @@
                                const std::string& zone, int slots,
                                const std::string& state, long born) {
   return "{\"service\":\"" + service + "\",\"addr\":\"" + address +
-         "\",\"zone\":\"" + zone + "\",\"version\":1,\"slots\":" +
-         std::to_string(slots) + ",\"state\":\"" + state +
+         "\",\"zone\":\"" + zone +
+         "\",\"version\":1,\"slots\":" + std::to_string(slots) +
+         ",\"state\":\"" + state +
          "\",\"coldLeftMs\":0,\"seq\":1,\"born\":" + std::to_string(born) + "}";
 }
 
