--- a/review/11/case.cc
+++ b/review/11/case.cc
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr int kClients = 72;
+// Runs whose last copy finds no room.
+constexpr size_t kRefused = 1;
 
 std::string Request(const std::string& id, int output) {
   return "POST /d/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: " + id +
@@ -80,7 +82,7 @@
   if (trouble) store.Put("op/evacuate/me-c", "{}");
   Sleep(500);
   // One engine of that zone leaves.
-  engines[0]->refuses_last_copies = true;
+  engines[0]->refused_last_copies = kRefused;
   announce(0, "draining");
   for (auto& client : clients) client.join();
   Sleep(500);
--- a/review/rig-3/engine.h
+++ b/review/rig-3/engine.h
@@ -77,8 +77,9 @@
     const std::lock_guard lock(mutex_);
     connections_.at(id)->ResetQuietly();
   }
-  // There is no room for the last part of a run's copy, once for each run.
-  std::atomic<bool> refuses_last_copies = false;
+  // For so many runs there is no room for the last part of their copies, once
+  // each.
+  std::atomic<size_t> refused_last_copies = 0;
   // How much slower it works than it should.
   std::atomic<double> slower = 1.0;
 
@@ -143,7 +144,7 @@
         const bool to_nowhere =
             request.body.find("127.0.0.1:9\"") != std::string::npos;
         const bool is_refused =
-            refuses_last_copies && refused_.insert(id).second;
+            refused_.size() < refused_last_copies && refused_.insert(id).second;
         return connection.Write(
             Text(to_nowhere || is_refused ? 503 : 200, json,
                  "{\"handle\":\"h" + std::to_string(++handles_) +
