Close the connection of a request that is given up

Cause: the migration reports the run as lost while the stream of its source is open. The request is destroyed, but the connection keeps the callbacks that hold it. A raw pointer owned the connection; if the request was begun anew instead, the callbacks acted on the second attempt, and the engine's capacity was never given back. Change: an attempt, and a migration's copy call, own their connection by a lease that closes an incomplete one. A lost run's attempt is ended, and so is that of any request that finishes.

--- a/services/gateway/exchange.cc
+++ b/services/gateway/exchange.cc
@@ -113,10 +113,10 @@
   attempt.demand = demand;
   attempt.holding = intake::ResponseHolding(context_.response_account);
   attempt.is_resumed = options.memory.has_value();
-  attempt.connection = context_.pool.Acquire(
-      server_id, endpoint,
-      request_.route->MayRepeat() ? ConnectionPool::Use::kRequest
-                                  : ConnectionPool::Use::kRequestOnce);
+  attempt.connection = ConnectionLease(context_.pool, server_id, endpoint,
+                                       request_.route->MayRepeat()
+                                           ? ConnectionPool::Use::kRequest
+                                           : ConnectionPool::Use::kRequestOnce);
   context_.selector.OnStart(server_id, demand);
   if (request_.engine() != nullptr && context_.send_load) context_.send_load();
   attempt_ = std::move(attempt);
@@ -287,7 +287,7 @@
       !IsQuarantined()) {
     return;
   }
-  if (attempt_.has_value() && attempt_->connection != nullptr) {
+  if (HasOpenAttempt()) {
     // It may be running already, and its end shows whether it is harmless.
     if (attempt_->head.status != 0) return;
     AbortAttempt(AttemptResult::kInconclusive);
@@ -410,7 +410,7 @@
 
 void Exchange::EndAttempt(AttemptResult result) {
   Attempt& attempt = *attempt_;
-  if (attempt.connection == nullptr) return;
+  if (!attempt.connection) return;
   const BootTime now = BootClock::now();
   context_.selector.OnEnd(attempt.server_id, attempt.demand,
                           attempt.has_output);
@@ -422,19 +422,18 @@
   if (request_.work_kind() == dispatch::WorkKind::kPlain && did_work) {
     context_.wait_estimators[request_.service->name].OnWorkDone(work(), now);
   }
-  context_.pool.Release(attempt.server_id,
-                        std::exchange(attempt.connection, nullptr));
+  attempt.connection.End();
   if (context_.on_capacity_freed) context_.on_capacity_freed();
 }
 
 void Exchange::AbortAttempt(AttemptResult result) {
-  if (!attempt_.has_value() || attempt_->connection == nullptr) return;
+  if (!HasOpenAttempt()) return;
   AbandonRun(/*may_be_queued=*/attempt_->head.status == 0);
   CloseAttempt(result);
 }
 
 void Exchange::CloseAttempt(AttemptResult result) {
-  if (!attempt_.has_value() || attempt_->connection == nullptr) return;
+  if (!HasOpenAttempt()) return;
   attempt_->connection->Abort();
   EndAttempt(result);
 }
@@ -450,7 +449,7 @@
 }
 
 void Exchange::OnAttemptSlow() {
-  if (!attempt_.has_value() || attempt_->connection == nullptr) return;
+  if (!HasOpenAttempt()) return;
   const BootTime now = BootClock::now();
   if (!std::exchange(attempt_->reported_slow, true)) {
     context_.selector.OnResult(
@@ -487,8 +486,7 @@
       RunOfAttempt(),
       [self = QPointer(this), attempt = started_attempts_](StopResult result) {
         if (self == nullptr || self->finished_ ||
-            self->started_attempts_ != attempt ||
-            self->attempt_->connection == nullptr) {
+            self->started_attempts_ != attempt || !self->HasOpenAttempt()) {
           return;
         }
         self->OnSlowEngineAsked(result);
--- a/services/gateway/exchange.h
+++ b/services/gateway/exchange.h
@@ -17,6 +17,7 @@
 #include "libraries/retry/attempt_policy.h"
 #include "libraries/retry/unframed_end.h"
 #include "services/gateway/admission.h"
+#include "services/gateway/connection_lease.h"
 #include "services/gateway/gateway_context.h"
 #include "services/gateway/generation_migration.h"
 #include "services/gateway/outbound_connection.h"
@@ -76,8 +77,8 @@
   struct Attempt {
     std::string server_id;
     directory::Endpoint endpoint;
-    // Null after the connection was released or aborted.
-    OutboundConnection* connection = nullptr;
+    // Ends with the attempt, before another one starts.
+    ConnectionLease connection;
     dispatch::Demand demand;
     BootTime started;
     // When the response head arrived; zero before that.
@@ -196,6 +197,11 @@
   void RetryOnAnotherServer(retry::AttemptEnd end);
   // No other server takes the request, whose last attempt ended so.
   void OnNoOtherServer(retry::AttemptEnd end);
+  // Whether an attempt holds a connection: its response is incomplete, or its
+  // end is not judged yet.
+  bool HasOpenAttempt() const {
+    return attempt_.has_value() && attempt_->connection;
+  }
   // Releases the connection and the capacity reserved at the server.
   void EndAttempt(dispatch::AttemptResult result);
   // Ends an attempt whose response is no longer needed, and the run.
@@ -228,6 +234,8 @@
   void RelayWholeEvents(std::string_view events);
   void CompleteResponse();
   void OnStreamEnded(OutboundConnection::EndReason end);
+  // The run cannot go on as it is: begins it anew at another server, after the
+  // last event that the client received, or gives the request up.
   void OnStreamLost();
   // The server that was to resume the run did not. If nothing tells whether it
   // has begun to, it is asked to stop first.
@@ -277,6 +285,7 @@
   bool crashed_on_answer_ = false;
   // A run of the request answered for long enough.
   bool proved_harmless_ = false;
+  // A finished request holds no connection, timer or migration.
   bool finished_ = false;
   migration::EventStreamMerger events_;
   EventTimes event_times_;
--- a/services/gateway/exchange_relay.cc
+++ b/services/gateway/exchange_relay.cc
@@ -175,9 +175,7 @@
 }
 
 void Exchange::OnSinkDrained() {
-  if (attempt_.has_value() && attempt_->connection != nullptr) {
-    attempt_->connection->SetPaused(false);
-  }
+  if (HasOpenAttempt()) attempt_->connection->SetPaused(false);
 }
 
 void Exchange::CompleteResponse() {
@@ -223,6 +221,8 @@
 }
 
 void Exchange::OnStreamLost() {
+  // A migration that fails may leave the stream of its source open.
+  AbortAttempt(AttemptResult::kInconclusive);
   EndMigration();
   ++sent_attempts_;
   request_.demand.excluded.insert(attempt_->server_id);
@@ -265,9 +265,8 @@
 // --- Migration ---
 
 void Exchange::OnServerLeaving(const std::string& server_id) {
-  const bool runs_on_server = !finished_ && attempt_.has_value() &&
-                              attempt_->connection != nullptr &&
-                              attempt_->server_id == server_id;
+  const bool runs_on_server =
+      !finished_ && HasOpenAttempt() && attempt_->server_id == server_id;
   if (!runs_on_server || migration_ != nullptr) return;
   // Whether there is a run left to move is about to be known.
   if (attempt_->is_end_undecided) return;
@@ -313,9 +312,8 @@
 
 void Exchange::OnServerRestarted(const directory::BackendServer& server) {
   if (migration_ != nullptr) migration_->OnServerRestarted(server);
-  const bool runs_elsewhere = finished_ || !attempt_.has_value() ||
-                              attempt_->server_id != server.id ||
-                              attempt_->connection == nullptr;
+  const bool runs_elsewhere =
+      finished_ || !HasOpenAttempt() || attempt_->server_id != server.id;
   // At the same address, the connection tells the incarnations apart: one to
   // the former has been reset, or is within seconds of silence
   // (net::TcpStream). What it still serves runs on the new one.
@@ -325,9 +323,7 @@
 }
 
 bool Exchange::RunsInDataCenter(std::string_view data_center) const {
-  if (finished_ || !attempt_.has_value() || attempt_->connection == nullptr) {
-    return false;
-  }
+  if (finished_ || !HasOpenAttempt()) return false;
   const directory::BackendServer* server =
       context_.directory.Find(attempt_->server_id);
   return server != nullptr && server->data_center == data_center;
--- a/services/gateway/exchange_response.cc
+++ b/services/gateway/exchange_response.cc
@@ -75,6 +75,7 @@
 
 void Exchange::Finish(std::string_view outcome, int status) {
   if (std::exchange(finished_, true)) return;
+  AbortAttempt(AttemptResult::kInconclusive);
   EndMigration();
   deadline_timer_.stop();
   slow_timer_.stop();
--- a/services/gateway/generation_migration.cc
+++ b/services/gateway/generation_migration.cc
@@ -215,26 +215,24 @@
 void GenerationMigration::SendCopyCall(bool stop) {
   const BackendCall call =
       context_.dialect.MakeCopyCall(run_.request_id, target_, stop);
-  call_ = context_.pool.Acquire(run_.server_id, run_.endpoint,
-                                ConnectionPool::Use::kRequest);
+  call_ = std::make_shared<ConnectionLease>(context_.pool, run_.server_id,
+                                            run_.endpoint,
+                                            ConnectionPool::Use::kRequest);
   call_started_at_ = BootClock::now();
-  call_->Call(
-      call.ToBytes(), kCopyTimeout,
-      [self = QPointer(this), connection = call_, pool = &context_.pool,
-       server = run_.server_id](const OutboundConnection::Response& reply) {
-        if (self != nullptr && self->call_ == connection) {
-          self->OnCopyResponse(reply);
-        } else {
-          pool->Release(server, connection);
-        }
-      });
+  (*call_)->Call(call.ToBytes(), kCopyTimeout,
+                 [self = QPointer(this),
+                  lease = call_](const OutboundConnection::Response& reply) {
+                   lease->End();
+                   if (self == nullptr || self->call_ != lease) return;
+                   self->call_.reset();
+                   self->OnCopyResponse(reply);
+                 });
 }
 
 void GenerationMigration::OnCopyResponse(
     const OutboundConnection::Response& reply) {
   const auto took = std::chrono::duration_cast<milliseconds>(BootClock::now() -
                                                              call_started_at_);
-  context_.pool.Release(run_.server_id, std::exchange(call_, nullptr));
   CopyResponse response;
   if (reply.end == OutboundConnection::EndReason::kComplete) {
     response =
@@ -274,7 +272,7 @@
 
 void GenerationMigration::Resume(bool at_target) {
   // A call that is still in progress stops the run; its response is not needed.
-  call_ = nullptr;
+  call_.reset();
   ReleaseTarget();
   LeaveCopyQueue();
   on_resume({at_target ? target_id_ : run_.server_id,
@@ -290,8 +288,8 @@
 
 void GenerationMigration::ReleaseCall() {
   if (call_ == nullptr) return;
-  call_->Abort();
-  context_.pool.Release(run_.server_id, std::exchange(call_, nullptr));
+  call_->End();
+  call_.reset();
 }
 
 void GenerationMigration::ReleaseCopy() {
--- a/services/gateway/generation_migration.h
+++ b/services/gateway/generation_migration.h
@@ -8,12 +8,14 @@
 #include <QTimer>
 #include <chrono>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
 
 #include "libraries/migration/copy_queue.h"
 #include "libraries/migration/migration_state_machine.h"
+#include "services/gateway/connection_lease.h"
 #include "services/gateway/gateway_context.h"
 #include "services/gateway/server_search.h"
 
@@ -112,8 +114,9 @@
   std::string handle_;
   // The source refused the last call that was to stop the run.
   bool stop_refused_ = false;
-  // The copy call in progress; null if there is none.
-  OutboundConnection* call_ = nullptr;
+  // The copy call in progress; null if there is none. Its callback shares it,
+  // as the call may go on without this.
+  std::shared_ptr<ConnectionLease> call_;
   BootTime call_started_at_;
   BootTime noticed_at_;
   QTimer retry_timer_;
