Resume a run from its first copy if its evacuated source must not

Cause: the resumption at the source counted as refused, and nothing else was tried, although the target keeps the first copy. Change: the target resumes the run from that copy, unless it has refused before. Evidence: FailedMoveTest.RunInEvacuatedDataCenterResumesFromTheFirstCopy failed before by two checks; two cases of the state machine cover the order of the tries.

--- a/libraries/migration/migration_state_machine.cc
+++ b/libraries/migration/migration_state_machine.cc
@@ -108,6 +108,7 @@
     *this = MigrationStateMachine(limits_);
     return MigrationStep::kNone;
   }
+  target_refused_ |= !resuming_at_source_;
   if (!resuming_at_source_ && source_holds_memory_) {
     resuming_at_source_ = true;
     return MigrationStep::kResumeAtSource;
@@ -115,4 +116,13 @@
   return MigrationStep::kLost;
 }
 
+MigrationStep MigrationStateMachine::OnSourceExcluded() {
+  if (state_ != State::kResuming) return MigrationStep::kNone;
+  source_holds_memory_ = false;
+  if (!has_copy_ || target_refused_) return MigrationStep::kLost;
+  // The target keeps an earlier copy, and prefills what that lacks.
+  resuming_at_source_ = false;
+  return MigrationStep::kResumeAtTarget;
+}
+
 }  // namespace balsam::migration
--- a/libraries/migration/migration_state_machine.h
+++ b/libraries/migration/migration_state_machine.h
@@ -68,6 +68,8 @@
   MigrationStep OnRetryTimer();
   // `accepted`: whether the server that was to resume the run accepted it.
   MigrationStep OnResumeResult(bool accepted);
+  // The source must not resume the run, although it holds its memory.
+  MigrationStep OnSourceExcluded();
 
   // A migration is in progress.
   bool active() const { return state_ != State::kIdle; }
@@ -100,6 +102,8 @@
   // is all that is waited for. False after a call without a useful response.
   bool stream_end_proves_stop_ = false;
   bool resuming_at_source_ = false;
+  // The target did not resume the run.
+  bool target_refused_ = false;
   int targets_tried_ = 0;
 };
 
--- a/services/gateway/generation_migration.cc
+++ b/services/gateway/generation_migration.cc
@@ -159,10 +159,14 @@
       Resume(true);
       return;
     case MigrationStep::kResumeAtSource:
-      if (source_restarted_ || context_.directory.IsEvacuated(run_.server_id)) {
+      if (source_restarted_) {
         ExecuteStep(state_machine_.OnResumeResult(false));
         return;
       }
+      if (context_.directory.IsEvacuated(run_.server_id)) {
+        ExecuteStep(state_machine_.OnSourceExcluded());
+        return;
+      }
       Resume(false);
       return;
     case MigrationStep::kLost:
--- a/tests/libraries/migration/move_machine_test.cc
+++ b/tests/libraries/migration/move_machine_test.cc
@@ -137,6 +137,25 @@
   EXPECT_EQ(machine_.OnResumeResult(false), MigrationStep::kLost);
 }
 
+// Guards against losing a stopped run in an evacuated data centre (review/11):
+// the first copy was not used.
+TEST_F(MigrationStateMachineTest, RefusedLastCopyUsesTheFirstWithoutASource) {
+  StartFirstCopy();
+  machine_.OnCopyResult(CopyResult::kCopied, kShortCopy);
+  EXPECT_EQ(machine_.OnCopyResult(CopyResult::kNoCapacity, kShortCopy),
+            MigrationStep::kResumeAtSource);
+  EXPECT_EQ(machine_.OnSourceExcluded(), MigrationStep::kResumeAtTarget);
+  EXPECT_EQ(machine_.OnResumeResult(false), MigrationStep::kLost);
+}
+
+TEST_F(MigrationStateMachineTest, TargetThatRefusedIsNotAskedAgain) {
+  StartFirstCopy();
+  machine_.OnCopyResult(CopyResult::kCopied, kShortCopy);
+  machine_.OnCopyResult(CopyResult::kCopied, kShortCopy);
+  EXPECT_EQ(machine_.OnResumeResult(false), MigrationStep::kResumeAtSource);
+  EXPECT_EQ(machine_.OnSourceExcluded(), MigrationStep::kLost);
+}
+
 TEST_F(MigrationStateMachineTest, RefusedResumeFallsBackToTheSource) {
   StartFirstCopy();
   machine_.OnCopyResult(CopyResult::kCopied, kShortCopy);
--- a/tests/services/gateway/failed_move_test.cc
+++ b/tests/services/gateway/failed_move_test.cc
@@ -94,5 +94,22 @@
   EXPECT_EQ(usage.requests, 0);
 }
 
+// Guards against losing a run that must not be repeated (review/11): its source
+// was evacuated and must not resume it, and the target had an earlier copy.
+TEST_F(FailedMoveTest, RunInEvacuatedDataCenterResumesFromTheFirstCopy) {
+  second_.on_request = [](const ScriptedEngine::Request& request) {
+    if (!request.IsTo("/x")) return;
+    EXPECT_NE(request.head.find("/c-1"), std::string::npos);
+    BeginStream(request.socket, 3, 4);
+    EndStream(request.socket);
+  };
+  on_stop = [this] { context_.directory.evacuations().OnRequested("i-1"); };
+  Send(RequestKind::kStream, 1);
+  RunUntilDone();
+  EXPECT_EQ(sink_.complete, true);
+  EXPECT_EQ(sink_.text, std::string(kFirstTwoEvents) +
+                            "id: 3\ndata: t\n\nid: 4\ndata: t\n\n");
+}
+
 }  // namespace
 }  // namespace balsam::gateway
