Take a server for crashed only if it is gone

Cause: any connection that ended without a whole response was taken for a crash of its server, although the server served on. Change: CrashDetector connects to the server again, without a request. A refused connection, or two in a row without an answer, is a crash; so is a new incarnation. The decision whether to repeat a request does not wait for that. Two metrics and events tell losses from crashes.

--- a/libraries/net/tcp_stream.cc
+++ b/libraries/net/tcp_stream.cc
@@ -200,7 +200,8 @@
     socklen_t size = sizeof(error);
     ::getsockopt(descriptor_, SOL_SOCKET, SO_ERROR, &error, &size);
     if (error != 0) {
-      CloseWith(CloseReason::kNotConnected);
+      CloseWith(error == ECONNREFUSED ? CloseReason::kRefused
+                                      : CloseReason::kNotConnected);
       return;
     }
     state_ = State::kConnected;
--- a/libraries/net/tcp_stream.h
+++ b/libraries/net/tcp_stream.h
@@ -24,6 +24,8 @@
   kReset,
   // The connection was never established.
   kNotConnected,
+  // The same, since nothing listens there.
+  kRefused,
 };
 
 class TcpStream : public QObject {
--- a/services/gateway/connection_pool.cc
+++ b/services/gateway/connection_pool.cc
@@ -55,6 +55,7 @@
                                             const directory::Endpoint& endpoint,
                                             Use use) {
   const BootTime now = BootClock::now();
+  if (use == Use::kNewConnection) return Create(server_id, endpoint, now);
   std::vector<Idle>& idle = idle_[server_id];
   std::erase_if(idle, [&](const Idle& entry) {
     if (IsUsable(entry, endpoint, now)) return false;
@@ -65,6 +66,12 @@
     connection->on_idle_closed = nullptr;
     return connection;
   }
+  return Create(server_id, endpoint, now);
+}
+
+OutboundConnection* ConnectionPool::Create(const std::string& server_id,
+                                           const directory::Endpoint& endpoint,
+                                           BootTime now) {
   auto* connection = new OutboundConnection(endpoint, limits_.timeouts, this);
   connection->names_request = names_request;
   connection->on_response_head = [this, server_id,
--- a/services/gateway/connection_pool.h
+++ b/services/gateway/connection_pool.h
@@ -45,6 +45,9 @@
     kRequestOnce,
     // A call whose response concerns no request.
     kPoll,
+    // To find out whether the server accepts connections. No pooled connection
+    // is used.
+    kNewConnection,
   };
 
   explicit ConnectionPool(Limits limits, QObject* parent = nullptr);
@@ -84,6 +87,8 @@
   // is none.
   OutboundConnection* TakeIdle(std::vector<Idle>& idle, Use use,
                                BootTime now) const;
+  OutboundConnection* Create(const std::string& server_id,
+                             const directory::Endpoint& endpoint, BootTime now);
   static void Discard(OutboundConnection* connection);
   void Remove(const std::string& server_id, OutboundConnection* connection);
 
--- a/services/gateway/exchange.cc
+++ b/services/gateway/exchange.cc
@@ -179,7 +179,7 @@
     }
   }
   attempt_->is_complete = end == OutboundConnection::EndReason::kComplete;
-  RecordCrashIfBroken(end);
+  CheckForCrash(end);
   // A run that is being migrated is stopped by its migration.
   const bool may_run = !attempt_->is_complete && !IsStopRequested() &&
                        end != OutboundConnection::EndReason::kNotConnected;
@@ -222,7 +222,7 @@
   return end;
 }
 
-void Exchange::RecordCrashIfBroken(OutboundConnection::EndReason end) {
+void Exchange::CheckForCrash(OutboundConnection::EndReason end) {
   using EndReason = OutboundConnection::EndReason;
   const bool broken = end == EndReason::kClosedWithoutResponse ||
                       (end == EndReason::kBroken && !IsStopRequested());
@@ -235,36 +235,52 @@
   // request.
   const std::string& id = attempt_->server_id;
   if (context_.directory.StateOf(id) != directory::ServerState::kReady) return;
-  const BootTime now = BootClock::now();
+  ++lost_runs_;
+  lost_on_answer_ |= attempt_->streaming && !attempt_->has_output;
   // A server sends the head when it begins to answer, with the first event of a
   // stream, or with the whole response. Without the head the request may only
   // have waited there.
   const bool is_answering = attempt_->head.status != 0;
-  crashed_on_answer_ |= attempt_->streaming && !attempt_->has_output;
-  const quarantine::Change change = context_.crash_ledger.OnCrash(
-      {dispatch::ServerKey(id), milliseconds(0),
-       std::chrono::duration_cast<milliseconds>(
-           now - std::max(attempt_->started, attempt_->answered)),
-       request_.traits, is_answering},
-      now);
+  const BootTime lost = BootClock::now();
+  const BootTime began = std::max(attempt_->started, attempt_->answered);
+  context_.crash_detector.OnResponseLost(
+      id, attempt_->endpoint,
+      [&context = context_, id, request_id = metadata_.id,
+       traits = request_.traits, parts = SharedPartsText(), is_answering, lost,
+       began] {
+        const auto age = [now = BootClock::now()](BootTime time) {
+          return std::chrono::duration_cast<milliseconds>(now - time);
+        };
+        RecordCrash(context,
+                    {dispatch::ServerKey(id), age(lost), age(began), traits,
+                     is_answering},
+                    id, request_id, parts);
+      });
+}
+
+void Exchange::RecordCrash(GatewayContext& context,
+                           const quarantine::CrashReport& report,
+                           const std::string& server_id,
+                           const std::string& request_id,
+                           const std::string& parts) {
+  const quarantine::Change change =
+      context.crash_ledger.OnCrash(report, BootClock::now());
   LogEvent("request_suspected", LogEvent::Level::kWarning)
-      .With("id", metadata_.id)
-      .With("server", id)
-      .With("fingerprint", request_.traits.back())
-      .With("crashes", context_.crash_ledger.CrashesOf(request_.traits.back()))
-      .With("answering", is_answering ? 1 : 0)
-      .With("events", events_.events())
-      .With("parts", SharedPartsText());
-  OnCrashEvidence(change);
+      .With("id", request_id)
+      .With("server", server_id)
+      .With("fingerprint", report.traits.back())
+      .With("crashes", context.crash_ledger.CrashesOf(report.traits.back()))
+      .With("answering", report.is_answering ? 1 : 0)
+      .With("parts", parts);
+  if (change.is_news && context.on_crash_evidence) {
+    context.on_crash_evidence(change);
+  }
 }
 
 void Exchange::ProveHarmless() {
   if (std::exchange(proved_harmless_, true)) return;
-  OnCrashEvidence(
-      context_.crash_ledger.OnSurvived(request_.traits, BootClock::now()));
-}
-
-void Exchange::OnCrashEvidence(const quarantine::Change& change) const {
+  const quarantine::Change change =
+      context_.crash_ledger.OnSurvived(request_.traits, BootClock::now());
   if (change.is_news && context_.on_crash_evidence) {
     context_.on_crash_evidence(change);
   }
@@ -275,11 +291,12 @@
 }
 
 bool Exchange::MayRetryAfterCrash() const {
-  return request_.route->MayRepeat() && !crashed_on_answer_ &&
-         !IsQuarantined() &&
+  // Crashes of its own runs may not be confirmed yet.
+  const int crashes = std::max(
+      context_.crash_ledger.CrashesOf(request_.traits.back()), lost_runs_);
+  return request_.route->MayRepeat() && !lost_on_answer_ && !IsQuarantined() &&
          !context_.crash_ledger.IsSuspected(request_.traits) &&
-         context_.crash_ledger.CrashesOf(request_.traits.back()) <
-             kMaxCrashesPerRequest;
+         crashes < kMaxCrashesPerRequest;
 }
 
 void Exchange::OnQuarantine() {
--- a/services/gateway/exchange.h
+++ b/services/gateway/exchange.h
@@ -181,13 +181,19 @@
   // Returns whether the response, which has ended as its framing says, is
   // whole. Records if its run may have been stopped.
   retry::UnframedEnd JudgeEnd();
-  // Records a crash that this request may have caused, if the server closed or
-  // broke the connection before the request proved harmless.
-  void RecordCrashIfBroken(OutboundConnection::EndReason end);
+  // If the server closed or broke the connection before the request proved
+  // harmless, has the server checked: the request may have crashed it.
+  void CheckForCrash(OutboundConnection::EndReason end);
+  // Records that the server was found to have crashed while it ran a request
+  // with these parts of its prompt. May be called after the request has ended.
+  static void RecordCrash(GatewayContext& context,
+                          const quarantine::CrashReport& report,
+                          const std::string& server_id,
+                          const std::string& request_id,
+                          const std::string& parts);
   // The server has run the request for long enough to show that the request
   // does not crash it.
   void ProveHarmless();
-  void OnCrashEvidence(const quarantine::Change& change) const;
   bool IsQuarantined() const;
   // Whether the route and the crashes so far allow to run the request again.
   bool MayRetryAfterCrash() const;
@@ -280,9 +286,12 @@
   ServerSearch search_;
   // The response head has been written to the client.
   bool response_started_ = false;
-  // A server crashed when it began to answer, most likely because of this
-  // request: few runs are that far at any moment.
-  bool crashed_on_answer_ = false;
+  // Runs that were lost before the request proved harmless, by a crash as far
+  // as is known yet.
+  int lost_runs_ = 0;
+  // One of them was lost when its server had begun to answer, so that this
+  // request most likely caused the crash: few runs are that far at any moment.
+  bool lost_on_answer_ = false;
   // A run of the request answered for long enough.
   bool proved_harmless_ = false;
   // A finished request holds no connection, timer or migration.
--- a/services/gateway/gateway_context.h
+++ b/services/gateway/gateway_context.h
@@ -29,6 +29,7 @@
 #include "libraries/routing/route_table.h"
 #include "libraries/telemetry/request_metrics.h"
 #include "services/gateway/connection_pool.h"
+#include "services/gateway/crash_detector.h"
 #include "services/gateway/dialect.h"
 #include "services/gateway/planned_stop.h"
 #include "services/gateway/run_stopper.h"
@@ -79,6 +80,7 @@
         selector({}, seed),
         pool(pool_limits),
         run_stopper(pool, dialect),
+        crash_detector(pool),
         retry_limits(retry_limits),
         random(static_cast<std::minstd_rand::result_type>(seed)) {
     pool.names_request = [&dialect](const http1::ResponseHead& head) {
@@ -117,6 +119,7 @@
   limits::LimitTable limits;
   ConnectionPool pool;
   RunStopper run_stopper;
+  CrashDetector crash_detector;
   // All by service.
   std::map<std::string, dispatch::DemandMix> demand_mixes;
   std::map<std::string, dispatch::WaitQueue<Exchange*>> wait_queues;
--- a/services/gateway/gateway_node.cc
+++ b/services/gateway/gateway_node.cc
@@ -164,6 +164,10 @@
        static_cast<double>(context_.directory.evacuations().size())},
       {"quarantined_signatures",
        static_cast<double>(context_.crash_ledger.quarantined_count())},
+      {"server_crashes_found",
+       static_cast<double>(context_.crash_detector.crashes_found())},
+      {"responses_lost_without_crash",
+       static_cast<double>(context_.crash_detector.losses_without_crash())},
       {"peers_alive", static_cast<double>(peers_.AlivePeers().size())},
       {"client_connections", static_cast<double>(clients_.size())},
       {"request_memory_bytes",
@@ -236,6 +240,7 @@
   const BootTime began = now - server.age;
   context_.pool.CloseIdleConnections(server.id);
   for (Exchange* exchange : Exchanges()) exchange->OnServerRestarted(server);
+  context_.crash_detector.OnServerRestarted(server.id, began);
   context_.selector.OnRestarted(server.id, began);
   context_.limits.OnRestarted(dispatch::ServerKey(server.id), began);
   if (context_.directory.StateOf(server.id) ==
@@ -400,6 +405,7 @@
   context_.selector.RemoveIdleServers(now);
   context_.limits.RemoveExpired(now);
   UpdateColdLimits(now);
+  context_.crash_detector.DropExpired(now);
   LogQuarantineChanges(context_.crash_ledger.DropExpired(now));
 }
 
--- a/services/gateway/outbound_connection.cc
+++ b/services/gateway/outbound_connection.cc
@@ -59,7 +59,7 @@
   connect(&stream_, &net::TcpStream::Closed, this,
           &OutboundConnection::OnClosed);
   connect(&connect_timer_, &QTimer::timeout, this,
-          [this] { Finish(EndReason::kNotConnected); });
+          &OutboundConnection::OnConnectTimeout);
   stream_.SetWritesAfterPeerClose(true);
   response_timer_.setSingleShot(true);
   connect(&response_timer_, &QTimer::timeout, this,
@@ -68,6 +68,29 @@
 
 OutboundConnection::~OutboundConnection() { stream_.Abort(); }
 
+void OutboundConnection::Open(std::function<void(OpenResult)> on_opened) {
+  on_opened_ = std::move(on_opened);
+  connect_timer_.start(timeouts_.connect);
+  stream_.Connect(endpoint_.ip, endpoint_.port);
+}
+
+void OutboundConnection::OnConnectTimeout() {
+  if (on_opened_ == nullptr) {
+    Finish(EndReason::kNotConnected);
+    return;
+  }
+  unusable_ = true;
+  stream_.Abort();
+  ReportOpened(OpenResult::kTimedOut);
+}
+
+void OutboundConnection::ReportOpened(OpenResult result) {
+  connect_timer_.stop();
+  // The callback may end this connection's lease.
+  const auto on_opened = std::exchange(on_opened_, nullptr);
+  on_opened(result);
+}
+
 void OutboundConnection::Send(Request request) {
   request_ = std::make_shared<Request>(std::move(request));
   parser_ = std::make_unique<http1::ResponseParser>(kResponseLimits,
@@ -125,6 +148,10 @@
 
 void OutboundConnection::OnConnected() {
   connect_timer_.stop();
+  if (on_opened_ != nullptr) {
+    ReportOpened(OpenResult::kOpen);
+    return;
+  }
   if (request_ != nullptr) WriteRequest();
 }
 
@@ -209,6 +236,11 @@
 void OutboundConnection::OnClosed(net::CloseReason reason) {
   connect_timer_.stop();
   unusable_ = true;
+  if (on_opened_ != nullptr) {
+    ReportOpened(reason == net::CloseReason::kRefused ? OpenResult::kRefused
+                                                      : OpenResult::kFailed);
+    return;
+  }
   if (request_ == nullptr) {
     ReportIdleClosed();
     return;
@@ -252,6 +284,7 @@
 
 void OutboundConnection::Abort() {
   request_.reset();
+  on_opened_ = nullptr;
   unusable_ = true;
   connect_timer_.stop();
   response_timer_.stop();
--- a/services/gateway/outbound_connection.h
+++ b/services/gateway/outbound_connection.h
@@ -89,6 +89,18 @@
                      QObject* parent);
   ~OutboundConnection() override;
 
+  enum class OpenResult {
+    kOpen,
+    // Nothing listens there.
+    kRefused,
+    kTimedOut,
+    // It failed for a reason that may be this process's own.
+    kFailed,
+  };
+
+  // Connects without a request. `on_opened` is called once, from the event
+  // loop, unless `Abort` precedes it.
+  void Open(std::function<void(OpenResult)> on_opened);
   // Sends a request; none may be in progress. Connects first if necessary.
   void Send(Request request);
   // Sends a request without an id and returns its response as a whole. A
@@ -146,6 +158,8 @@
 
  private:
   void OnConnected();
+  void OnConnectTimeout();
+  void ReportOpened(OpenResult result);
   void OnReceived(std::string_view bytes);
   void OnClosed(net::CloseReason reason);
   void WriteRequest();
@@ -163,6 +177,8 @@
   // request.
   std::shared_ptr<Request> request_;
   std::unique_ptr<http1::ResponseParser> parser_;
+  // Null unless `Open` is in progress.
+  std::function<void(OpenResult)> on_opened_;
   // Received and not yet parsed.
   std::string input_;
   bool head_reported_ = false;
--- a/tests/services/gateway/exchange_fixture.h
+++ b/tests/services/gateway/exchange_fixture.h
@@ -134,6 +134,23 @@
     ASSERT_TRUE(RunUntil([this] { return sink_.complete.has_value(); }));
   }
 
+  // Both engines crash on each request.
+  void CrashOnRequests() {
+    for (ScriptedEngine* engine : {&first_, &second_}) {
+      engine->on_request = [engine](const auto&) { engine->Crash(); };
+    }
+  }
+  // Engines that crashed are back once that is known.
+  void RestartEngines() {
+    ASSERT_TRUE(
+        RunUntil([this] { return context_.crash_detector.checks() == 0; }));
+    first_.Restart();
+    second_.Restart();
+    // What the node does for an engine that is back after a crash.
+    context_.selector.Forget("i-1");
+    context_.selector.Forget("i-2");
+  }
+
   static void Reply(QTcpSocket* socket, const std::string& status,
                     const std::string& fields, const std::string& body) {
     const std::string text = "HTTP/1.1 " + status + "\r\n" + fields +
