Let a moved run go on only once its engine has shown that it stopped

Cause: a call without a response, once the stream had ended, was taken for the end of the run, and after a long copy any end of the stream. Nothing asked the engine again. Change: proof is the engine's word (what it keeps of the run, no such run, a stream that it closes after it was asked), or that it is gone. Until then the call is repeated, at the longest up to the request's deadline; then the run is asked for by RunStopper, which tells refused, unreachable, silent and failed calls apart. The tables and the model of the state machine's tests held the assumption; an engine that does not answer no longer counts as gone there, and 20 failures in a row are covered.

--- a/libraries/migration/migration_state_machine.cc
+++ b/libraries/migration/migration_state_machine.cc
@@ -27,6 +27,13 @@
   return MigrationStep::kCopy;
 }
 
+MigrationStep MigrationStateMachine::ResumeWithoutSource() {
+  source_holds_memory_ = false;
+  if (!has_copy_) return MigrationStep::kLost;
+  state_ = State::kResuming;
+  return MigrationStep::kResumeAtTarget;
+}
+
 MigrationStep MigrationStateMachine::OnCopyResult(
     CopyResult result, std::chrono::milliseconds took) {
   if (state_ == State::kCopying) {
@@ -37,13 +44,13 @@
         state_ = State::kStopping;
         return MigrationStep::kStopAndCopy;
       case CopyResult::kNoCapacity:
-        return source_stream_broken_ ? MigrationStep::kLost
-                                     : ChooseNextTarget();
+        return source_stream_ended_ ? MigrationStep::kLost : ChooseNextTarget();
       case CopyResult::kNoSuchRun:
       case CopyResult::kBusy:
       case CopyResult::kNoResponse:
-        return source_stream_broken_ ? OnSourceStreamBroken()
-                                     : MigrationStep::kRetryLater;
+      case CopyResult::kSourceGone:
+        return source_stream_ended_ ? MigrationStep::kLost
+                                    : MigrationStep::kRetryLater;
     }
   }
   if (state_ != State::kStopping) return MigrationStep::kNone;
@@ -59,32 +66,41 @@
       if (stream_end_proves_stop_) return MigrationStep::kResumeAtTarget;
       resuming_at_source_ = true;
       return MigrationStep::kResumeAtSource;
-    case CopyResult::kBusy:
-      stream_end_proves_stop_ = false;
-      return MigrationStep::kRetryLater;
+    case CopyResult::kSourceGone:
+      return ResumeWithoutSource();
     case CopyResult::kNoSuchRun:
+      stream_end_proves_stop_ = false;
+      // The run had begun, so that it is over. Its stream shows whether it was
+      // completed.
+      return source_stream_ended_ ? ResumeWithoutSource()
+                                  : MigrationStep::kRetryLater;
+    case CopyResult::kBusy:
     case CopyResult::kNoResponse:
       stream_end_proves_stop_ = false;
-      // The stream shows whether the run continues, has ended or is lost.
-      return source_stream_broken_ ? OnSourceStreamBroken()
-                                   : MigrationStep::kRetryLater;
+      return MigrationStep::kRetryLater;
   }
   return MigrationStep::kNone;
 }
 
-MigrationStep MigrationStateMachine::OnSourceStreamBroken() {
-  const bool was_broken = source_stream_broken_;
-  source_stream_broken_ = true;
-  // The response to the call that stops the run is still pending. A stream that
-  // ends after the call shows that the run has stopped, too.
-  if (state_ == State::kStopping && !was_broken && !stream_end_proves_stop_) {
-    return MigrationStep::kNone;
+MigrationStep MigrationStateMachine::OnSourceStreamEnded(StreamEnd end) {
+  source_stream_ended_ = true;
+  switch (state_) {
+    case State::kIdle:
+    case State::kChoosing:
+    case State::kCopying:
+      // The run was not asked to stop, and there is no copy.
+      return MigrationStep::kLost;
+    case State::kStopping:
+      if (!stream_end_proves_stop_ || end != StreamEnd::kClosed) {
+        return MigrationStep::kNone;
+      }
+      source_holds_memory_ = true;
+      state_ = State::kResuming;
+      return MigrationStep::kResumeAtTarget;
+    case State::kResuming:
+      return MigrationStep::kNone;
   }
-  if (state_ == State::kResuming) return MigrationStep::kNone;
-  if (!has_copy_) return MigrationStep::kLost;
-  source_holds_memory_ = state_ == State::kStopping && !was_broken;
-  state_ = State::kResuming;
-  return MigrationStep::kResumeAtTarget;
+  return MigrationStep::kNone;
 }
 
 MigrationStep MigrationStateMachine::OnRetryTimer() {
--- a/libraries/migration/migration_state_machine.h
+++ b/libraries/migration/migration_state_machine.h
@@ -1,10 +1,13 @@
 // State machine for the live migration of one generation from a leaving engine
 // to another: pre-copy its memory while it runs, stop it and copy the rest,
 // then resume it at the target. The run is always stopped by a call, since an
-// engine may go on with it after its connection has closed. If copies queue for
-// a long time on the engine's link, the second copy is not waited for, and the
-// target prefills the few missing tokens. Free of I/O; the caller performs each
-// step and reports its result.
+// engine may go on with it after its connection has closed. The call is
+// repeated until the engine itself shows that the run is over, or is gone;
+// neither a call without a response nor a stream that broke shows it. If copies
+// queue for a long time on the engine's link, the second copy is not waited for
+// once the engine has closed the stream, and the target prefills the few
+// missing tokens. Free of I/O; the caller performs each step and reports its
+// result.
 #pragma once
 
 #include <chrono>
@@ -22,6 +25,17 @@
   kNoCapacity,
   // No usable response; the engine may or may not have stopped the run.
   kNoResponse,
+  // The engine is gone, and the run with it: nothing listens there, it cannot
+  // be reached, or it has started anew.
+  kSourceGone,
+};
+
+// How the stream of the source ended before the run did.
+enum class StreamEnd {
+  // The engine closed it, as it does when it stops a run.
+  kClosed,
+  // It was reset, or what arrived was invalid.
+  kBroken,
 };
 
 enum class MigrationStep {
@@ -63,7 +77,7 @@
   // `took`: the duration of this copy.
   MigrationStep OnCopyResult(CopyResult result, std::chrono::milliseconds took);
   // The stream from the source ended before the run did.
-  MigrationStep OnSourceStreamBroken();
+  MigrationStep OnSourceStreamEnded(StreamEnd end);
   // The delay of `kRetryLater` has passed.
   MigrationStep OnRetryTimer();
   // `accepted`: whether the server that was to resume the run accepted it.
@@ -77,6 +91,12 @@
   bool stopping() const {
     return state_ == State::kStopping || state_ == State::kResuming;
   }
+  // The run was asked to stop, and nothing shows yet that it has.
+  bool stop_is_unproven() const { return state_ == State::kStopping; }
+  // The source has been asked to resume the run.
+  bool resuming_at_source() const {
+    return state_ == State::kResuming && resuming_at_source_;
+  }
   bool choosing() const { return state_ == State::kChoosing; }
   bool has_copy() const { return has_copy_; }
 
@@ -90,6 +110,8 @@
   };
 
   MigrationStep ChooseNextTarget();
+  // The run is over at its source, which keeps nothing of it.
+  MigrationStep ResumeWithoutSource();
 
   Limits limits_;
   State state_ = State::kIdle;
@@ -97,7 +119,7 @@
   bool has_copy_ = false;
   // The source stopped the run and, as far as is known, still holds its memory.
   bool source_holds_memory_ = false;
-  bool source_stream_broken_ = false;
+  bool source_stream_ended_ = false;
   // The run was asked to stop after a long copy, so that the end of its stream
   // is all that is waited for. False after a call without a useful response.
   bool stream_end_proves_stop_ = false;
--- a/libraries/quarantine/crash_check.h
+++ b/libraries/quarantine/crash_check.h
@@ -36,10 +36,10 @@
 
   // Until the verdict is known, the server is to be contacted again.
   CrashVerdict OnContact(Contact contact) {
-    if (contact == Contact::kAccepted) return CrashVerdict::kAlive;
-    if (contact == Contact::kRefused) return CrashVerdict::kCrashed;
     ++contacts_;
     timeouts_ = contact == Contact::kTimedOut ? timeouts_ + 1 : 0;
+    if (contact == Contact::kAccepted) return CrashVerdict::kAlive;
+    if (contact == Contact::kRefused) return CrashVerdict::kCrashed;
     if (timeouts_ >= limits_.timeouts_for_crash) return CrashVerdict::kCrashed;
     const bool is_last = contacts_ >= limits_.max_contacts && timeouts_ == 0;
     return is_last ? CrashVerdict::kAlive : CrashVerdict::kUnknown;
--- a/services/gateway/crash_detector.cc
+++ b/services/gateway/crash_detector.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "libraries/base/log_event.h"
+#include "services/gateway/server_contact.h"
 
 namespace balsam::gateway {
 namespace {
@@ -25,20 +26,6 @@
 // Losses in a row at sound servers are rare; older ones are forgotten.
 constexpr std::size_t kMaxUnexplained = 256;
 
-quarantine::Contact ToContact(OutboundConnection::OpenResult result) {
-  switch (result) {
-    case OutboundConnection::OpenResult::kOpen:
-      return quarantine::Contact::kAccepted;
-    case OutboundConnection::OpenResult::kRefused:
-      return quarantine::Contact::kRefused;
-    case OutboundConnection::OpenResult::kTimedOut:
-      return quarantine::Contact::kTimedOut;
-    case OutboundConnection::OpenResult::kFailed:
-      return quarantine::Contact::kClosed;
-  }
-  return quarantine::Contact::kClosed;
-}
-
 }  // namespace
 
 void CrashDetector::OnResponseLost(const std::string& server_id,
--- a/services/gateway/exchange.cc
+++ b/services/gateway/exchange.cc
@@ -179,6 +179,7 @@
     }
   }
   attempt_->is_complete = end == OutboundConnection::EndReason::kComplete;
+  attempt_->closed_orderly = attempt_->connection->closed_orderly();
   CheckForCrash(end);
   // A run that is being migrated is stopped by its migration.
   const bool may_run = !attempt_->is_complete && !IsStopRequested() &&
@@ -462,6 +463,7 @@
 void Exchange::AbandonRun(bool may_be_queued) {
   const routing::EngineTraits* engine = request_.engine();
   if (engine == nullptr || !engine->can_migrate) return;
+  if (std::exchange(attempt_->is_abandoned, true)) return;
   context_.run_stopper.Abandon(RunOfAttempt(), may_be_queued);
 }
 
@@ -526,7 +528,7 @@
     return;
   }
   // It may respond later, and go on with the run until then.
-  if (result == StopResult::kUnknown) AbandonRun(/*may_be_queued=*/true);
+  if (result != StopResult::kStopped) AbandonRun(/*may_be_queued=*/true);
   LeaveSlowServer();
 }
 
--- a/services/gateway/exchange.h
+++ b/services/gateway/exchange.h
@@ -97,6 +97,10 @@
     bool is_rejected = false;
     // The whole response has arrived: the server does not run the request.
     bool is_complete = false;
+    // The server closed the connection, which did not break.
+    bool closed_orderly = false;
+    // The run is being stopped since nobody reads its response any more.
+    bool is_abandoned = false;
     // Whether the engine was asked to stop the run, because it is slow.
     retry::StopRequest slow_stop = retry::StopRequest::kNone;
     // The connection was closed; the answer to that call tells what it means.
--- a/services/gateway/exchange_relay.cc
+++ b/services/gateway/exchange_relay.cc
@@ -214,7 +214,9 @@
         .With("took", BootClock::now() - attempt_->started);
   }
   if (migration_ != nullptr) {
-    migration_->OnSourceStreamBroken();
+    migration_->OnSourceStreamEnded(attempt_->closed_orderly
+                                        ? migration::StreamEnd::kClosed
+                                        : migration::StreamEnd::kBroken);
     return;
   }
   OnStreamLost();
@@ -354,6 +356,9 @@
 
 void Exchange::EndMigration() {
   if (migration_ == nullptr) return;
+  if (migration_->stop_is_unproven() && !attempt_->is_complete) {
+    AbandonRun(/*may_be_queued=*/false);
+  }
   migration_->End();
   // The migration may be the caller of this function.
   migration_.release()->deleteLater();
--- a/services/gateway/generation_migration.cc
+++ b/services/gateway/generation_migration.cc
@@ -2,9 +2,11 @@
 #include "services/gateway/generation_migration.h"
 
 #include <QPointer>
+#include <algorithm>
 #include <utility>
 
 #include "libraries/base/log_event.h"
+#include "services/gateway/server_contact.h"
 
 namespace balsam::gateway {
 namespace {
@@ -17,6 +19,8 @@
 constexpr milliseconds kStepRetryDelay{50};
 // The same if the engine refused the call that stops the run: it sheds load.
 constexpr milliseconds kRefusedStopDelay{250};
+// Longest delay between calls that stop a run whose engine fails them.
+constexpr milliseconds kMaxStopDelay{1000};
 // Time limit for a copy: the memory of a long generation between data centres,
 // queued behind a few others (platform: gigabytes over 24 Gbit/s).
 constexpr milliseconds kCopyTimeout{3000};
@@ -97,8 +101,8 @@
 
 // --- Steps ---
 
-void GenerationMigration::OnSourceStreamBroken() {
-  ExecuteStep(state_machine_.OnSourceStreamBroken());
+void GenerationMigration::OnSourceStreamEnded(migration::StreamEnd end) {
+  ExecuteStep(state_machine_.OnSourceStreamEnded(end));
 }
 
 void GenerationMigration::OnServerRestarted(
@@ -153,7 +157,7 @@
       return;
     case MigrationStep::kRetryLater:
       LeaveCopyQueue();
-      retry_timer_.start(stop_refused_ ? kRefusedStopDelay : kStepRetryDelay);
+      retry_timer_.start(RetryDelay());
       return;
     case MigrationStep::kResumeAtTarget:
       Resume(true);
@@ -176,6 +180,14 @@
   }
 }
 
+milliseconds GenerationMigration::RetryDelay() {
+  if (stop_refused_) return kRefusedStopDelay;
+  if (!state_machine_.stopping()) return kStepRetryDelay;
+  constexpr int kMaxDoublings = 10;
+  const int doublings = std::min(failed_stops_++, kMaxDoublings);
+  return std::min(kStepRetryDelay * (1 << doublings), kMaxStopDelay);
+}
+
 void GenerationMigration::ChooseTarget() {
   ReleaseTarget();
   dispatch::Demand demand = run_.demand;
@@ -219,28 +231,51 @@
 void GenerationMigration::SendCopyCall(bool stop) {
   const BackendCall call =
       context_.dialect.MakeCopyCall(run_.request_id, target_, stop);
-  call_ = std::make_shared<ConnectionLease>(context_.pool, run_.server_id,
-                                            run_.endpoint,
-                                            ConnectionPool::Use::kRequest);
+  call_ = std::make_shared<CopyCall>();
+  call_->connection =
+      ConnectionLease(context_.pool, run_.server_id, run_.endpoint,
+                      ConnectionPool::Use::kRequest);
   call_started_at_ = BootClock::now();
-  (*call_)->Call(call.ToBytes(), kCopyTimeout,
-                 [self = QPointer(this),
-                  lease = call_](const OutboundConnection::Response& reply) {
-                   lease->End();
-                   if (self == nullptr || self->call_ != lease) return;
-                   self->call_.reset();
-                   self->OnCopyResponse(reply);
-                 });
+  call_->connection->Call(
+      call.ToBytes(), kCopyTimeout,
+      [self = QPointer(this), &context = context_, run = run_,
+       shared = call_](const OutboundConnection::Response& reply) {
+        shared->connection.End();
+        if (self != nullptr && self->call_ == shared) {
+          self->call_.reset();
+          self->OnCopyResponse(reply);
+        } else if (shared->is_stop_repeated) {
+          OnLateResponse(context, run, reply);
+        }
+      });
+}
+
+CopyResponse GenerationMigration::Parse(
+    const Dialect& dialect, const OutboundConnection::Response& reply) {
+  if (reply.end != OutboundConnection::EndReason::kComplete) return {};
+  return dialect.ParseCopyResponse(reply.head.status, reply.body);
+}
+
+void GenerationMigration::OnLateResponse(
+    GatewayContext& context, const Run& run,
+    const OutboundConnection::Response& reply) {
+  const CopyResponse response = Parse(context.dialect, reply);
+  // An engine that stopped the run names what it keeps of it.
+  if (!response.handle.empty() || response.result == CopyResult::kNoSuchRun) {
+    return;
+  }
+  context.run_stopper.Abandon({run.request_id, run.server_id, run.endpoint},
+                              /*may_be_queued=*/false);
 }
 
 void GenerationMigration::OnCopyResponse(
     const OutboundConnection::Response& reply) {
   const auto took = std::chrono::duration_cast<milliseconds>(BootClock::now() -
                                                              call_started_at_);
-  CopyResponse response;
-  if (reply.end == OutboundConnection::EndReason::kComplete) {
-    response =
-        context_.dialect.ParseCopyResponse(reply.head.status, reply.body);
+  CopyResponse response = Parse(context_.dialect, reply);
+  const auto presence = source_contacts_.OnContact(ToContact(reply.open));
+  if (presence == quarantine::CrashVerdict::kCrashed) {
+    response.result = CopyResult::kSourceGone;
   }
   // An engine that stopped a run names what it keeps of it. One that refused
   // the call did not stop the run.
@@ -275,8 +310,11 @@
 }
 
 void GenerationMigration::Resume(bool at_target) {
-  // A call that is still in progress stops the run; its response is not needed.
-  call_.reset();
+  // A call that is still in progress stops the run; its response is not
+  // awaited.
+  if (call_ != nullptr) late_call_ = std::exchange(call_, nullptr);
+  // What goes on at the source must not be stopped there.
+  if (late_call_ != nullptr) late_call_->is_stop_repeated = at_target;
   ReleaseTarget();
   LeaveCopyQueue();
   on_resume({at_target ? target_id_ : run_.server_id,
@@ -292,7 +330,7 @@
 
 void GenerationMigration::ReleaseCall() {
   if (call_ == nullptr) return;
-  call_->End();
+  call_->connection.End();
   call_.reset();
 }
 
--- a/services/gateway/generation_migration.h
+++ b/services/gateway/generation_migration.h
@@ -15,6 +15,7 @@
 
 #include "libraries/migration/copy_queue.h"
 #include "libraries/migration/migration_state_machine.h"
+#include "libraries/quarantine/crash_check.h"
 #include "services/gateway/connection_lease.h"
 #include "services/gateway/gateway_context.h"
 #include "services/gateway/server_search.h"
@@ -52,18 +53,20 @@
   // Starts the migration after the engine was found to be leaving.
   void Start();
   // The source's stream ended before the run did.
-  void OnSourceStreamBroken();
+  void OnSourceStreamEnded(migration::StreamEnd end);
   // It has become known that a server has restarted. If it is the source, the
   // handle of the copy may name another run's there.
   void OnServerRestarted(const directory::BackendServer& server);
   // Whether the server that was asked to resume the run accepted it.
   void OnResumeResult(bool accepted);
   // The migration is no longer needed: releases the copy, if any. No callback
-  // follows.
+  // follows. If `stop_is_unproven`, the caller has to have the run stopped.
   void End();
 
   // The run has stopped at its source, or was asked to.
   bool stopping() const { return state_machine_.stopping(); }
+  // The run was asked to stop at its source, where it may go on.
+  bool stop_is_unproven() const { return state_machine_.stop_is_unproven(); }
 
   // Called when the run has stopped, or when its engine is lost.
   std::function<void(const ResumePoint&)> on_resume;
@@ -73,6 +76,13 @@
   std::function<void()> on_lost;
 
  private:
+  struct CopyCall {
+    ConnectionLease connection;
+    // Whether the run is stopped by other calls if this one, which is not
+    // awaited any more, fails: it has gone on elsewhere.
+    bool is_stop_repeated = false;
+  };
+
   // Enqueues for a copy slot.
   void JoinCopyQueue();
   // Releases the copy slot, or the place in the queue, and grants the next.
@@ -87,7 +97,14 @@
   // Reserves capacity there and continues; without a choice no engine has any.
   void OnTargetChosen(const std::optional<ServerSearch::Choice>& choice);
   void SendCopyCall(bool stop);
+  // Returns what the response shows, in doubt that nothing is known.
+  static CopyResponse Parse(const Dialect& dialect,
+                            const OutboundConnection::Response& reply);
   void OnCopyResponse(const OutboundConnection::Response& reply);
+  // The response to a call that was not awaited any more.
+  static void OnLateResponse(GatewayContext& context, const Run& run,
+                             const OutboundConnection::Response& reply);
+  std::chrono::milliseconds RetryDelay();
   void Resume(bool at_target);
   void ReleaseTarget();
   void ReleaseCall();
@@ -116,7 +133,13 @@
   bool stop_refused_ = false;
   // The copy call in progress; null if there is none. Its callback shares it,
   // as the call may go on without this.
-  std::shared_ptr<ConnectionLease> call_;
+  std::shared_ptr<CopyCall> call_;
+  // The call that stops the run, if its response was not awaited.
+  std::shared_ptr<CopyCall> late_call_;
+  // Whether the source is there, as far as the calls show.
+  quarantine::CrashCheck source_contacts_{{}};
+  // Consecutive calls that neither stopped the run nor were refused.
+  int failed_stops_ = 0;
   BootTime call_started_at_;
   BootTime noticed_at_;
   QTimer retry_timer_;
--- a/services/gateway/outbound_connection.cc
+++ b/services/gateway/outbound_connection.cc
@@ -75,20 +75,25 @@
 }
 
 void OutboundConnection::OnConnectTimeout() {
-  if (on_opened_ == nullptr) {
+  stream_.Abort();
+  OnNotConnected(OpenResult::kTimedOut);
+}
+
+void OutboundConnection::OnNotConnected(OpenResult result) {
+  open_result_ = result;
+  unusable_ = true;
+  if (on_opened_ != nullptr) {
+    ReportOpened();
+  } else {
     Finish(EndReason::kNotConnected);
-    return;
   }
-  unusable_ = true;
-  stream_.Abort();
-  ReportOpened(OpenResult::kTimedOut);
 }
 
-void OutboundConnection::ReportOpened(OpenResult result) {
+void OutboundConnection::ReportOpened() {
   connect_timer_.stop();
   // The callback may end this connection's lease.
   const auto on_opened = std::exchange(on_opened_, nullptr);
-  on_opened(result);
+  on_opened(open_result_);
 }
 
 void OutboundConnection::Send(Request request) {
@@ -138,9 +143,10 @@
         bulk_limits_.has_value() ? kMaxBulkResponse : kMaxCallResponse;
     if (response->body.size() > limit) Finish(EndReason::kBroken);
   };
-  request.on_end = [response,
+  request.on_end = [this, response,
                     on_response = std::move(on_response)](EndReason end) {
     response->end = end;
+    response->open = open_result_;
     on_response(*response);
   };
   Send(std::move(request));
@@ -148,8 +154,9 @@
 
 void OutboundConnection::OnConnected() {
   connect_timer_.stop();
+  open_result_ = OpenResult::kOpen;
   if (on_opened_ != nullptr) {
-    ReportOpened(OpenResult::kOpen);
+    ReportOpened();
     return;
   }
   if (request_ != nullptr) WriteRequest();
@@ -236,17 +243,15 @@
 void OutboundConnection::OnClosed(net::CloseReason reason) {
   connect_timer_.stop();
   unusable_ = true;
-  if (on_opened_ != nullptr) {
-    ReportOpened(reason == net::CloseReason::kRefused ? OpenResult::kRefused
-                                                      : OpenResult::kFailed);
-    return;
-  }
-  if (request_ == nullptr) {
+  closed_orderly_ = reason == net::CloseReason::kOrderly;
+  const bool is_waiting = request_ != nullptr || on_opened_ != nullptr;
+  if (!is_waiting) {
     ReportIdleClosed();
     return;
   }
   if (!written_) {
-    Finish(EndReason::kNotConnected);
+    OnNotConnected(reason == net::CloseReason::kRefused ? OpenResult::kRefused
+                                                        : OpenResult::kFailed);
     return;
   }
   // Only an orderly close ends a body without a length.
--- a/services/gateway/outbound_connection.h
+++ b/services/gateway/outbound_connection.h
@@ -52,6 +52,16 @@
     return "";
   }
 
+  // How an attempt to connect ended.
+  enum class OpenResult {
+    kOpen,
+    // Nothing listens there.
+    kRefused,
+    kTimedOut,
+    // It failed for another reason, which may be this process's own.
+    kFailed,
+  };
+
   // Maximum body size of a response that `Call` returns. Many calls to servers
   // may be in progress at the same time.
   static constexpr std::size_t kMaxCallResponse = 128 << 10;
@@ -81,6 +91,8 @@
   // A response, as far as it was received.
   struct Response {
     EndReason end = EndReason::kComplete;
+    // With kNotConnected: why not.
+    OpenResult open = OpenResult::kOpen;
     http1::ResponseHead head;
     std::string body;
   };
@@ -89,15 +101,6 @@
                      QObject* parent);
   ~OutboundConnection() override;
 
-  enum class OpenResult {
-    kOpen,
-    // Nothing listens there.
-    kRefused,
-    kTimedOut,
-    // It failed for a reason that may be this process's own.
-    kFailed,
-  };
-
   // Connects without a request. `on_opened` is called once, from the event
   // loop, unless `Abort` precedes it.
   void Open(std::function<void(OpenResult)> on_opened);
@@ -136,6 +139,9 @@
   bool response_is_unframed() const {
     return parser_ != nullptr && parser_->ends_with_connection();
   }
+  // Whether the peer closed the connection in an orderly way, so that it did
+  // not break.
+  bool closed_orderly() const { return closed_orderly_; }
   // Whether at least part of the request has been written.
   bool written() const { return written_; }
   const directory::Endpoint& endpoint() const { return endpoint_; }
@@ -159,7 +165,9 @@
  private:
   void OnConnected();
   void OnConnectTimeout();
-  void ReportOpened(OpenResult result);
+  // Ends an attempt to connect that failed.
+  void OnNotConnected(OpenResult result);
+  void ReportOpened();
   void OnReceived(std::string_view bytes);
   void OnClosed(net::CloseReason reason);
   void WriteRequest();
@@ -188,6 +196,9 @@
   // Number of interim responses to this request.
   int interim_responses_ = 0;
   bool written_ = false;
+  // How the latest attempt to connect ended.
+  OpenResult open_result_ = OpenResult::kOpen;
+  bool closed_orderly_ = false;
   // The connection cannot be used for another request.
   bool unusable_ = false;
   bool has_nameless_response_ = false;
--- a/services/gateway/run_stopper.cc
+++ b/services/gateway/run_stopper.cc
@@ -2,6 +2,7 @@
 #include "services/gateway/run_stopper.h"
 
 #include <QTimer>
+#include <algorithm>
 #include <chrono>
 #include <utility>
 
@@ -15,10 +16,18 @@
 // An engine stops a run at once.
 constexpr milliseconds kStopTimeout{400};
 constexpr milliseconds kReleaseTimeout{1000};
-// A run that is abandoned while it is queued may begin later. It is asked for a
-// few times, as most engines drop it when its connection closes.
-constexpr std::size_t kMaxCalls = 4;
-constexpr milliseconds kCallInterval{250};
+// Calls for one run. A run that is abandoned while it is queued may begin
+// later; most engines drop it when its connection closes.
+constexpr std::size_t kMaxCalls = 8;
+// The delay between them doubles.
+constexpr milliseconds kFirstCallDelay{50};
+constexpr milliseconds kMaxCallDelay{1000};
+
+// `calls_left`: before the call that was made last.
+milliseconds DelayAfterCall(std::size_t calls_left) {
+  const std::size_t calls = kMaxCalls - calls_left;
+  return std::min(kFirstCallDelay * (1 << calls), kMaxCallDelay);
+}
 
 std::string_view NameOf(StopResult result) {
   switch (result) {
@@ -30,17 +39,25 @@
       return "engine_gone";
     case StopResult::kRefused:
       return "refused";
+    case StopResult::kUnreachable:
+      return "unreachable";
+    case StopResult::kSilent:
+      return "silent";
     case StopResult::kUnknown:
       return "unknown";
   }
   return "";
 }
 
-StopResult ToStopResult(OutboundConnection::EndReason end,
+// `reply` is that to the call, `response` what it says.
+StopResult ToStopResult(const OutboundConnection::Response& reply,
                         const CopyResponse& response) {
   using EndReason = OutboundConnection::EndReason;
-  if (end == EndReason::kNotConnected) return StopResult::kEngineGone;
-  if (end != EndReason::kComplete) return StopResult::kUnknown;
+  using OpenResult = OutboundConnection::OpenResult;
+  if (reply.open == OpenResult::kRefused) return StopResult::kEngineGone;
+  if (reply.open == OpenResult::kTimedOut) return StopResult::kUnreachable;
+  if (reply.end == EndReason::kTimedOut) return StopResult::kSilent;
+  if (reply.end != EndReason::kComplete) return StopResult::kUnknown;
   if (response.result == migration::CopyResult::kNoSuchRun) {
     return StopResult::kNotRunning;
   }
@@ -50,6 +67,16 @@
 
 }  // namespace
 
+bool StopProof::Add(StopResult result) {
+  const bool is_not_running = result == StopResult::kNotRunning;
+  const bool is_unreachable = result == StopResult::kUnreachable;
+  const bool was_not_running = std::exchange(was_not_running_, is_not_running);
+  const bool was_unreachable = std::exchange(was_unreachable_, is_unreachable);
+  return result == StopResult::kStopped || result == StopResult::kEngineGone ||
+         (is_not_running && was_not_running) ||
+         (is_unreachable && was_unreachable);
+}
+
 RunStopper::RunStopper(ConnectionPool& pool, const Dialect& dialect)
     : pool_(pool), dialect_(dialect) {}
 
@@ -74,7 +101,7 @@
     parsed = dialect_.ParseCopyResponse(response.head.status, response.body);
   }
   if (!parsed.handle.empty()) Release(run, parsed.handle);
-  const StopResult result = ToStopResult(response.end, parsed);
+  const StopResult result = ToStopResult(response, parsed);
   LogEvent("run_stop_asked")
       .With("id", run.request_id)
       .With("server", run.server_id)
@@ -95,28 +122,24 @@
 
 void RunStopper::StopAndConfirm(const EngineRun& run,
                                 std::function<void(bool)> on_result) {
-  TryConfirm(run, /*was_not_running=*/false, kMaxCalls, std::move(on_result));
+  TryConfirm(run, StopProof(), kMaxCalls, std::move(on_result));
 }
 
-void RunStopper::TryConfirm(const EngineRun& run, bool was_not_running,
+void RunStopper::TryConfirm(const EngineRun& run, StopProof proof,
                             std::size_t calls_left,
                             std::function<void(bool is_over)> on_result) {
-  Ask(run, [this, run, was_not_running, calls_left,
-            on_result = std::move(on_result)](StopResult result) {
-    const bool is_not_running = result == StopResult::kNotRunning;
-    const bool is_over = result == StopResult::kStopped ||
-                         result == StopResult::kEngineGone ||
-                         (is_not_running && was_not_running);
-    if (is_over || result == StopResult::kUnknown || calls_left <= 1) {
+  Ask(run, [this, run, proof, calls_left,
+            on_result = std::move(on_result)](StopResult result) mutable {
+    const bool is_over = proof.Add(result);
+    if (is_over || calls_left <= 1) {
       on_result(is_over);
       return;
     }
     // It may have been queued and begin now, or the engine may respond to
     // another call.
-    QTimer::singleShot(kCallInterval, this,
-                       [this, run, is_not_running, calls_left, on_result] {
-                         TryConfirm(run, is_not_running, calls_left - 1,
-                                    on_result);
+    QTimer::singleShot(DelayAfterCall(calls_left), this,
+                       [this, run, proof, calls_left, on_result] {
+                         TryConfirm(run, proof, calls_left - 1, on_result);
                        });
   });
 }
@@ -128,11 +151,11 @@
 void RunStopper::TryAbandon(const EngineRun& run, bool may_be_queued,
                             std::size_t calls_left) {
   Ask(run, [this, run, may_be_queued, calls_left](StopResult result) {
-    const bool may_run = result == StopResult::kUnknown ||
-                         result == StopResult::kRefused ||
-                         (result == StopResult::kNotRunning && may_be_queued);
-    if (!may_run || calls_left <= 1) return;
-    QTimer::singleShot(kCallInterval, this,
+    const bool is_over = result == StopResult::kStopped ||
+                         result == StopResult::kEngineGone ||
+                         (result == StopResult::kNotRunning && !may_be_queued);
+    if (is_over || calls_left <= 1) return;
+    QTimer::singleShot(DelayAfterCall(calls_left), this,
                        [this, run, may_be_queued, calls_left] {
                          TryAbandon(run, may_be_queued, calls_left - 1);
                        });
--- a/tests/libraries/migration/move_machine_test.cc
+++ b/tests/libraries/migration/move_machine_test.cc
@@ -28,7 +28,8 @@
             MigrationStep::kStopAndCopy);
   EXPECT_TRUE(machine_.stopping());
   // The stream of a stopped run closes; the response to the call is pending.
-  EXPECT_EQ(machine_.OnSourceStreamBroken(), MigrationStep::kNone);
+  EXPECT_EQ(machine_.OnSourceStreamEnded(StreamEnd::kClosed),
+            MigrationStep::kNone);
   EXPECT_EQ(machine_.OnCopyResult(CopyResult::kCopied, kShortCopy),
             MigrationStep::kResumeAtTarget);
   EXPECT_EQ(machine_.OnResumeResult(true), MigrationStep::kNone);
@@ -44,7 +45,8 @@
   EXPECT_EQ(machine_.OnCopyResult(CopyResult::kCopied, kLongCopy),
             MigrationStep::kStopAndCopy);
   // Closed by the engine, which was asked to stop the run.
-  EXPECT_EQ(machine_.OnSourceStreamBroken(), MigrationStep::kResumeAtTarget);
+  EXPECT_EQ(machine_.OnSourceStreamEnded(StreamEnd::kClosed),
+            MigrationStep::kResumeAtTarget);
   EXPECT_EQ(machine_.OnResumeResult(true), MigrationStep::kNone);
   EXPECT_FALSE(machine_.active());
 }
@@ -60,7 +62,8 @@
     // The call that was to stop it was refused: another one is in progress.
     EXPECT_EQ(machine_.OnCopyResult(CopyResult::kBusy, kShortCopy),
               MigrationStep::kRetryLater);
-    EXPECT_EQ(machine_.OnSourceStreamBroken(), MigrationStep::kNone);
+    EXPECT_EQ(machine_.OnSourceStreamEnded(StreamEnd::kClosed),
+              MigrationStep::kNone);
     EXPECT_EQ(machine_.OnRetryTimer(), MigrationStep::kStopAndCopy);
     EXPECT_EQ(machine_.OnCopyResult(CopyResult::kCopied, kShortCopy),
               MigrationStep::kResumeAtTarget);
@@ -74,7 +77,8 @@
   machine_.OnCopyResult(CopyResult::kCopied, kLongCopy);
   EXPECT_EQ(machine_.OnCopyResult(CopyResult::kNoResponse, kShortCopy),
             MigrationStep::kRetryLater);
-  EXPECT_EQ(machine_.OnSourceStreamBroken(), MigrationStep::kNone);
+  EXPECT_EQ(machine_.OnSourceStreamEnded(StreamEnd::kClosed),
+            MigrationStep::kNone);
   EXPECT_EQ(machine_.OnRetryTimer(), MigrationStep::kStopAndCopy);
   EXPECT_EQ(machine_.OnCopyResult(CopyResult::kCopied, kShortCopy),
             MigrationStep::kResumeAtTarget);
@@ -94,26 +98,52 @@
 TEST_F(MigrationStateMachineTest, StoppedRunFallsBackToItsSource) {
   StartFirstCopy();
   machine_.OnCopyResult(CopyResult::kCopied, kLongCopy);
-  machine_.OnSourceStreamBroken();
+  machine_.OnSourceStreamEnded(StreamEnd::kClosed);
   EXPECT_EQ(machine_.OnResumeResult(false), MigrationStep::kResumeAtSource);
   EXPECT_EQ(machine_.OnResumeResult(false), MigrationStep::kLost);
 }
 
-TEST_F(MigrationStateMachineTest, ResumesFromTheFirstCopyWhenTheSourceFails) {
+// Guards against a run that goes on at two engines (review/13): calls that
+// failed, and a stream that broke, were taken for its end.
+TEST_F(MigrationStateMachineTest, FailedStopsAreRepeatedUntilTheRunIsOver) {
+  for (const CopyResult proof :
+       {CopyResult::kCopied, CopyResult::kNoSuchRun, CopyResult::kSourceGone}) {
+    machine_ = MigrationStateMachine({});
+    StartFirstCopy();
+    EXPECT_EQ(machine_.OnCopyResult(CopyResult::kCopied, kShortCopy),
+              MigrationStep::kStopAndCopy);
+    EXPECT_EQ(machine_.OnCopyResult(CopyResult::kBusy, kShortCopy),
+              MigrationStep::kRetryLater);
+    EXPECT_EQ(machine_.OnSourceStreamEnded(StreamEnd::kBroken),
+              MigrationStep::kNone);
+    for (int i = 0; i < 20; ++i) {
+      EXPECT_EQ(machine_.OnRetryTimer(), MigrationStep::kStopAndCopy);
+      EXPECT_TRUE(machine_.stop_is_unproven());
+      EXPECT_EQ(machine_.OnCopyResult(CopyResult::kNoResponse, kShortCopy),
+                MigrationStep::kRetryLater);
+    }
+    EXPECT_EQ(machine_.OnRetryTimer(), MigrationStep::kStopAndCopy);
+    EXPECT_EQ(machine_.OnCopyResult(proof, kShortCopy),
+              MigrationStep::kResumeAtTarget);
+    EXPECT_FALSE(machine_.stop_is_unproven());
+  }
+}
+
+// The same after a long copy, whose successor is not waited for if the engine
+// closes the stream: here it was reset.
+TEST_F(MigrationStateMachineTest, BrokenStreamAfterALongCopyProvesNoStop) {
   StartFirstCopy();
-  EXPECT_EQ(machine_.OnCopyResult(CopyResult::kCopied, kShortCopy),
-            MigrationStep::kStopAndCopy);
-  EXPECT_EQ(machine_.OnCopyResult(CopyResult::kBusy, kShortCopy),
-            MigrationStep::kRetryLater);
-  EXPECT_EQ(machine_.OnSourceStreamBroken(), MigrationStep::kNone);
-  EXPECT_EQ(machine_.OnRetryTimer(), MigrationStep::kStopAndCopy);
+  machine_.OnCopyResult(CopyResult::kCopied, kLongCopy);
+  EXPECT_EQ(machine_.OnSourceStreamEnded(StreamEnd::kBroken),
+            MigrationStep::kNone);
   EXPECT_EQ(machine_.OnCopyResult(CopyResult::kNoResponse, kShortCopy),
-            MigrationStep::kResumeAtTarget);
+            MigrationStep::kRetryLater);
 }
 
 TEST_F(MigrationStateMachineTest, RunIsLostIfTheSourceFailsBeforeTheFirstCopy) {
   StartFirstCopy();
-  EXPECT_EQ(machine_.OnSourceStreamBroken(), MigrationStep::kLost);
+  EXPECT_EQ(machine_.OnSourceStreamEnded(StreamEnd::kClosed),
+            MigrationStep::kLost);
 }
 
 TEST_F(MigrationStateMachineTest, TriesOtherTargetsThenWaits) {
@@ -164,19 +194,23 @@
   EXPECT_EQ(machine_.OnResumeResult(true), MigrationStep::kNone);
 }
 
-TEST_F(MigrationStateMachineTest, LostStopResponseWaitsForTheEndOfTheStream) {
+// A run that the engine does not have any more is over, but its stream may
+// still bring its end.
+TEST_F(MigrationStateMachineTest, MissingRunWaitsForTheEndOfTheStream) {
   StartFirstCopy();
   machine_.OnCopyResult(CopyResult::kCopied, kShortCopy);
-  EXPECT_EQ(machine_.OnCopyResult(CopyResult::kNoResponse, kShortCopy),
+  EXPECT_EQ(machine_.OnCopyResult(CopyResult::kNoSuchRun, kShortCopy),
             MigrationStep::kRetryLater);
-  EXPECT_EQ(machine_.OnSourceStreamBroken(), MigrationStep::kNone);
-  EXPECT_EQ(machine_.OnCopyResult(CopyResult::kNoResponse, kShortCopy),
+  EXPECT_EQ(machine_.OnSourceStreamEnded(StreamEnd::kClosed),
+            MigrationStep::kNone);
+  EXPECT_EQ(machine_.OnCopyResult(CopyResult::kNoSuchRun, kShortCopy),
             MigrationStep::kResumeAtTarget);
 }
 
 // In any sequence of results, a run is never resumed while the source may still
-// be running it. The end of its stream does not stop a run, unless the engine
-// was asked to stop it.
+// be running it: it is over only by the engine's own word, or with the engine.
+// A stream that the engine closes after it was asked to stop the run is its
+// word.
 RC_GTEST_PROP(MigrationStateMachinePropertyTest, RunIsNeverActiveOnTwoEngines,
               ()) {
   MigrationStateMachine machine{MigrationStateMachine::Limits{}};
@@ -195,8 +229,10 @@
     stop_asked = step == MigrationStep::kStopAndCopy;
     if (has_stream && *rc::gen::inRange(0, 8) == 0) {
       has_stream = false;
-      if (stop_asked) source_runs = false;
-      const MigrationStep next = machine.OnSourceStreamBroken();
+      const auto end =
+          *rc::gen::element(StreamEnd::kClosed, StreamEnd::kBroken);
+      if (stop_asked && end == StreamEnd::kClosed) source_runs = false;
+      const MigrationStep next = machine.OnSourceStreamEnded(end);
       if (next != MigrationStep::kNone) {
         step = next;
         continue;
@@ -208,12 +244,11 @@
         break;
       case MigrationStep::kCopy:
       case MigrationStep::kStopAndCopy: {
-        const auto result = static_cast<CopyResult>(*rc::gen::inRange(0, 5));
+        const auto result = static_cast<CopyResult>(*rc::gen::inRange(0, 6));
         const bool stopped = stop_asked && (result == CopyResult::kCopied ||
                                             result == CopyResult::kNoCapacity);
-        // An engine that neither answers nor holds the stream is gone.
         const bool gone = result == CopyResult::kNoSuchRun ||
-                          (!has_stream && result == CopyResult::kNoResponse);
+                          result == CopyResult::kSourceGone;
         if (stopped || gone) source_runs = false;
         step = machine.OnCopyResult(
             result, *rc::gen::arbitrary<bool>() ? kShortCopy : kLongCopy);
--- a/tests/libraries/quarantine/crash_check_test.cc
+++ b/tests/libraries/quarantine/crash_check_test.cc
@@ -31,6 +31,12 @@
   EXPECT_EQ(check_.OnContact(Contact::kAccepted), CrashVerdict::kAlive);
 }
 
+TEST_F(CrashCheckTest, TimeoutsInARowCount) {
+  EXPECT_EQ(check_.OnContact(Contact::kTimedOut), CrashVerdict::kUnknown);
+  EXPECT_EQ(check_.OnContact(Contact::kAccepted), CrashVerdict::kAlive);
+  EXPECT_EQ(check_.OnContact(Contact::kTimedOut), CrashVerdict::kUnknown);
+}
+
 TEST_F(CrashCheckTest, ServerThatDoesNotAnswerHasCrashed) {
   EXPECT_EQ(check_.OnContact(Contact::kTimedOut), CrashVerdict::kUnknown);
   EXPECT_EQ(check_.OnContact(Contact::kTimedOut), CrashVerdict::kCrashed);
--- a/tests/services/gateway/failed_move_test.cc
+++ b/tests/services/gateway/failed_move_test.cc
@@ -111,5 +111,107 @@
                             "id: 3\ndata: t\n\nid: 4\ndata: t\n\n");
 }
 
+// Guards against a run that goes on at two engines (review/13): its engine,
+// which was leaving, reset the calls that were to stop it and the stream. The
+// run went on elsewhere, and nothing asked the engine again.
+class FailedStopTest : public ExchangeTest {
+ protected:
+  FailedStopTest() {
+    first_.on_request = [this](const ScriptedEngine::Request& request) {
+      if (request.IsTo("/kv-move")) {
+        OnCopyCall(request);
+      } else if (request.IsTo("/x")) {
+        is_running_ = true;
+        stream_ = request.socket;
+        BeginStream(request.socket, 1, 2);
+      } else {
+        Reply(request.socket, "200 OK", "", "{}");
+      }
+    };
+    second_.on_request = [this](const ScriptedEngine::Request& request) {
+      if (!request.IsTo("/x")) return;
+      ++resumed_;
+      EXPECT_FALSE(is_running_);
+      BeginStream(request.socket, 3, 4);
+      EndStream(request.socket);
+    };
+    sink_.on_text = [this] {
+      if (std::exchange(noticed_, true)) return;
+      Announce("i-1", first_, /*leaving=*/true);
+      exchange_->OnServerLeaving("i-1");
+    };
+  }
+
+  void OnCopyCall(const ScriptedEngine::Request& request) {
+    if (request.body.find("\"last\":true") == std::string::npos) {
+      Reply(request.socket, "200 OK", "", kCopied);
+      return;
+    }
+    if (++stops_ > failed_stops_) {
+      is_running_ = false;
+      Reply(request.socket, "200 OK", "", kCopied);
+      return;
+    }
+    request.socket->abort();
+    if (stops_ == 1) stream_->abort();
+  }
+
+  // So many calls that stop the run fail.
+  int failed_stops_ = 2;
+  int stops_ = 0;
+  int resumed_ = 0;
+  // The first engine works on the run.
+  bool is_running_ = false;
+  QTcpSocket* stream_ = nullptr;
+  bool noticed_ = false;
+};
+
+TEST_F(FailedStopTest, RunGoesOnOnceItsEngineHasStoppedIt) {
+  Send(RequestKind::kStream, 1);
+  RunUntilDone();
+  EXPECT_EQ(sink_.complete, true);
+  EXPECT_EQ(stops_, 3);
+  EXPECT_EQ(resumed_, 1);
+}
+
+// The engine ends before it has stopped the run.
+TEST_F(FailedStopTest, RunGoesOnOnceItsEngineIsGone) {
+  first_.on_request = [this, handle = first_.on_request](const auto& request) {
+    handle(request);
+    if (stops_ < 2) return;
+    is_running_ = false;
+    first_.Crash();
+  };
+  failed_stops_ = 1000;
+  Send(RequestKind::kStream, 1);
+  RunUntilDone();
+  EXPECT_EQ(sink_.complete, true);
+  EXPECT_EQ(resumed_, 1);
+}
+
+// Proof does not come before the client's deadline.
+TEST_F(FailedStopTest, RequestEndsAtItsDeadlineWithoutProof) {
+  client_time_left_ = std::chrono::milliseconds(500);
+  failed_stops_ = 1000;
+  Send(RequestKind::kStream, 1);
+  RunUntilDone();
+  EXPECT_EQ(sink_.complete, false);
+  EXPECT_EQ(resumed_, 0);
+  // The engine is still asked.
+  const int stops = stops_;
+  failed_stops_ = stops;
+  EXPECT_TRUE(RunUntil([this] { return !is_running_; }));
+}
+
+// The same if the client leaves.
+TEST_F(FailedStopTest, RunIsStoppedAfterItsClientHasLeft) {
+  failed_stops_ = 3;
+  Send(RequestKind::kStream, 1);
+  ASSERT_TRUE(RunUntil([this] { return stops_ == 2; }));
+  exchange_->Cancel();
+  EXPECT_TRUE(RunUntil([this] { return !is_running_; }));
+  EXPECT_EQ(resumed_, 0);
+}
+
 }  // namespace
 }  // namespace balsam::gateway
--- a/tests/services/gateway/generation_move_test.cc
+++ b/tests/services/gateway/generation_move_test.cc
@@ -76,7 +76,7 @@
 }
 
 TEST_F(GenerationMigrationTest, NothingIsReservedAfterSourceBroke) {
-  migration_->OnSourceStreamBroken();
+  migration_->OnSourceStreamEnded(migration::StreamEnd::kBroken);
   FinishQuery();
   EXPECT_EQ(TokensReserved(), 0);
 }
