Keep a run at a slow engine that fails the calls that stop it

Cause: a failed call, or a connection that could not be opened, counted as the end of the run. Change: the engine is asked again, until its word shows that the run is over or that it is gone. Only one that accepts two calls in a row and answers neither is left without proof, so that a request that may be repeated does not hang; it is still asked.

--- a/services/gateway/exchange.cc
+++ b/services/gateway/exchange.cc
@@ -25,6 +25,10 @@
 // A body up to this size is copied behind the head, which saves a write. The
 // attempts of a request share a larger one.
 constexpr std::size_t kMaxCopiedBody = 16 << 10;
+// Delay before a slow engine that failed to stop a run is asked again.
+constexpr milliseconds kSlowStopDelay{250};
+// A slow engine that is silent for this many such calls is left without proof.
+constexpr int kMaxSilentStops = 2;
 // A request that crashed this many servers is not sent to another one.
 constexpr int kMaxCrashesPerRequest = 2;
 // Returns whether a response with this status tells the client that its request
@@ -513,9 +517,10 @@
 }
 
 void Exchange::OnSlowEngineAsked(StopResult result) {
-  const bool may_begin_elsewhere =
-      result != StopResult::kNotRunning && result != StopResult::kRefused;
-  attempt_->slow_stop = may_begin_elsewhere
+  const bool goes_on =
+      result == StopResult::kNotRunning || result == StopResult::kRefused;
+  attempt_->may_be_stopped |= !goes_on;
+  attempt_->slow_stop = attempt_->may_be_stopped
                             ? retry::StopRequest::kMayHaveStopped
                             : retry::StopRequest::kNone;
   if (std::exchange(attempt_->is_end_undecided, false)) {
@@ -523,12 +528,21 @@
     return;
   }
   if (response_started_) return;
-  if (!may_begin_elsewhere) {
+  if (goes_on) {
+    attempt_->stop_proof = StopProof();
+    attempt_->silent_stops = 0;
     StartSlowTimer();
     return;
   }
+  const bool is_over = attempt_->stop_proof.Add(result);
+  const bool is_silent = result == StopResult::kSilent;
+  attempt_->silent_stops = is_silent ? attempt_->silent_stops + 1 : 0;
+  if (!is_over && attempt_->silent_stops < kMaxSilentStops) {
+    slow_timer_.start(kSlowStopDelay);
+    return;
+  }
   // It may respond later, and go on with the run until then.
-  if (result != StopResult::kStopped) AbandonRun(/*may_be_queued=*/true);
+  if (!is_over) AbandonRun(/*may_be_queued=*/true);
   LeaveSlowServer();
 }
 
--- a/services/gateway/exchange.h
+++ b/services/gateway/exchange.h
@@ -103,6 +103,11 @@
     bool is_abandoned = false;
     // Whether the engine was asked to stop the run, because it is slow.
     retry::StopRequest slow_stop = retry::StopRequest::kNone;
+    // One of these calls may have stopped the run.
+    bool may_be_stopped = false;
+    StopProof stop_proof;
+    // The latest of these calls in a row that got no response.
+    int silent_stops = 0;
     // The connection was closed; the answer to that call tells what it means.
     bool is_end_undecided = false;
     // The response is a stream, whose events are relayed.
--- a/tests/services/gateway/abandoned_run_test.cc
+++ b/tests/services/gateway/abandoned_run_test.cc
@@ -172,6 +172,29 @@
   EXPECT_EQ(second_requests_, 1);
 }
 
+// Guards against a slow generation that runs at two engines (REPORT-3): a call
+// that its engine reset was taken for the end of the run.
+TEST_F(SlowRunTest, IsKeptWhileItsEngineResetsTheCallsThatStopIt) {
+  int resets = 0;
+  first_.on_request = [&, handle = first_.on_request](const auto& request) {
+    if (request.IsTo("/kv-move") && ++resets <= 3) {
+      request.socket->abort();
+      return;
+    }
+    handle(request);
+  };
+  second_.on_request = [this,
+                        handle = second_.on_request](const auto& request) {
+    EXPECT_FALSE(request.IsTo("/x") && is_running_);
+    handle(request);
+  };
+  SendOnResumableRoute();
+  RunUntilDone();
+  EXPECT_EQ(sink_.complete, true);
+  EXPECT_EQ(resets, 4);
+  EXPECT_EQ(second_requests_, 1);
+}
+
 // Guards against a run that begins at an engine that is responsive again, after
 // it has begun elsewhere.
 TEST_F(SlowRunTest, IsStoppedWhenItsEngineRespondsAgain) {
