Wait for the end of a lost run before the request is repeated

If the calls that stop the first run fail, or it is still queued, its engine works on it at the same time. Cause: the stop and the repeat did not wait for each other, and a request whose own response had not begun was asked for once only: it may still be queued, so that "no such run" does not show that it is over. A request without a response of its own counts as queued. PartialEventOfSlowRunIsNotJoined had an engine that answered the call that stops a run with the beginning of a stream; since such answers prove nothing, it now stops the run. What the test expects is the same.

--- a/services/gateway/exchange.cc
+++ b/services/gateway/exchange.cc
@@ -25,6 +25,9 @@
 // A body up to this size is copied behind the head, which saves a write. The
 // attempts of a request share a larger one.
 constexpr std::size_t kMaxCopiedBody = 16 << 10;
+// How long a request that may be repeated waits for proof that its last run is
+// over. The engine is asked for longer.
+constexpr milliseconds kMaxStopWait{400};
 // Delay before a slow engine that failed to stop a run is asked again.
 constexpr milliseconds kSlowStopDelay{250};
 // A slow engine that is silent for this many such calls is left without proof.
@@ -69,6 +72,8 @@
   connect(&deadline_timer_, &QTimer::timeout, this, &Exchange::OnDeadline);
   slow_timer_.setSingleShot(true);
   connect(&slow_timer_, &QTimer::timeout, this, &Exchange::OnAttemptSlow);
+  stop_wait_timer_.setSingleShot(true);
+  connect(&stop_wait_timer_, &QTimer::timeout, this, &Exchange::OnRunStopped);
 }
 
 Exchange::~Exchange() {
@@ -124,6 +129,7 @@
   context_.selector.OnStart(server_id, demand);
   if (request_.engine() != nullptr && context_.send_load) context_.send_load();
   attempt_ = std::move(attempt);
+  is_stopping_run_ = false;
   ++started_attempts_;
   LogSent();
 
@@ -188,7 +194,10 @@
   // A run that is being migrated is stopped by its migration.
   const bool may_run = !attempt_->is_complete && !IsStopRequested() &&
                        end != OutboundConnection::EndReason::kNotConnected;
-  if (may_run) AbandonRun(/*may_be_queued=*/false);
+  if (may_run) {
+    // Without a response of its own, the request may not have begun to run.
+    AbandonRun(attempt_->is_rejected || attempt_->head.status == 0);
+  }
   if (attempt_->streaming) {
     OnStreamEnded(end);
     return;
@@ -407,7 +416,9 @@
   }
   context_.metrics.CountEvent("attempts_repeated_total");
   repeated_end_ = end;
-  if (Dispatch() == DispatchResult::kNoCapacity) OnNoOtherServer(end);
+  RepeatAfterStop([this, end] {
+    if (Dispatch() == DispatchResult::kNoCapacity) OnNoOtherServer(end);
+  });
 }
 
 void Exchange::OnNoOtherServer(AttemptEnd end) {
@@ -468,7 +479,28 @@
   const routing::EngineTraits* engine = request_.engine();
   if (engine == nullptr || !engine->can_migrate) return;
   if (std::exchange(attempt_->is_abandoned, true)) return;
-  context_.run_stopper.Abandon(RunOfAttempt(), may_be_queued);
+  is_stopping_run_ = true;
+  context_.run_stopper.Abandon(
+      RunOfAttempt(), may_be_queued,
+      [self = QPointer(this), attempt = started_attempts_] {
+        if (self == nullptr || self->started_attempts_ != attempt) return;
+        self->OnRunStopped();
+      });
+}
+
+void Exchange::RepeatAfterStop(std::function<void()> repeat) {
+  if (!is_stopping_run_) {
+    repeat();
+    return;
+  }
+  repeat_ = std::move(repeat);
+  stop_wait_timer_.start(kMaxStopWait);
+}
+
+void Exchange::OnRunStopped() {
+  is_stopping_run_ = false;
+  stop_wait_timer_.stop();
+  if (const auto repeat = std::exchange(repeat_, nullptr)) repeat();
 }
 
 void Exchange::OnAttemptSlow() {
--- a/services/gateway/exchange.h
+++ b/services/gateway/exchange.h
@@ -6,6 +6,7 @@
 #include <QObject>
 #include <QTimer>
 #include <chrono>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -227,6 +228,10 @@
   // Stops the run at its engine, since nobody reads its response any more.
   // `may_be_queued`: the engine may not have begun it yet.
   void AbandonRun(bool may_be_queued);
+  // Calls `repeat` once the run that is being stopped is over, at once if there
+  // is none, and without proof after `kMaxStopWait`.
+  void RepeatAfterStop(std::function<void()> repeat);
+  void OnRunStopped();
   void OnAttemptSlow();
   // Whether the slow request may be sent to another server, which has capacity.
   bool MayLeaveSlowServer(BootTime now);
@@ -252,6 +257,7 @@
   // The run cannot go on as it is: begins it anew at another server, after the
   // last event that the client received, or gives the request up.
   void OnStreamLost();
+  void GiveUpLostStream();
   // The server that was to resume the run did not. If nothing tells whether it
   // has begun to, it is asked to stop first.
   void OnResumeFailed(retry::AttemptEnd end);
@@ -289,6 +295,11 @@
   // Number of attempts that were started.
   int started_attempts_ = 0;
   int sent_attempts_ = 0;
+  // The run of the last attempt is being stopped, and is not known to be over.
+  bool is_stopping_run_ = false;
+  // Repeats the request after that; null unless a repeat waits for it.
+  std::function<void()> repeat_;
+  QTimer stop_wait_timer_;
   // While another server is searched for a repeat: how the last attempt ended.
   std::optional<retry::AttemptEnd> repeated_end_;
   bool waiting_ = false;
--- a/services/gateway/exchange_relay.cc
+++ b/services/gateway/exchange_relay.cc
@@ -236,8 +236,15 @@
   if (may_retry && RetryBudget().TrySpend(BootClock::now())) {
     // The search may go on, for a permit.
     repeated_end_ = AttemptEnd::kUnknown;
-    if (Dispatch() != DispatchResult::kNoCapacity) return;
+    RepeatAfterStop([this] {
+      if (Dispatch() == DispatchResult::kNoCapacity) GiveUpLostStream();
+    });
+    return;
   }
+  GiveUpLostStream();
+}
+
+void Exchange::GiveUpLostStream() {
   if (response_started_) {
     BreakOff("stream_lost");
   } else {
--- a/services/gateway/exchange_response.cc
+++ b/services/gateway/exchange_response.cc
@@ -79,6 +79,8 @@
   EndMigration();
   deadline_timer_.stop();
   slow_timer_.stop();
+  stop_wait_timer_.stop();
+  repeat_ = nullptr;
   CountFinished(outcome, status);
   LogEvent("request")
       .With("id", metadata_.id)
--- a/services/gateway/run_stopper.cc
+++ b/services/gateway/run_stopper.cc
@@ -144,20 +144,28 @@
   });
 }
 
-void RunStopper::Abandon(const EngineRun& run, bool may_be_queued) {
-  TryAbandon(run, may_be_queued, kMaxCalls);
+void RunStopper::Abandon(const EngineRun& run, bool may_be_queued,
+                         std::function<void()> on_over) {
+  TryAbandon(run, may_be_queued, kMaxCalls, std::move(on_over));
 }
 
 void RunStopper::TryAbandon(const EngineRun& run, bool may_be_queued,
-                            std::size_t calls_left) {
-  Ask(run, [this, run, may_be_queued, calls_left](StopResult result) {
+                            std::size_t calls_left,
+                            std::function<void()> on_over) {
+  Ask(run, [this, run, may_be_queued, calls_left,
+            on_over = std::move(on_over)](StopResult result) {
     const bool is_over = result == StopResult::kStopped ||
                          result == StopResult::kEngineGone ||
                          (result == StopResult::kNotRunning && !may_be_queued);
-    if (is_over || calls_left <= 1) return;
+    if (is_over) {
+      on_over();
+      return;
+    }
+    if (calls_left <= 1) return;
     QTimer::singleShot(DelayAfterCall(calls_left), this,
-                       [this, run, may_be_queued, calls_left] {
-                         TryAbandon(run, may_be_queued, calls_left - 1);
+                       [this, run, may_be_queued, calls_left, on_over] {
+                         TryAbandon(run, may_be_queued, calls_left - 1,
+                                    on_over);
                        });
   });
 }
--- a/services/gateway/run_stopper.h
+++ b/services/gateway/run_stopper.h
@@ -70,12 +70,15 @@
                       std::function<void(bool is_over)> on_result);
   // Stops a run whose response nobody reads any more, as far as the engine
   // responds. `may_be_queued`: no part of its response has arrived, so that the
-  // engine may begin it later.
-  void Abandon(const EngineRun& run, bool may_be_queued);
+  // engine may begin it later. `on_over` is called if the run is known to be
+  // over.
+  void Abandon(
+      const EngineRun& run, bool may_be_queued,
+      std::function<void()> on_over = [] {});
 
  private:
   void TryAbandon(const EngineRun& run, bool may_be_queued,
-                  std::size_t calls_left);
+                  std::size_t calls_left, std::function<void()> on_over);
   void TryConfirm(const EngineRun& run, StopProof proof, std::size_t calls_left,
                   std::function<void(bool is_over)> on_result);
   void OnResponse(const EngineRun& run,
--- a/tests/services/gateway/abandoned_run_test.cc
+++ b/tests/services/gateway/abandoned_run_test.cc
@@ -114,6 +114,64 @@
   EXPECT_EQ(stops_, 1);
 }
 
+// Guards against a stream that goes on at two engines: the calls that stop the
+// first run failed, and the second one did not wait for them.
+TEST_F(AbandonedRunTest, StreamContinuesOnceItsFirstRunIsStopped) {
+  breaks_off_ = true;
+  refused_stops_ = 2;
+  second_.on_request = [this,
+                        handle = second_.on_request](const auto& request) {
+    EXPECT_FALSE(request.IsTo("/x") && is_running_);
+    handle(request);
+  };
+  SendOnResumableRoute();
+  RunUntilDone();
+  EXPECT_EQ(sink_.complete, true);
+  EXPECT_EQ(stops_, 3);
+  EXPECT_EQ(second_requests_, 1);
+}
+
+// A run that may be repeated does not wait for proof without end.
+TEST_F(AbandonedRunTest, StreamContinuesWithoutProofInTheEnd) {
+  breaks_off_ = true;
+  refused_stops_ = 1000;
+  SendOnResumableRoute();
+  RunUntilDone();
+  EXPECT_EQ(sink_.complete, true);
+  EXPECT_EQ(second_requests_, 1);
+}
+
+// Guards against a request that runs at two engines (review/14): the answer to
+// another request came first, the request itself was still queued, and its
+// engine was asked once only whether it ran.
+TEST_F(AbandonedRunTest, RequestWithAnotherOnesAnswerIsAskedForUntilItRuns) {
+  first_events_ = 0;
+  stop_status_ = "404 Not Found";
+  first_.on_request = [this, handle = first_.on_request](const auto& request) {
+    if (request.IsTo("/x")) {
+      Reply(request.socket, "200 OK", "Request-Id: r-0\r\nResponse-Seal: s\r\n",
+            "late");
+      return;
+    }
+    // Begins after the second call.
+    if (request.IsTo("/kv-move") && stops_ == 2) {
+      is_running_ = true;
+      stop_status_ = "503 Service Unavailable";
+    }
+    handle(request);
+  };
+  second_.on_request = [this,
+                        handle = second_.on_request](const auto& request) {
+    if (request.IsTo("/x")) EXPECT_EQ(stops_, 3);
+    handle(request);
+  };
+  SendOnResumableRoute();
+  RunUntilDone();
+  EXPECT_EQ(sink_.complete, true);
+  EXPECT_EQ(second_requests_, 1);
+  EXPECT_FALSE(is_running_);
+}
+
 // Guards against a slow generation that runs at two engines: its connection was
 // closed, and it was sent to another engine.
 class SlowRunTest : public AbandonedRunTest {
--- a/tests/services/gateway/stream_continuation_test.cc
+++ b/tests/services/gateway/stream_continuation_test.cc
@@ -74,8 +74,12 @@
 TEST_F(StreamContinuationTest, PartialEventOfSlowRunIsNotJoined) {
   latency_objective_ = std::chrono::milliseconds(50);
   first_.on_request = [](const auto& request) {
-    BeginStream(request.socket, 1, 0);
-    Write(request.socket, http1::EncodeChunk("id: 1\ndata: stal"));
+    if (request.IsTo("/kv-move")) {
+      Reply(request.socket, "503 Service Unavailable", "", kCopied);
+    } else if (request.IsTo("/x")) {
+      BeginStream(request.socket, 1, 0);
+      Write(request.socket, http1::EncodeChunk("id: 1\ndata: stal"));
+    }
   };
   second_.on_request = [](const auto& request) {
     BeginStream(request.socket, 1, 2);
