Try a request of a quarantined part before two minutes are over

Cause: only a run that has some of the signature, and not all of it, could survive. Change: 30 s after the last crash one request is tried, and after twice as long again, if fewer than five crashes speak for the signature and the request was not suspected itself. The gateways take turns by rendezvous hashing. From the fifth crash on, from which the platform counts, none is tried. Evidence: QuarantineTrialTest and DeadlyPartTest.TriedRequestEndsTheQuarantine; there was no way back before, so that they do not compile on the code before.

--- a/libraries/quarantine/crash_ledger.cc
+++ b/libraries/quarantine/crash_ledger.cc
@@ -446,6 +446,46 @@
   return found->first;
 }
 
+bool CrashLedger::MayTry(const Signature& signature,
+                         const Quarantine& quarantine, Trait request,
+                         std::size_t rank, BootTime now) const {
+  int crashes = 0;
+  for (const Crash& crash : crashes_) {
+    if (std::ranges::any_of(crash.suspects, [&](const Suspect& suspect) {
+          return HasSignature(suspect.traits, {request});
+        })) {
+      return false;
+    }
+    crashes += std::ranges::any_of(crash.suspects, [&](const Suspect& suspect) {
+      return HasSignature(suspect.traits, signature);
+    });
+  }
+  // Of none, only the quarantine was heard of: others know more.
+  if (crashes == 0 || crashes >= limits_.crashes_to_decide) return false;
+  const BootTime since = std::max(
+      {quarantine.started_at, quarantine.last_crash, quarantine.last_trial});
+  constexpr int kMaxDoublings = 10;
+  const int doublings = std::min(quarantine.trials, kMaxDoublings);
+  return now - since >=
+         limits_.first_trial * (1 << doublings) +
+             limits_.sharing_time * static_cast<std::int64_t>(rank);
+}
+
+bool CrashLedger::TakeTrial(std::span<const Trait> traits, std::size_t rank,
+                            BootTime now) {
+  std::vector<Quarantine*> tried;
+  for (auto& [signature, quarantine] : quarantines_) {
+    if (!quarantine.is_active || !HasSignature(traits, signature)) continue;
+    if (!MayTry(signature, quarantine, traits.back(), rank, now)) return false;
+    tried.push_back(&quarantine);
+  }
+  for (Quarantine* quarantine : tried) {
+    quarantine->last_trial = now;
+    ++quarantine->trials;
+  }
+  return !tried.empty();
+}
+
 std::size_t CrashLedger::quarantined_count() const {
   return static_cast<std::size_t>(std::ranges::count_if(
       quarantines_, [](const auto& item) { return item.second.is_active; }));
--- a/libraries/quarantine/crash_ledger.h
+++ b/libraries/quarantine/crash_ledger.h
@@ -24,7 +24,9 @@
 // was counted before.
 //
 // A quarantine ends after a time that doubles with each further one of the same
-// signature, until a run survives that clears it.
+// signature, until a run survives that clears it. Requests that all have the
+// signature, sound ones too, could never clear it by themselves: as long as few
+// crashes speak for it, one of them is tried now and then.
 #pragma once
 
 #include <chrono>
@@ -128,6 +130,9 @@
     std::chrono::milliseconds longest_quarantine{std::chrono::hours(1)};
     // How long a crash counts.
     std::chrono::milliseconds crash_retention{std::chrono::minutes(10)};
+    // A request of a quarantined signature is tried this long after the latest
+    // crash. The time doubles with each trial.
+    std::chrono::milliseconds first_trial{30000};
     // How long it is remembered after a quarantine that there was one.
     std::chrono::milliseconds offence_retention{std::chrono::hours(1)};
     // How long evidence is passed on after it was learned. Quarantines are
@@ -163,6 +168,13 @@
 
   // Returns a quarantined signature that is contained in these traits.
   std::optional<Signature> FindQuarantined(std::span<const Trait> traits) const;
+  // Whether a request with these traits, which is quarantined, may be run to
+  // find out if it is harmless. Counts as a trial if so. `rank`: the place of
+  // this process among those that may try; each waits until it would know what
+  // the one before it found. Only a signature with fewer than
+  // `crashes_to_decide` known crashes is tried, and not by a request that was
+  // suspected itself.
+  bool TakeTrial(std::span<const Trait> traits, std::size_t rank, BootTime now);
   // Number of crashes that count against the trait, since a run with it last
   // survived.
   int CrashesOf(Trait trait) const;
@@ -208,6 +220,9 @@
     int count = 1;
     // When it began here.
     BootTime started_at{};
+    // Requests that were tried here, and when the last one was.
+    int trials = 0;
+    BootTime last_trial{};
   };
   // The crashes that count against a trait.
   struct Tally {
@@ -260,6 +275,8 @@
   void MergeQuarantine(const QuarantineReport& report, BootTime now,
                        Change& change);
   std::chrono::milliseconds QuarantineTime(int count) const;
+  bool MayTry(const Signature& signature, const Quarantine& quarantine,
+              Trait request, std::size_t rank, BootTime now) const;
   void OnTraitSurvived(Trait trait, BootTime time, BootTime now,
                        Change& change);
   void ForgetUnusedTraits();
--- a/services/gateway/admission.cc
+++ b/services/gateway/admission.cc
@@ -162,8 +162,18 @@
   request.traits = TraitsOf(metadata, head, body);
   if (const auto signature =
           context.crash_ledger.FindQuarantined(request.traits)) {
-    LogQuarantined(metadata, request.traits, *signature);
-    return Rejection{kQuarantinedStatus, kQuarantined, {}};
+    const std::size_t rank = context.rank_among_gateways
+                                 ? context.rank_among_gateways(*signature)
+                                 : 0;
+    request.is_trial =
+        context.crash_ledger.TakeTrial(request.traits, rank, received);
+    if (!request.is_trial) {
+      LogQuarantined(metadata, request.traits, *signature);
+      return Rejection{kQuarantinedStatus, kQuarantined, {}};
+    }
+    LogEvent("quarantine_tried", LogEvent::Level::kWarning)
+        .With("id", metadata.id)
+        .With("traits", quarantine::ToText(*signature));
   }
   return request;
 }
--- a/services/gateway/admission.h
+++ b/services/gateway/admission.h
@@ -34,6 +34,8 @@
   // shared parts of its prompt, if it has one, and last the request itself,
   // which is equal for the same target, caller and body.
   std::vector<quarantine::Trait> traits;
+  // It is quarantined, and runs to find out if it is harmless.
+  bool is_trial = false;
 
   // Null for plain services, which do not run on an engine.
   const routing::EngineTraits* engine() const {
--- a/services/gateway/exchange.cc
+++ b/services/gateway/exchange.cc
@@ -315,7 +315,7 @@
 
 void Exchange::OnQuarantine() {
   if (finished_ || response_started_ || request_.route == nullptr ||
-      !IsQuarantined()) {
+      request_.is_trial || !IsQuarantined()) {
     return;
   }
   if (HasOpenAttempt()) {
--- a/services/gateway/gateway_context.h
+++ b/services/gateway/gateway_context.h
@@ -159,6 +159,10 @@
   std::function<void()> send_load;
   // `crash_ledger` changed by what was seen here.
   std::function<void(const quarantine::Change& change)> on_crash_evidence;
+  // The place of this gateway among all that are alive, for the trials of a
+  // quarantined signature. If unset, it is the first.
+  std::function<std::size_t(const quarantine::Signature& signature)>
+      rank_among_gateways;
   // Capacity may have been freed: retries the queued requests.
   std::function<void()> on_capacity_freed;
 };
--- a/services/gateway/gateway_node.cc
+++ b/services/gateway/gateway_node.cc
@@ -2,10 +2,12 @@
 #include "services/gateway/gateway_node.h"
 
 #include <algorithm>
+#include <iterator>
 #include <random>
 #include <utility>
 
 #include "libraries/base/log_event.h"
+#include "libraries/membership/rendezvous.h"
 
 namespace balsam::gateway {
 namespace {
@@ -91,6 +93,9 @@
   context_.on_crash_evidence = [this](const quarantine::Change& change) {
     OnCrashEvidence(change);
   };
+  context_.rank_among_gateways = [this](const auto& signature) {
+    return RankAmongGateways(signature);
+  };
   quarantine_timer_.setSingleShot(true);
   connect(&quarantine_timer_, &QTimer::timeout, this,
           &GatewayNode::RejectQuarantined);
@@ -329,6 +334,16 @@
   if (!change.quarantined.empty()) quarantine_timer_.start(0);
 }
 
+std::size_t GatewayNode::RankAmongGateways(
+    const quarantine::Signature& signature) const {
+  std::vector<std::string> gateways = peers_.AlivePeers();
+  gateways.push_back(settings_.ip);
+  const std::vector<std::string> order = membership::RendezvousOrder(
+      quarantine::ToText(signature), std::move(gateways));
+  const auto own = std::ranges::find(order, settings_.ip);
+  return static_cast<std::size_t>(std::distance(order.begin(), own));
+}
+
 void GatewayNode::LogQuarantineChanges(const quarantine::Change& change) {
   for (const quarantine::Signature& signature : change.quarantined) {
     LogEvent("quarantine_started", LogEvent::Level::kWarning)
--- a/services/gateway/gateway_node.h
+++ b/services/gateway/gateway_node.h
@@ -126,6 +126,8 @@
   // Evidence of crashes that was not known before, seen here or by a peer.
   void OnCrashEvidence(const quarantine::Change& change);
   void LogQuarantineChanges(const quarantine::Change& change);
+  // See GatewayContext::rank_among_gateways.
+  std::size_t RankAmongGateways(const quarantine::Signature& signature) const;
   // Rejects requests that were admitted before something was quarantined.
   void RejectQuarantined();
 
--- a/tests/libraries/quarantine/crash_ledger_test.cc
+++ b/tests/libraries/quarantine/crash_ledger_test.cc
@@ -452,5 +452,90 @@
   EXPECT_EQ(ledger_.trait_count(), 0U);
 }
 
+// A signature that is one part of all requests, sound ones too.
+class QuarantineTrialTest : public CrashLedgerTest {
+ protected:
+  QuarantineTrialTest() {
+    for (int i = 0; i < 3; ++i) Crash({kWorkspacePart});
+  }
+
+  // Whether a new request with the part is tried.
+  bool Try(std::size_t rank = 0) {
+    return ledger_.TakeTrial(std::vector{kWorkspacePart, ++last_request_}, rank,
+                             now_);
+  }
+
+  const CrashLedger::Limits limits_;
+};
+
+// Guards against refusing sound requests for two minutes (review/12): none of
+// them ran, so that none could show that their part is harmless.
+TEST_F(QuarantineTrialTest, SurvivorEndsTheQuarantine) {
+  ASSERT_TRUE(IsQuarantined(kWorkspacePart));
+  EXPECT_FALSE(Try());
+  Pass(limits_.first_trial);
+  EXPECT_TRUE(Try());
+  EXPECT_TRUE(IsQuarantined(kWorkspacePart));
+  Survive({kWorkspacePart});
+  EXPECT_FALSE(IsQuarantined(kWorkspacePart));
+}
+
+TEST_F(QuarantineTrialTest, OneRequestIsTriedAtATime) {
+  Pass(limits_.first_trial);
+  EXPECT_TRUE(Try());
+  EXPECT_FALSE(Try());
+  Pass(limits_.first_trial);
+  EXPECT_FALSE(Try());
+  Pass(limits_.first_trial);
+  EXPECT_TRUE(Try());
+}
+
+TEST_F(QuarantineTrialTest, ProcessesTakeTurns) {
+  Pass(limits_.first_trial);
+  EXPECT_FALSE(Try(/*rank=*/1));
+  Pass(limits_.sharing_time);
+  EXPECT_TRUE(Try(/*rank=*/1));
+}
+
+// A part that crashes engines takes no more of them than the platform
+// tolerates.
+TEST_F(QuarantineTrialTest, TrialsEndWithTheFifthCrash) {
+  int trials = 0;
+  for (int i = 0; i < 100; ++i) {
+    Pass(milliseconds(1000));
+    if (!Try()) continue;
+    ++trials;
+    Crash({kWorkspacePart});
+  }
+  EXPECT_EQ(trials, limits_.crashes_to_decide - limits_.crashes_to_quarantine);
+}
+
+// It is the request itself that crashes engines.
+TEST_F(QuarantineTrialTest, SuspectedRequestIsNotTried) {
+  Pass(limits_.first_trial);
+  EXPECT_FALSE(
+      ledger_.TakeTrial(std::vector{kWorkspacePart, last_request_}, 0, now_));
+}
+
+// A process that only heard of the quarantine does not know how many crashes
+// speak for it.
+TEST_F(QuarantineTrialTest, ProcessThatKnowsNoCrashDoesNotTry) {
+  CrashLedger other(limits_);
+  Evidence evidence = ledger_.Share(now_, now_);
+  evidence.crashes.clear();
+  other.Merge(evidence, now_);
+  ASSERT_EQ(other.quarantined_count(), 1U);
+  Pass(limits_.first_trial);
+  EXPECT_FALSE(
+      other.TakeTrial(std::vector{kWorkspacePart, ++last_request_}, 0, now_));
+}
+
+// Requests without the signature need no trial.
+TEST_F(QuarantineTrialTest, OtherRequestsAreNotTried) {
+  Pass(limits_.first_trial);
+  EXPECT_FALSE(
+      ledger_.TakeTrial(std::vector{kSessionPart, ++last_request_}, 0, now_));
+}
+
 }  // namespace
 }  // namespace balsam::quarantine
--- a/tests/services/gateway/deadly_part_test.cc
+++ b/tests/services/gateway/deadly_part_test.cc
@@ -404,5 +404,30 @@
   EXPECT_EQ(sink_.complete, true);
 }
 
+// Guards against refusing sound requests that share a quarantined part until
+// its time is over (review/12): none of them ran.
+TEST_F(DeadlyPartTest, TriedRequestEndsTheQuarantine) {
+  // Three crashes, the last of which is older than the time until a trial.
+  quarantine::Evidence evidence;
+  for (std::uint32_t i = 0; i < 3; ++i) {
+    evidence.crashes.push_back({i + 1,
+                                std::chrono::milliseconds(60000 - 1000 * i),
+                                std::chrono::milliseconds(60100 - 1000 * i),
+                                {membership::StableHash("5d49"), i + 1},
+                                true});
+  }
+  context_.crash_ledger.Merge(evidence,
+                              BootClock::now() - std::chrono::seconds(30));
+  ASSERT_EQ(context_.crash_ledger.quarantined_count(), 1U);
+  // This one waits for the gateways before it.
+  context_.rank_among_gateways = [](const auto&) { return 10; };
+  SendWithParts(kWorkspacePart);
+  EXPECT_EQ(sink_.status, 502);
+  context_.rank_among_gateways = [](const auto&) { return 0; };
+  SendWithParts(kWorkspacePart);
+  EXPECT_EQ(sink_.status, 200);
+  EXPECT_EQ(sound_runs_, 1U);
+}
+
 }  // namespace
 }  // namespace balsam::gateway
