Resume a run that its source no longer has when its stream ends

Seen (by reading): after the source had said that it has no such run, the end of the stream was not acted on until the next call, up to a second later. Change: the stream's end is enough, as the engine's word is known.

--- a/libraries/migration/migration_state_machine.cc
+++ b/libraries/migration/migration_state_machine.cc
@@ -69,9 +69,8 @@
     case CopyResult::kSourceGone:
       return ResumeWithoutSource();
     case CopyResult::kNoSuchRun:
-      stream_end_proves_stop_ = false;
-      // The run had begun, so that it is over. Its stream shows whether it was
-      // completed.
+      run_is_missing_ = true;
+      // The stream shows whether the run was completed.
       return source_stream_ended_ ? ResumeWithoutSource()
                                   : MigrationStep::kRetryLater;
     case CopyResult::kBusy:
@@ -91,6 +90,7 @@
       // The run was not asked to stop, and there is no copy.
       return MigrationStep::kLost;
     case State::kStopping:
+      if (run_is_missing_) return ResumeWithoutSource();
       if (!stream_end_proves_stop_ || end != StreamEnd::kClosed) {
         return MigrationStep::kNone;
       }
--- a/libraries/migration/migration_state_machine.h
+++ b/libraries/migration/migration_state_machine.h
@@ -120,6 +120,8 @@
   // The source stopped the run and, as far as is known, still holds its memory.
   bool source_holds_memory_ = false;
   bool source_stream_ended_ = false;
+  // The source said that it has no such run, which had begun: it is over.
+  bool run_is_missing_ = false;
   // The run was asked to stop after a long copy, so that the end of its stream
   // is all that is waited for. False after a call without a useful response.
   bool stream_end_proves_stop_ = false;
