--- a/services/gateway/connection_lease.h
+++ b/services/gateway/connection_lease.h
@@ -24,16 +24,11 @@
 
   ConnectionLease(const ConnectionLease&) = delete;
   ConnectionLease& operator=(const ConnectionLease&) = delete;
-  ConnectionLease(ConnectionLease&& other) noexcept
-      : pool_(other.pool_),
-        server_id_(std::move(other.server_id_)),
-        connection_(std::exchange(other.connection_, nullptr)) {}
+  ConnectionLease(ConnectionLease&& other) noexcept { Take(other); }
   ConnectionLease& operator=(ConnectionLease&& other) noexcept {
     if (this == &other) return *this;
     End();
-    pool_ = other.pool_;
-    server_id_ = std::move(other.server_id_);
-    connection_ = std::exchange(other.connection_, nullptr);
+    Take(other);
     return *this;
   }
 
@@ -51,6 +46,13 @@
   OutboundConnection* operator->() const { return connection_; }
 
  private:
+  // Takes over the other's connection; none may be held.
+  void Take(ConnectionLease& other) {
+    pool_ = other.pool_;
+    server_id_ = std::move(other.server_id_);
+    connection_ = std::exchange(other.connection_, nullptr);
+  }
+
   // A pool that is destroyed closes its connections itself, with the callbacks
   // that may own this.
   QPointer<ConnectionPool> pool_;
