Share what the tests of moved and abandoned runs set up

Four handlers and three ends of tests stood twice in abandoned_run_test, and the engine that leaves in failed_move_test. Every check is kept.

--- a/tests/services/gateway/abandoned_run_test.cc
+++ b/tests/services/gateway/abandoned_run_test.cc
@@ -53,6 +53,23 @@
     SendRequest();
   }
 
+  // Sends a request that the second engine completes.
+  void ExpectStreamFromSecondEngine() {
+    SendOnResumableRoute();
+    RunUntilDone();
+    EXPECT_EQ(sink_.complete, true);
+    EXPECT_EQ(second_requests_, 1);
+  }
+
+  // The second engine must not get the request while the first one runs it.
+  void ForbidRunsAtBoth() {
+    second_.on_request = [this,
+                          handle = second_.on_request](const auto& request) {
+      EXPECT_FALSE(request.IsTo("/x") && is_running_);
+      handle(request);
+    };
+  }
+
   // What the first engine answers to a call that stops a run: it stops the run,
   // or has none.
   std::string stop_status_ = "503 Service Unavailable";
@@ -119,26 +136,16 @@
 TEST_F(AbandonedRunTest, StreamContinuesOnceItsFirstRunIsStopped) {
   breaks_off_ = true;
   refused_stops_ = 2;
-  second_.on_request = [this,
-                        handle = second_.on_request](const auto& request) {
-    EXPECT_FALSE(request.IsTo("/x") && is_running_);
-    handle(request);
-  };
-  SendOnResumableRoute();
-  RunUntilDone();
-  EXPECT_EQ(sink_.complete, true);
+  ForbidRunsAtBoth();
+  ExpectStreamFromSecondEngine();
   EXPECT_EQ(stops_, 3);
-  EXPECT_EQ(second_requests_, 1);
 }
 
 // A run that may be repeated does not wait for proof without end.
 TEST_F(AbandonedRunTest, StreamContinuesWithoutProofInTheEnd) {
   breaks_off_ = true;
   refused_stops_ = 1000;
-  SendOnResumableRoute();
-  RunUntilDone();
-  EXPECT_EQ(sink_.complete, true);
-  EXPECT_EQ(second_requests_, 1);
+  ExpectStreamFromSecondEngine();
 }
 
 // Guards against a request that runs at two engines (review/14): the answer to
@@ -165,10 +172,7 @@
     if (request.IsTo("/x")) EXPECT_EQ(stops_, 3);
     handle(request);
   };
-  SendOnResumableRoute();
-  RunUntilDone();
-  EXPECT_EQ(sink_.complete, true);
-  EXPECT_EQ(second_requests_, 1);
+  ExpectStreamFromSecondEngine();
   EXPECT_FALSE(is_running_);
 }
 
@@ -183,15 +187,8 @@
 };
 
 TEST_F(SlowRunTest, IsStoppedBeforeItBeginsElsewhere) {
-  second_.on_request = [this,
-                        handle = second_.on_request](const auto& request) {
-    EXPECT_FALSE(request.IsTo("/x") && is_running_);
-    handle(request);
-  };
-  SendOnResumableRoute();
-  RunUntilDone();
-  EXPECT_EQ(sink_.complete, true);
-  EXPECT_EQ(second_requests_, 1);
+  ForbidRunsAtBoth();
+  ExpectStreamFromSecondEngine();
 }
 
 TEST_F(SlowRunTest, IsKeptWhileItIsQueued) {
@@ -218,16 +215,9 @@
 // refused to stop it.
 TEST_F(SlowRunTest, IsKeptWhileItsEngineRefusesToStopIt) {
   refused_stops_ = 2;
-  second_.on_request = [this,
-                        handle = second_.on_request](const auto& request) {
-    EXPECT_FALSE(request.IsTo("/x") && is_running_);
-    handle(request);
-  };
-  SendOnResumableRoute();
-  RunUntilDone();
-  EXPECT_EQ(sink_.complete, true);
+  ForbidRunsAtBoth();
+  ExpectStreamFromSecondEngine();
   EXPECT_EQ(stops_, 3);
-  EXPECT_EQ(second_requests_, 1);
 }
 
 // Guards against a slow generation that runs at two engines (REPORT-3): a call
@@ -241,16 +231,9 @@
     }
     handle(request);
   };
-  second_.on_request = [this,
-                        handle = second_.on_request](const auto& request) {
-    EXPECT_FALSE(request.IsTo("/x") && is_running_);
-    handle(request);
-  };
-  SendOnResumableRoute();
-  RunUntilDone();
-  EXPECT_EQ(sink_.complete, true);
+  ForbidRunsAtBoth();
+  ExpectStreamFromSecondEngine();
   EXPECT_EQ(resets, 4);
-  EXPECT_EQ(second_requests_, 1);
 }
 
 // Guards against a run that begins at an engine that is responsive again, after
@@ -268,10 +251,7 @@
 
 TEST_F(SlowRunTest, BeginsElsewhereIfItsEngineDoesNotRespond) {
   first_.on_request = [](const auto&) {};
-  SendOnResumableRoute();
-  RunUntilDone();
-  EXPECT_EQ(sink_.complete, true);
-  EXPECT_EQ(second_requests_, 1);
+  ExpectStreamFromSecondEngine();
 }
 
 // Guards against a run that resumes at its source while the target runs it: the
--- a/tests/services/gateway/failed_move_test.cc
+++ b/tests/services/gateway/failed_move_test.cc
@@ -1,6 +1,9 @@
 // Runs whose engine leaves, and whose move to another engine fails in the end.
-#include <cstddef>
+#include <QTimer>
+#include <algorithm>
+#include <functional>
 #include <string>
+#include <utility>
 
 #include "tests/services/gateway/exchange_fixture.h"
 
@@ -13,19 +16,27 @@
 constexpr char kCopied[] = R"({"handle":"c-1","created":2})";
 constexpr char kFirstTwoEvents[] = "id: 1\ndata: t\n\nid: 2\ndata: t\n\n";
 
-// The first engine leaves after two events of a stream. It copies the run, and
-// stops it on the second call, but the target has no room for the rest.
-class FailedMoveTest : public ExchangeTest {
+// The first engine leaves after two events of a stream. It copies the run; what
+// it does when it is asked to stop the run is up to the test.
+class LeavingEngineTest : public ExchangeTest {
  protected:
-  FailedMoveTest() {
+  LeavingEngineTest() {
     first_.on_request = [this](const ScriptedEngine::Request& request) {
       if (request.IsTo("/kv-move")) {
-        Copy(request);
+        const bool is_stop =
+            request.body.find("\"last\":true") != std::string::npos;
+        is_stop ? on_stop(request) : on_copy(request);
       } else if (request.IsTo("/x")) {
+        is_running_ = true;
         stream_ = request.socket;
         BeginStream(request.socket, 1, 2);
+      } else {
+        Reply(request.socket, "200 OK", "", "{}");
       }
     };
+    on_copy = [](const ScriptedEngine::Request& request) {
+      Reply(request.socket, "200 OK", "", kCopied);
+    };
     sink_.on_text = [this] {
       if (std::exchange(noticed_, true)) return;
       Announce("i-1", first_, /*leaving=*/true);
@@ -33,13 +44,25 @@
     };
   }
 
-  void Copy(const ScriptedEngine::Request& request) {
-    if (request.body.find("\"last\":true") == std::string::npos) {
-      Reply(request.socket, "200 OK", "", kCopied);
-      return;
-    }
-    if (on_stop) on_stop();
-    Reply(request.socket, "503 Service Unavailable", "", kCopied);
+  std::function<void(const ScriptedEngine::Request&)> on_copy;
+  std::function<void(const ScriptedEngine::Request&)> on_stop;
+  // The first engine works on the run.
+  bool is_running_ = false;
+  QTcpSocket* stream_ = nullptr;
+
+ private:
+  bool noticed_ = false;
+};
+
+// The first engine stops the run, but the target has no room for the rest.
+class FailedMoveTest : public LeavingEngineTest {
+ protected:
+  FailedMoveTest() {
+    on_stop = [this](const ScriptedEngine::Request& request) {
+      is_running_ = false;
+      before_refusal();
+      Reply(request.socket, "503 Service Unavailable", "", kCopied);
+    };
   }
 
   // The source starts anew at the same address, and does not hold the run.
@@ -49,15 +72,13 @@
     exchange_->OnServerRestarted(server);
   }
 
-  std::function<void()> on_stop;
-  QTcpSocket* stream_ = nullptr;
-  bool noticed_ = false;
+  std::function<void()> before_refusal;
 };
 
 // Guards against a crash of the gateway (review/11): a request was given up
 // while the connection to its source was open, which then called into it.
 TEST_F(FailedMoveTest, StreamOfLostRunIsClosedWithItsRequest) {
-  on_stop = [this] { RestartSource(); };
+  before_refusal = [this] { RestartSource(); };
   Send(RequestKind::kStream, 1);
   RunUntilDone();
   EXPECT_EQ(sink_.complete, false);
@@ -74,7 +95,7 @@
 // The same if the stream is begun anew elsewhere: the events of the first run
 // must not be taken for those of the second.
 TEST_F(FailedMoveTest, StreamOfLostRunIsClosedBeforeAnotherOneBegins) {
-  on_stop = [this] { RestartSource(); };
+  before_refusal = [this] { RestartSource(); };
   second_.on_request = [this](const ScriptedEngine::Request& request) {
     if (!request.IsTo("/x")) return;
     BeginStream(request.socket, 3, 4);
@@ -103,7 +124,9 @@
     BeginStream(request.socket, 3, 4);
     EndStream(request.socket);
   };
-  on_stop = [this] { context_.directory.evacuations().OnRequested("i-1"); };
+  before_refusal = [this] {
+    context_.directory.evacuations().OnRequested("i-1");
+  };
   Send(RequestKind::kStream, 1);
   RunUntilDone();
   EXPECT_EQ(sink_.complete, true);
@@ -114,19 +137,17 @@
 // Guards against a run that goes on at two engines (review/13): its engine,
 // which was leaving, reset the calls that were to stop it and the stream. The
 // run went on elsewhere, and nothing asked the engine again.
-class FailedStopTest : public ExchangeTest {
+class FailedStopTest : public LeavingEngineTest {
  protected:
   FailedStopTest() {
-    first_.on_request = [this](const ScriptedEngine::Request& request) {
-      if (request.IsTo("/kv-move")) {
-        OnCopyCall(request);
-      } else if (request.IsTo("/x")) {
-        is_running_ = true;
-        stream_ = request.socket;
-        BeginStream(request.socket, 1, 2);
-      } else {
-        Reply(request.socket, "200 OK", "", "{}");
+    on_stop = [this](const ScriptedEngine::Request& request) {
+      if (++stops_ > failed_stops_) {
+        is_running_ = false;
+        Reply(request.socket, "200 OK", "", kCopied);
+        return;
       }
+      request.socket->abort();
+      if (stops_ == 1) stream_->abort();
     };
     second_.on_request = [this](const ScriptedEngine::Request& request) {
       if (!request.IsTo("/x")) return;
@@ -135,35 +156,12 @@
       BeginStream(request.socket, 3, 4);
       EndStream(request.socket);
     };
-    sink_.on_text = [this] {
-      if (std::exchange(noticed_, true)) return;
-      Announce("i-1", first_, /*leaving=*/true);
-      exchange_->OnServerLeaving("i-1");
-    };
-  }
-
-  void OnCopyCall(const ScriptedEngine::Request& request) {
-    if (request.body.find("\"last\":true") == std::string::npos) {
-      Reply(request.socket, "200 OK", "", kCopied);
-      return;
-    }
-    if (++stops_ > failed_stops_) {
-      is_running_ = false;
-      Reply(request.socket, "200 OK", "", kCopied);
-      return;
-    }
-    request.socket->abort();
-    if (stops_ == 1) stream_->abort();
   }
 
   // So many calls that stop the run fail.
   int failed_stops_ = 2;
   int stops_ = 0;
   int resumed_ = 0;
-  // The first engine works on the run.
-  bool is_running_ = false;
-  QTcpSocket* stream_ = nullptr;
-  bool noticed_ = false;
 };
 
 TEST_F(FailedStopTest, RunGoesOnOnceItsEngineHasStoppedIt) {
