Split the exchange and the crash ledger by subject

What a call that stops a run shows is decided without I/O in retry/run_stop.h, and what a connection shows of a server in directory/presence_check.h, which the crash detector, the migrations and the stops of runs use: each had counted timeouts for itself. An outbound connection reports the latter's type instead of one of its own. Tests: a table each; those of the presence check are the former ones, as rows.

--- a/libraries/quarantine/crash_ledger.h
+++ b/libraries/quarantine/crash_ledger.h
@@ -72,6 +72,9 @@
 // never empty.
 using Signature = std::vector<Trait>;
 
+// Whether a run or request with these traits has the whole signature.
+bool HasSignature(std::span<const Trait> traits, const Signature& signature);
+
 // For log lines.
 std::string ToText(const Signature& signature);
 
@@ -275,8 +278,12 @@
   void MergeQuarantine(const QuarantineReport& report, BootTime now,
                        Change& change);
   std::chrono::milliseconds QuarantineTime(int count) const;
+  // Number of crashes in which a run with all of these traits was lost.
+  int CrashesWith(const Signature& signature) const;
+  // Whether a request of the signature may be tried now by the process of this
+  // rank.
   bool MayTry(const Signature& signature, const Quarantine& quarantine,
-              Trait request, std::size_t rank, BootTime now) const;
+              std::size_t rank, BootTime now) const;
   void OnTraitSurvived(Trait trait, BootTime time, BootTime now,
                        Change& change);
   void ForgetUnusedTraits();
--- a/services/gateway/crash_detector.cc
+++ b/services/gateway/crash_detector.cc
@@ -7,12 +7,11 @@
 #include <utility>
 
 #include "libraries/base/log_event.h"
-#include "services/gateway/server_contact.h"
 
 namespace balsam::gateway {
 namespace {
 
-using quarantine::CrashVerdict;
+using directory::Presence;
 using std::chrono::milliseconds;
 
 // A process that ends closes its connections one after the other; its listening
@@ -69,33 +68,33 @@
   check.contact_started_at = BootClock::now();
   check.connection = ConnectionLease(pool_, server_id, check.endpoint,
                                      ConnectionPool::Use::kNewConnection);
-  // The lease closes the connection with the check.
-  using OpenResult = OutboundConnection::OpenResult;
-  check.connection->Open([this, server_id](OpenResult result) {
-    if (result != OpenResult::kOpen) {
-      OnContact(server_id, checks_.at(server_id), ToContact(result));
+  // The check owns the connection, which calls nothing once it is closed.
+  check.connection->Open([this, server_id](directory::Contact contact) {
+    if (contact != directory::Contact::kAccepted) {
+      OnContact(server_id, checks_.at(server_id), contact);
       return;
     }
     After(kSettleTime, server_id, [this, server_id](Check& settled) {
       OnContact(server_id, settled,
-                settled.connection->reusable() ? quarantine::Contact::kAccepted
-                                               : quarantine::Contact::kClosed);
+                settled.connection->reusable()
+                    ? directory::Contact::kAccepted
+                    : directory::Contact::kInconclusive);
     });
   });
 }
 
 void CrashDetector::OnContact(const std::string& server_id, Check& check,
-                              quarantine::Contact contact) {
+                              directory::Contact contact) {
   check.connection.End();
-  const CrashVerdict verdict = check.state.OnContact(contact);
-  if (verdict == CrashVerdict::kUnknown) {
+  const Presence presence = check.presence.OnContact(contact);
+  if (presence == Presence::kUnknown) {
     After(kNextContactDelay, server_id,
           [this, server_id](Check& current) { Contact(server_id, current); });
     return;
   }
   Check ended = std::move(check);
   checks_.erase(server_id);
-  if (verdict == CrashVerdict::kCrashed) {
+  if (presence == Presence::kGone) {
     OnCrashed(server_id, std::move(ended.losses));
   } else {
     OnAlive(server_id, std::move(ended));
--- a/services/gateway/crash_detector.h
+++ b/services/gateway/crash_detector.h
@@ -15,7 +15,7 @@
 #include <vector>
 
 #include "libraries/base/boot_clock.h"
-#include "libraries/quarantine/crash_check.h"
+#include "libraries/directory/presence_check.h"
 #include "services/gateway/connection_lease.h"
 
 namespace balsam::gateway {
@@ -54,7 +54,7 @@
   // A server that is being checked.
   struct Check {
     directory::Endpoint endpoint;
-    quarantine::CrashCheck state{{}};
+    directory::PresenceCheck presence;
     // Never empty.
     std::vector<Loss> losses;
     ConnectionLease connection;
@@ -72,7 +72,7 @@
              Step step);
   void Contact(const std::string& server_id, Check& check);
   void OnContact(const std::string& server_id, Check& check,
-                 quarantine::Contact contact);
+                 directory::Contact contact);
   void OnCrashed(const std::string& server_id, std::vector<Loss> losses);
   void OnAlive(const std::string& server_id, Check check);
 
--- a/services/gateway/exchange.cc
+++ b/services/gateway/exchange.cc
@@ -1,4 +1,4 @@
-// Attempts of an exchange; its final responses are in exchange_response.cc.
+// Attempts of an exchange and what follows from their ends.
 #include "services/gateway/exchange.h"
 
 #include <QPointer>
@@ -14,26 +14,10 @@
 using retry::AttemptEnd;
 using std::chrono::milliseconds;
 
-// An idempotent request without a response after this fraction of its latency
-// objective is sent to another server.
-constexpr double kSlowShare = 0.7;
-// The same for generations, whose prompts queue at the engine under load.
-constexpr double kSlowGenerationShare = 1.0;
-// A request that must not run twice counts against its server when it has no
-// response after this many latency objectives.
-constexpr double kVerySlowShare = 2.0;
 // A body up to this size is copied behind the head, which saves a write. The
 // attempts of a request share a larger one.
 constexpr std::size_t kMaxCopiedBody = 16 << 10;
-// How long a request that may be repeated waits for proof that its last run is
-// over. The engine is asked for longer.
-constexpr milliseconds kMaxStopWait{400};
-// Delay before a slow engine that failed to stop a run is asked again.
-constexpr milliseconds kSlowStopDelay{250};
-// A slow engine that is silent for this many such calls is left without proof.
-constexpr int kMaxSilentStops = 2;
-// A request that crashed this many servers is not sent to another one.
-constexpr int kMaxCrashesPerRequest = 2;
+
 // Returns whether a response with this status tells the client that its request
 // was never run.
 bool ImpliesNotRun(int status) {
@@ -73,7 +57,7 @@
   slow_timer_.setSingleShot(true);
   connect(&slow_timer_, &QTimer::timeout, this, &Exchange::OnAttemptSlow);
   stop_wait_timer_.setSingleShot(true);
-  connect(&stop_wait_timer_, &QTimer::timeout, this, &Exchange::OnRunStopped);
+  connect(&stop_wait_timer_, &QTimer::timeout, this, &Exchange::EndStopWait);
 }
 
 Exchange::~Exchange() {
@@ -156,19 +140,6 @@
   attempt_->connection->Send(std::move(request));
 }
 
-bool Exchange::MustKeepAttempt() const {
-  return !request_.route->MayRepeat() || attempt_->is_resumed;
-}
-
-void Exchange::StartSlowTimer() {
-  double share = kVerySlowShare;
-  if (!MustKeepAttempt()) {
-    share = request_.engine() != nullptr ? kSlowGenerationShare : kSlowShare;
-  }
-  slow_timer_.start(std::chrono::duration_cast<milliseconds>(
-      request_.route->latency_objective * share));
-}
-
 void Exchange::OnEnd(OutboundConnection::EndReason end) {
   slow_timer_.stop();
   if (end == OutboundConnection::EndReason::kComplete) {
@@ -217,7 +188,7 @@
   response.is_empty_stream = attempt_->streaming && !attempt_->is_relayed;
   response.stop_request = IsStopRequested()
                               ? retry::StopRequest::kMayHaveStopped
-                              : attempt_->slow_stop;
+                              : attempt_->slow_stop.request();
   response.time_limit = attempt_->time_limit;
   response.took = context_.now() - attempt_->started;
   const retry::UnframedEnd end = retry::JudgeUnframedEnd(response);
@@ -236,99 +207,6 @@
   return end;
 }
 
-void Exchange::CheckForCrash(OutboundConnection::EndReason end) {
-  using EndReason = OutboundConnection::EndReason;
-  const bool broken = end == EndReason::kClosedWithoutResponse ||
-                      (end == EndReason::kBroken && !IsStopRequested());
-  if (!broken || proved_harmless_ || attempt_->is_rejected ||
-      attempt_->slow_stop != retry::StopRequest::kNone ||
-      attempt_->is_stopped) {
-    return;
-  }
-  // An engine that is leaving breaks off its runs through no fault of the
-  // request.
-  const std::string& id = attempt_->server_id;
-  if (context_.directory.StateOf(id) != directory::ServerState::kReady) return;
-  ++lost_runs_;
-  lost_on_answer_ |= attempt_->streaming && !attempt_->has_output;
-  // A server sends the head when it begins to answer, with the first event of a
-  // stream, or with the whole response. Without the head the request may only
-  // have waited there.
-  const bool is_answering = attempt_->head.status != 0;
-  const BootTime lost = BootClock::now();
-  const BootTime began = std::max(attempt_->started, attempt_->answered);
-  context_.crash_detector.OnResponseLost(
-      id, attempt_->endpoint,
-      [&context = context_, id, request_id = metadata_.id,
-       traits = request_.traits, parts = SharedPartsText(), is_answering, lost,
-       began] {
-        const auto age = [now = BootClock::now()](BootTime time) {
-          return std::chrono::duration_cast<milliseconds>(now - time);
-        };
-        RecordCrash(context,
-                    {dispatch::ServerKey(id), age(lost), age(began), traits,
-                     is_answering},
-                    id, request_id, parts);
-      });
-}
-
-void Exchange::RecordCrash(GatewayContext& context,
-                           const quarantine::CrashReport& report,
-                           const std::string& server_id,
-                           const std::string& request_id,
-                           const std::string& parts) {
-  const quarantine::Change change =
-      context.crash_ledger.OnCrash(report, BootClock::now());
-  LogEvent("request_suspected", LogEvent::Level::kWarning)
-      .With("id", request_id)
-      .With("server", server_id)
-      .With("fingerprint", report.traits.back())
-      .With("crashes", context.crash_ledger.CrashesOf(report.traits.back()))
-      .With("answering", report.is_answering ? 1 : 0)
-      .With("parts", parts);
-  if (change.is_news && context.on_crash_evidence) {
-    context.on_crash_evidence(change);
-  }
-}
-
-void Exchange::ProveHarmless() {
-  if (std::exchange(proved_harmless_, true)) return;
-  const quarantine::Change change =
-      context_.crash_ledger.OnSurvived(request_.traits, BootClock::now());
-  if (change.is_news && context_.on_crash_evidence) {
-    context_.on_crash_evidence(change);
-  }
-}
-
-bool Exchange::IsQuarantined() const {
-  return context_.crash_ledger.FindQuarantined(request_.traits).has_value();
-}
-
-bool Exchange::MayRetryAfterCrash() const {
-  // Crashes of its own runs may not be confirmed yet.
-  const int crashes = std::max(
-      context_.crash_ledger.CrashesOf(request_.traits.back()), lost_runs_);
-  return request_.route->MayRepeat() && !lost_on_answer_ && !IsQuarantined() &&
-         !context_.crash_ledger.IsSuspected(request_.traits) &&
-         crashes < kMaxCrashesPerRequest;
-}
-
-void Exchange::OnQuarantine() {
-  if (finished_ || response_started_ || request_.route == nullptr ||
-      request_.is_trial || !IsQuarantined()) {
-    return;
-  }
-  if (HasOpenAttempt()) {
-    // It may be running already, and its end shows whether it is harmless.
-    if (attempt_->head.status != 0) return;
-    AbortAttempt(AttemptResult::kInconclusive);
-  }
-  LeaveWaitQueue();
-  LogQuarantined(metadata_, request_.traits,
-                 *context_.crash_ledger.FindQuarantined(request_.traits));
-  Answer(kQuarantinedStatus, kQuarantined);
-}
-
 AttemptEnd Exchange::ClassifyAttempt(OutboundConnection::EndReason end) const {
   using EndReason = OutboundConnection::EndReason;
   if (end == EndReason::kNotConnected) return AttemptEnd::kNotSent;
@@ -471,116 +349,4 @@
   EndAttempt(result);
 }
 
-EngineRun Exchange::RunOfAttempt() const {
-  return {metadata_.id, attempt_->server_id, attempt_->endpoint};
-}
-
-void Exchange::AbandonRun(bool may_be_queued) {
-  const routing::EngineTraits* engine = request_.engine();
-  if (engine == nullptr || !engine->can_migrate) return;
-  if (std::exchange(attempt_->is_abandoned, true)) return;
-  is_stopping_run_ = true;
-  context_.run_stopper.Abandon(
-      RunOfAttempt(), may_be_queued,
-      [self = QPointer(this), attempt = started_attempts_] {
-        if (self == nullptr || self->started_attempts_ != attempt) return;
-        self->OnRunStopped();
-      });
-}
-
-void Exchange::RepeatAfterStop(std::function<void()> repeat) {
-  if (!is_stopping_run_) {
-    repeat();
-    return;
-  }
-  repeat_ = std::move(repeat);
-  stop_wait_timer_.start(kMaxStopWait);
-}
-
-void Exchange::OnRunStopped() {
-  is_stopping_run_ = false;
-  stop_wait_timer_.stop();
-  if (const auto repeat = std::exchange(repeat_, nullptr)) repeat();
-}
-
-void Exchange::OnAttemptSlow() {
-  if (!HasOpenAttempt()) return;
-  const BootTime now = BootClock::now();
-  if (!std::exchange(attempt_->reported_slow, true)) {
-    context_.selector.OnResult(
-        attempt_->server_id,
-        MustKeepAttempt() ? AttemptResult::kFailed : AttemptResult::kSlow, now);
-  }
-  if (!MayLeaveSlowServer(now)) return;
-  if (request_.engine() != nullptr && request_.engine()->can_migrate) {
-    LeaveSlowEngine();
-  } else {
-    LeaveSlowServer();
-  }
-}
-
-bool Exchange::MayLeaveSlowServer(BootTime now) {
-  const bool may_give_up = !MustKeepAttempt() && MayRetryAfterCrash() &&
-                           !response_started_ &&
-                           sent_attempts_ + 1 < request_.route->max_attempts;
-  if (!may_give_up || !RetryBudget().CanSpend(now)) return false;
-  // Under load all servers are slow, so a waiting attempt is abandoned only if
-  // another server has capacity.
-  dispatch::Demand elsewhere = request_.demand;
-  elsewhere.excluded.insert(attempt_->server_id);
-  const auto other = context_.selector.Select(
-      context_.directory, request_.engine(), elsewhere, now);
-  // There may be no permit for one that names a limit.
-  return other.has_value() &&
-         !context_.limits.LimitOf(dispatch::ServerKey(other->id)).has_value();
-}
-
-void Exchange::LeaveSlowEngine() {
-  attempt_->slow_stop = retry::StopRequest::kPending;
-  context_.run_stopper.Ask(
-      RunOfAttempt(),
-      [self = QPointer(this), attempt = started_attempts_](StopResult result) {
-        if (self == nullptr || self->finished_ ||
-            self->started_attempts_ != attempt || !self->HasOpenAttempt()) {
-          return;
-        }
-        self->OnSlowEngineAsked(result);
-      });
-}
-
-void Exchange::OnSlowEngineAsked(StopResult result) {
-  const bool goes_on =
-      result == StopResult::kNotRunning || result == StopResult::kRefused;
-  attempt_->may_be_stopped |= !goes_on;
-  attempt_->slow_stop = attempt_->may_be_stopped
-                            ? retry::StopRequest::kMayHaveStopped
-                            : retry::StopRequest::kNone;
-  if (std::exchange(attempt_->is_end_undecided, false)) {
-    OnEnd(OutboundConnection::EndReason::kComplete);
-    return;
-  }
-  if (response_started_) return;
-  if (goes_on) {
-    attempt_->stop_proof = StopProof();
-    attempt_->silent_stops = 0;
-    StartSlowTimer();
-    return;
-  }
-  const bool is_over = attempt_->stop_proof.Add(result);
-  const bool is_silent = result == StopResult::kSilent;
-  attempt_->silent_stops = is_silent ? attempt_->silent_stops + 1 : 0;
-  if (!is_over && attempt_->silent_stops < kMaxSilentStops) {
-    slow_timer_.start(kSlowStopDelay);
-    return;
-  }
-  // It may respond later, and go on with the run until then.
-  if (!is_over) AbandonRun(/*may_be_queued=*/true);
-  LeaveSlowServer();
-}
-
-void Exchange::LeaveSlowServer() {
-  attempt_->connection->Abort();
-  OnAttemptEnded(AttemptEnd::kUnknown);
-}
-
 }  // namespace balsam::gateway
--- a/services/gateway/exchange.h
+++ b/services/gateway/exchange.h
@@ -16,6 +16,7 @@
 #include "libraries/http1/response_finder.h"
 #include "libraries/migration/event_stream_merger.h"
 #include "libraries/retry/attempt_policy.h"
+#include "libraries/retry/run_stop.h"
 #include "libraries/retry/unframed_end.h"
 #include "services/gateway/admission.h"
 #include "services/gateway/connection_lease.h"
@@ -102,13 +103,8 @@
     bool closed_orderly = false;
     // The run is being stopped since nobody reads its response any more.
     bool is_abandoned = false;
-    // Whether the engine was asked to stop the run, because it is slow.
-    retry::StopRequest slow_stop = retry::StopRequest::kNone;
-    // One of these calls may have stopped the run.
-    bool may_be_stopped = false;
-    StopProof stop_proof;
-    // The latest of these calls in a row that got no response.
-    int silent_stops = 0;
+    // The calls that stop the run because its engine is slow.
+    retry::SlowRunStop slow_stop;
     // The connection was closed; the answer to that call tells what it means.
     bool is_end_undecided = false;
     // The response is a stream, whose events are relayed.
@@ -182,31 +178,10 @@
   void LogSent() const;
   // The prompt's shared parts for log lines.
   std::string SharedPartsText() const;
-  // The attempt must not be abandoned for another server when it is slow. It
-  // gets a longer time limit, and exceeding it counts as a failure of the
-  // server.
-  bool MustKeepAttempt() const;
-  void StartSlowTimer();
   void OnEnd(OutboundConnection::EndReason end);
   // Returns whether the response, which has ended as its framing says, is
   // whole. Records if its run may have been stopped.
   retry::UnframedEnd JudgeEnd();
-  // If the server closed or broke the connection before the request proved
-  // harmless, has the server checked: the request may have crashed it.
-  void CheckForCrash(OutboundConnection::EndReason end);
-  // Records that the server was found to have crashed while it ran a request
-  // with these parts of its prompt. May be called after the request has ended.
-  static void RecordCrash(GatewayContext& context,
-                          const quarantine::CrashReport& report,
-                          const std::string& server_id,
-                          const std::string& request_id,
-                          const std::string& parts);
-  // The server has run the request for long enough to show that the request
-  // does not crash it.
-  void ProveHarmless();
-  bool IsQuarantined() const;
-  // Whether the route and the crashes so far allow to run the request again.
-  bool MayRetryAfterCrash() const;
   retry::AttemptEnd ClassifyAttempt(OutboundConnection::EndReason end) const;
   void OnAttemptEnded(retry::AttemptEnd end);
   retry::NextStep DecideNextStep(retry::AttemptEnd end) const;
@@ -224,6 +199,21 @@
   void AbortAttempt(dispatch::AttemptResult result);
   // Closes the attempt's connection, if it is open. The run may go on.
   void CloseAttempt(dispatch::AttemptResult result);
+  void OnDeadline();
+
+  // Crashes that this request may cause; see exchange_crash.cc.
+  //
+  // If the server closed or broke the connection before the request proved
+  // harmless, has the server checked: the request may have crashed it.
+  void CheckForCrash(OutboundConnection::EndReason end);
+  // The server has run the request for long enough to show that the request
+  // does not crash it.
+  void ProveHarmless();
+  bool IsQuarantined() const;
+  // Whether the route and the crashes so far allow to run the request again.
+  bool MayRetryAfterCrash() const;
+
+  // Ends of runs, and slow servers; see exchange_stop.cc.
   EngineRun RunOfAttempt() const;
   // Stops the run at its engine, since nobody reads its response any more.
   // `may_be_queued`: the engine may not have begun it yet.
@@ -231,17 +221,21 @@
   // Calls `repeat` once the run that is being stopped is over, at once if there
   // is none, and without proof after `kMaxStopWait`.
   void RepeatAfterStop(std::function<void()> repeat);
-  void OnRunStopped();
+  // The run is over, or was waited for long enough.
+  void EndStopWait();
+  // The attempt must not be abandoned for another server when it is slow. It
+  // gets a longer time limit, and exceeding it counts as a failure of the
+  // server.
+  bool MustKeepAttempt() const;
+  void StartSlowTimer();
   void OnAttemptSlow();
   // Whether the slow request may be sent to another server, which has capacity.
   bool MayLeaveSlowServer(BootTime now);
-  // Stops the run of a slow attempt and sends the request to another engine.
-  // The attempt is kept if it is still queued, as it cannot be stopped then, or
-  // if the engine refuses to stop it.
-  void LeaveSlowEngine();
-  void OnSlowEngineAsked(StopResult result);
+  // Asks the engine to stop the run of a slow attempt, so that the request can
+  // be sent to another one.
+  void AskSlowEngine();
+  void OnSlowEngineAsked(retry::StopResult result);
   void LeaveSlowServer();
-  void OnDeadline();
 
   // Relaying; see exchange_relay.cc.
   void OnHead(const http1::ResponseHead& head);
--- a/services/gateway/gateway_context.h
+++ b/services/gateway/gateway_context.h
@@ -94,6 +94,11 @@
     return found->second;
   }
 
+  // `crash_ledger` changed by what was seen here: tells others what is new.
+  void ReportEvidence(const quarantine::Change& change) const {
+    if (change.is_news && on_crash_evidence) on_crash_evidence(change);
+  }
+
   // The defaults until a configuration is known.
   routing::ClientLimits ClientLimits() const {
     return routes == nullptr ? routing::ClientLimits{} : routes->limits();
--- a/services/gateway/generation_migration.cc
+++ b/services/gateway/generation_migration.cc
@@ -6,7 +6,6 @@
 #include <utility>
 
 #include "libraries/base/log_event.h"
-#include "services/gateway/server_contact.h"
 
 namespace balsam::gateway {
 namespace {
@@ -244,9 +243,12 @@
         if (self != nullptr && self->call_ == shared) {
           self->call_.reset();
           self->OnCopyResponse(reply);
-        } else if (shared->is_stop_repeated) {
-          OnLateResponse(context, run, reply);
+          return;
         }
+        if (!shared->is_stop_repeated || StopIsProven(context, reply)) return;
+        context.run_stopper.Abandon(
+            {run.request_id, run.server_id, run.endpoint},
+            /*may_be_queued=*/false);
       });
 }
 
@@ -256,16 +258,11 @@
   return dialect.ParseCopyResponse(reply.head.status, reply.body);
 }
 
-void GenerationMigration::OnLateResponse(
-    GatewayContext& context, const Run& run,
-    const OutboundConnection::Response& reply) {
+bool GenerationMigration::StopIsProven(
+    const GatewayContext& context, const OutboundConnection::Response& reply) {
   const CopyResponse response = Parse(context.dialect, reply);
   // An engine that stopped the run names what it keeps of it.
-  if (!response.handle.empty() || response.result == CopyResult::kNoSuchRun) {
-    return;
-  }
-  context.run_stopper.Abandon({run.request_id, run.server_id, run.endpoint},
-                              /*may_be_queued=*/false);
+  return !response.handle.empty() || response.result == CopyResult::kNoSuchRun;
 }
 
 void GenerationMigration::OnCopyResponse(
@@ -273,8 +270,7 @@
   const auto took = std::chrono::duration_cast<milliseconds>(BootClock::now() -
                                                              call_started_at_);
   CopyResponse response = Parse(context_.dialect, reply);
-  const auto presence = source_contacts_.OnContact(ToContact(reply.open));
-  if (presence == quarantine::CrashVerdict::kCrashed) {
+  if (source_presence_.OnContact(reply.contact) == directory::Presence::kGone) {
     response.result = CopyResult::kSourceGone;
   }
   // An engine that stopped a run names what it keeps of it. One that refused
--- a/services/gateway/generation_migration.h
+++ b/services/gateway/generation_migration.h
@@ -13,9 +13,9 @@
 #include <set>
 #include <string>
 
+#include "libraries/directory/presence_check.h"
 #include "libraries/migration/copy_queue.h"
 #include "libraries/migration/migration_state_machine.h"
-#include "libraries/quarantine/crash_check.h"
 #include "services/gateway/connection_lease.h"
 #include "services/gateway/gateway_context.h"
 #include "services/gateway/server_search.h"
@@ -97,13 +97,13 @@
   // Reserves capacity there and continues; without a choice no engine has any.
   void OnTargetChosen(const std::optional<ServerSearch::Choice>& choice);
   void SendCopyCall(bool stop);
-  // Returns what the response shows, in doubt that nothing is known.
+  // An incomplete response says nothing.
   static CopyResponse Parse(const Dialect& dialect,
                             const OutboundConnection::Response& reply);
   void OnCopyResponse(const OutboundConnection::Response& reply);
-  // The response to a call that was not awaited any more.
-  static void OnLateResponse(GatewayContext& context, const Run& run,
-                             const OutboundConnection::Response& reply);
+  // Whether the response to a call that stops the run shows that it is over.
+  static bool StopIsProven(const GatewayContext& context,
+                           const OutboundConnection::Response& reply);
   std::chrono::milliseconds RetryDelay();
   void Resume(bool at_target);
   void ReleaseTarget();
@@ -136,9 +136,9 @@
   std::shared_ptr<CopyCall> call_;
   // The call that stops the run, if its response was not awaited.
   std::shared_ptr<CopyCall> late_call_;
-  // Whether the source is there, as far as the calls show.
-  quarantine::CrashCheck source_contacts_{{}};
-  // Consecutive calls that neither stopped the run nor were refused.
+  // Whether the source is still there, as far as the calls show.
+  directory::PresenceCheck source_presence_;
+  // Calls that neither stopped the run nor were refused.
   int failed_stops_ = 0;
   BootTime call_started_at_;
   BootTime noticed_at_;
--- a/services/gateway/outbound_connection.cc
+++ b/services/gateway/outbound_connection.cc
@@ -68,7 +68,8 @@
 
 OutboundConnection::~OutboundConnection() { stream_.Abort(); }
 
-void OutboundConnection::Open(std::function<void(OpenResult)> on_opened) {
+void OutboundConnection::Open(
+    std::function<void(directory::Contact)> on_opened) {
   on_opened_ = std::move(on_opened);
   connect_timer_.start(timeouts_.connect);
   stream_.Connect(endpoint_.ip, endpoint_.port);
@@ -76,11 +77,11 @@
 
 void OutboundConnection::OnConnectTimeout() {
   stream_.Abort();
-  OnNotConnected(OpenResult::kTimedOut);
+  OnNotConnected(directory::Contact::kTimedOut);
 }
 
-void OutboundConnection::OnNotConnected(OpenResult result) {
-  open_result_ = result;
+void OutboundConnection::OnNotConnected(directory::Contact contact) {
+  contact_ = contact;
   unusable_ = true;
   if (on_opened_ != nullptr) {
     ReportOpened();
@@ -93,7 +94,7 @@
   connect_timer_.stop();
   // The callback may end this connection's lease.
   const auto on_opened = std::exchange(on_opened_, nullptr);
-  on_opened(open_result_);
+  on_opened(contact_);
 }
 
 void OutboundConnection::Send(Request request) {
@@ -146,7 +147,7 @@
   request.on_end = [this, response,
                     on_response = std::move(on_response)](EndReason end) {
     response->end = end;
-    response->open = open_result_;
+    response->contact = contact_;
     on_response(*response);
   };
   Send(std::move(request));
@@ -154,7 +155,7 @@
 
 void OutboundConnection::OnConnected() {
   connect_timer_.stop();
-  open_result_ = OpenResult::kOpen;
+  contact_ = directory::Contact::kAccepted;
   if (on_opened_ != nullptr) {
     ReportOpened();
     return;
@@ -250,8 +251,10 @@
     return;
   }
   if (!written_) {
-    OnNotConnected(reason == net::CloseReason::kRefused ? OpenResult::kRefused
-                                                        : OpenResult::kFailed);
+    // Another reason may be this process's own.
+    OnNotConnected(reason == net::CloseReason::kRefused
+                       ? directory::Contact::kRefused
+                       : directory::Contact::kInconclusive);
     return;
   }
   // Only an orderly close ends a body without a length.
--- a/services/gateway/outbound_connection.h
+++ b/services/gateway/outbound_connection.h
@@ -12,6 +12,7 @@
 #include <string_view>
 
 #include "libraries/directory/backend_directory.h"
+#include "libraries/directory/presence_check.h"
 #include "libraries/http1/message_parser.h"
 #include "libraries/net/progress_limit.h"
 #include "libraries/net/tcp_stream.h"
@@ -52,16 +53,6 @@
     return "";
   }
 
-  // How an attempt to connect ended.
-  enum class OpenResult {
-    kOpen,
-    // Nothing listens there.
-    kRefused,
-    kTimedOut,
-    // It failed for another reason, which may be this process's own.
-    kFailed,
-  };
-
   // Maximum body size of a response that `Call` returns. Many calls to servers
   // may be in progress at the same time.
   static constexpr std::size_t kMaxCallResponse = 128 << 10;
@@ -91,8 +82,8 @@
   // A response, as far as it was received.
   struct Response {
     EndReason end = EndReason::kComplete;
-    // With kNotConnected: why not.
-    OpenResult open = OpenResult::kOpen;
+    // What the attempt to connect came to.
+    directory::Contact contact = directory::Contact::kAccepted;
     http1::ResponseHead head;
     std::string body;
   };
@@ -103,7 +94,7 @@
 
   // Connects without a request. `on_opened` is called once, from the event
   // loop, unless `Abort` precedes it.
-  void Open(std::function<void(OpenResult)> on_opened);
+  void Open(std::function<void(directory::Contact)> on_opened);
   // Sends a request; none may be in progress. Connects first if necessary.
   void Send(Request request);
   // Sends a request without an id and returns its response as a whole. A
@@ -166,7 +157,7 @@
   void OnConnected();
   void OnConnectTimeout();
   // Ends an attempt to connect that failed.
-  void OnNotConnected(OpenResult result);
+  void OnNotConnected(directory::Contact contact);
   void ReportOpened();
   void OnReceived(std::string_view bytes);
   void OnClosed(net::CloseReason reason);
@@ -186,7 +177,7 @@
   std::shared_ptr<Request> request_;
   std::unique_ptr<http1::ResponseParser> parser_;
   // Null unless `Open` is in progress.
-  std::function<void(OpenResult)> on_opened_;
+  std::function<void(directory::Contact)> on_opened_;
   // Received and not yet parsed.
   std::string input_;
   bool head_reported_ = false;
@@ -196,8 +187,8 @@
   // Number of interim responses to this request.
   int interim_responses_ = 0;
   bool written_ = false;
-  // How the latest attempt to connect ended.
-  OpenResult open_result_ = OpenResult::kOpen;
+  // What the latest attempt to connect came to.
+  directory::Contact contact_ = directory::Contact::kAccepted;
   bool closed_orderly_ = false;
   // The connection cannot be used for another request.
   bool unusable_ = false;
--- a/services/gateway/run_stopper.cc
+++ b/services/gateway/run_stopper.cc
@@ -11,6 +11,9 @@
 namespace balsam::gateway {
 namespace {
 
+using directory::Contact;
+using retry::StopProof;
+using retry::StopResult;
 using std::chrono::milliseconds;
 
 // An engine stops a run at once.
@@ -53,9 +56,8 @@
 StopResult ToStopResult(const OutboundConnection::Response& reply,
                         const CopyResponse& response) {
   using EndReason = OutboundConnection::EndReason;
-  using OpenResult = OutboundConnection::OpenResult;
-  if (reply.open == OpenResult::kRefused) return StopResult::kEngineGone;
-  if (reply.open == OpenResult::kTimedOut) return StopResult::kUnreachable;
+  if (reply.contact == Contact::kRefused) return StopResult::kEngineGone;
+  if (reply.contact == Contact::kTimedOut) return StopResult::kUnreachable;
   if (reply.end == EndReason::kTimedOut) return StopResult::kSilent;
   if (reply.end != EndReason::kComplete) return StopResult::kUnknown;
   if (response.result == migration::CopyResult::kNoSuchRun) {
@@ -67,16 +69,6 @@
 
 }  // namespace
 
-bool StopProof::Add(StopResult result) {
-  const bool is_not_running = result == StopResult::kNotRunning;
-  const bool is_unreachable = result == StopResult::kUnreachable;
-  const bool was_not_running = std::exchange(was_not_running_, is_not_running);
-  const bool was_unreachable = std::exchange(was_unreachable_, is_unreachable);
-  return result == StopResult::kStopped || result == StopResult::kEngineGone ||
-         (is_not_running && was_not_running) ||
-         (is_unreachable && was_unreachable);
-}
-
 RunStopper::RunStopper(ConnectionPool& pool, const Dialect& dialect)
     : pool_(pool), dialect_(dialect) {}
 
--- a/services/gateway/run_stopper.h
+++ b/services/gateway/run_stopper.h
@@ -8,9 +8,9 @@
 #include <string>
 
 #include "libraries/directory/backend_directory.h"
+#include "libraries/retry/run_stop.h"
 #include "services/gateway/connection_pool.h"
 #include "services/gateway/dialect.h"
-#include "services/gateway/server_contact.h"
 
 namespace balsam::gateway {
 
@@ -21,38 +21,6 @@
   directory::Endpoint endpoint;
 };
 
-// What an engine's response to the call says.
-enum class StopResult {
-  // It ran and has been stopped.
-  kStopped,
-  // The engine does not run it. It may still be queued there.
-  kNotRunning,
-  // Nothing listens there: the engine is gone, and the run with it.
-  kEngineGone,
-  // No connection could be opened in time.
-  kUnreachable,
-  // The engine did not carry out the call, for example because it sheds load.
-  // The run goes on.
-  kRefused,
-  // The engine accepted the call and did not respond in time.
-  kSilent,
-  // The call failed in another way; the run may go on.
-  kUnknown,
-};
-
-// Finds out from the results of consecutive calls whether a run is over.
-class StopProof {
- public:
-  // Returns whether the run is known to be over.
-  bool Add(StopResult result);
-
- private:
-  // The engine did not run it at the call before: it may have been queued, and
-  // begin later.
-  bool was_not_running_ = false;
-  bool was_unreachable_ = false;
-};
-
 class RunStopper : public QObject {
   Q_OBJECT
 
@@ -62,7 +30,8 @@
 
   // Asks the engine once. `on_result` is called from the event loop, unless
   // this is destroyed before.
-  void Ask(const EngineRun& run, std::function<void(StopResult)> on_result);
+  void Ask(const EngineRun& run,
+           std::function<void(retry::StopResult)> on_result);
   // Stops the run of a request that its engine begins at once, if at all.
   // `on_result` receives whether it is known to be over, once that is known or
   // after some calls.
@@ -79,11 +48,12 @@
  private:
   void TryAbandon(const EngineRun& run, bool may_be_queued,
                   std::size_t calls_left, std::function<void()> on_over);
-  void TryConfirm(const EngineRun& run, StopProof proof, std::size_t calls_left,
+  void TryConfirm(const EngineRun& run, retry::StopProof proof,
+                  std::size_t calls_left,
                   std::function<void(bool is_over)> on_result);
   void OnResponse(const EngineRun& run,
                   const OutboundConnection::Response& response,
-                  const std::function<void(StopResult)>& on_result);
+                  const std::function<void(retry::StopResult)>& on_result);
   // Frees the memory that the engine keeps of a stopped run.
   void Release(const EngineRun& run, const std::string& handle);
 
