Do not resume a run at a source that is still asked to stop it

If the call that stopped it then fails, the engine is asked again; if the target refuses the run, it resumed at its source, which stops it. Cause: the source's resumption did not know of the calls that were still being made. Change: the source is left out then, as one that has restarted. Evidence: LateStopTest.RunDoesNotResumeWhereItIsBeingStopped failed before (two requests at the source instead of one).

--- a/services/gateway/generation_migration.cc
+++ b/services/gateway/generation_migration.cc
@@ -162,7 +162,7 @@
       Resume(true);
       return;
     case MigrationStep::kResumeAtSource:
-      if (source_restarted_) {
+      if (source_restarted_ || source_is_being_stopped_) {
         ExecuteStep(state_machine_.OnResumeResult(false));
         return;
       }
@@ -249,6 +249,7 @@
         context.run_stopper.Abandon(
             {run.request_id, run.server_id, run.endpoint},
             /*may_be_queued=*/false);
+        if (self != nullptr) self->source_is_being_stopped_ = true;
       });
 }
 
--- a/services/gateway/generation_migration.h
+++ b/services/gateway/generation_migration.h
@@ -127,6 +127,9 @@
   bool logged_no_target_ = false;
   // The source has begun a new incarnation, which does not hold the run.
   bool source_restarted_ = false;
+  // The call that stopped the run failed after the run had gone on elsewhere,
+  // so that the source is still being asked to stop it.
+  bool source_is_being_stopped_ = false;
   // Handle of the copy; empty until one is made.
   std::string handle_;
   // The source refused the last call that was to stop the run.
--- a/tests/services/gateway/failed_move_test.cc
+++ b/tests/services/gateway/failed_move_test.cc
@@ -211,5 +211,58 @@
   EXPECT_EQ(resumed_, 0);
 }
 
+// After a long copy the run goes on as soon as its engine has closed the
+// stream. The call that stopped it is not awaited, and fails.
+class LateStopTest : public LeavingEngineTest {
+ protected:
+  LateStopTest() {
+    on_copy = [](const ScriptedEngine::Request& request) {
+      const milliseconds long_copy =
+          2 * migration::MigrationStateMachine::Limits().max_short_copy;
+      QTimer::singleShot(long_copy, request.socket, [request] {
+        Reply(request.socket, "200 OK", "", kCopied);
+      });
+    };
+    on_stop = [this](const ScriptedEngine::Request& request) {
+      if (++stops_ == 1) {
+        stop_call_ = request.socket;
+        stream_->disconnectFromHost();
+        return;
+      }
+      // The call is repeated, and fails as well.
+      request.socket->abort();
+      if (resume_ != nullptr) {
+        Reply(std::exchange(resume_, nullptr), "503 Service Unavailable",
+              "Request-Id: r-1\r\nNot-Run: 1\r\n", "");
+      }
+    };
+    // The target refuses the run after that.
+    second_.on_request = [this](const ScriptedEngine::Request& request) {
+      if (!request.IsTo("/x")) return;
+      resume_ = request.socket;
+      stop_call_->abort();
+    };
+  }
+
+  int stops_ = 0;
+  QTcpSocket* stop_call_ = nullptr;
+  // The request that is to resume the run at the target.
+  QTcpSocket* resume_ = nullptr;
+};
+
+// Guards against stopping a run that goes on: it resumed at its source, which
+// was still being asked to stop it.
+TEST_F(LateStopTest, RunDoesNotResumeWhereItIsBeingStopped) {
+  Send(RequestKind::kStream, 1);
+  RunUntilDone();
+  EXPECT_EQ(sink_.complete, false);
+  EXPECT_GE(stops_, 2);
+  EXPECT_EQ(std::ranges::count_if(first_.heads,
+                                  [](const std::string& head) {
+                                    return head.starts_with("POST /x");
+                                  }),
+            1);
+}
+
 }  // namespace
 }  // namespace balsam::gateway
