--- a/tests/services/gateway/scripted_engine.h
+++ b/tests/services/gateway/scripted_engine.h
@@ -29,6 +29,7 @@
       QTcpSocket* socket = server_.nextPendingConnection();
       QObject::connect(socket, &QTcpSocket::readyRead, this,
                        [this, socket] { OnReadable(socket); });
+      if (on_connection) on_connection(socket);
     });
   }
 
@@ -47,6 +48,8 @@
     if (!server_.isListening()) server_.listen(QHostAddress::LocalHost, port_);
   }
 
+  // Called for each new connection.
+  std::function<void(QTcpSocket*)> on_connection;
   // Called for each request once its head has arrived.
   std::function<void(const Request&)> on_request;
   std::uint16_t port() const {
